--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,115 @@
+// Package metrics counts events by name and reason and prints them in the Prometheus text format.
+package metrics
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// namePrefix precedes every exported metric name.
+const namePrefix = "boragecourse_"
+
+// Registry holds the process's metrics. The zero value is not usable; call New. A nil Registry drops
+// everything, so that tests need none.
+type Registry struct {
+	r gometrics.Registry
+}
+
+// New returns an empty registry.
+func New() *Registry {
+	return &Registry{r: gometrics.NewRegistry()}
+}
+
+// Label is one label of a metric.
+type Label struct {
+	Name, Value string
+}
+
+// L is short for a Label.
+func L(name, value string) Label { return Label{Name: name, Value: value} }
+
+// Inc adds one to the counter with the given name and labels.
+func (m *Registry) Inc(name string, labels ...Label) { m.Add(name, 1, labels...) }
+
+// Add adds n to the counter with the given name and labels.
+func (m *Registry) Add(name string, n int64, labels ...Label) {
+	if m == nil {
+		return
+	}
+	gometrics.GetOrRegisterCounter(key(name, labels), m.r).Inc(n)
+}
+
+// Set sets the gauge with the given name and labels.
+func (m *Registry) Set(name string, v int64, labels ...Label) {
+	if m == nil {
+		return
+	}
+	gometrics.GetOrRegisterGauge(key(name, labels), m.r).Update(v)
+}
+
+// Count returns the present value of a counter, zero when it was never used.
+func (m *Registry) Count(name string, labels ...Label) int64 {
+	if m == nil {
+		return 0
+	}
+	if c, ok := m.r.Get(key(name, labels)).(gometrics.Counter); ok {
+		return c.Count()
+	}
+	return 0
+}
+
+// WriteTo prints all metrics in the Prometheus text format, sorted by name.
+func (m *Registry) WriteTo(w io.Writer) (int64, error) {
+	type line struct{ series, kind, value string }
+	var lines []line
+	m.r.Each(func(series string, v any) {
+		switch v := v.(type) {
+		case gometrics.Counter:
+			lines = append(lines, line{series, "counter", fmt.Sprint(v.Count())})
+		case gometrics.Gauge:
+			lines = append(lines, line{series, "gauge", fmt.Sprint(v.Value())})
+		}
+	})
+	sort.Slice(lines, func(i, j int) bool { return lines[i].series < lines[j].series })
+	out := bufio.NewWriter(w)
+	var written int64
+	last := ""
+	for _, l := range lines {
+		name, _, _ := strings.Cut(l.series, "{")
+		if name != last {
+			n, _ := fmt.Fprintf(out, "# TYPE %s %s\n", name, l.kind)
+			written += int64(n)
+			last = name
+		}
+		n, _ := fmt.Fprintf(out, "%s %s\n", l.series, l.value)
+		written += int64(n)
+	}
+	if err := out.Flush(); err != nil {
+		return written, fmt.Errorf("write metrics: %w", err)
+	}
+	return written, nil
+}
+
+// key is the series name in the Prometheus text format, labels in the given order.
+func key(name string, labels []Label) string {
+	if len(labels) == 0 {
+		return namePrefix + name
+	}
+	var b strings.Builder
+	b.WriteString(namePrefix)
+	b.WriteString(name)
+	b.WriteByte('{')
+	for i, l := range labels {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, "%s=%q", l.Name, l.Value)
+	}
+	b.WriteByte('}')
+	return b.String()
+}
--- /dev/null
+++ b/test/standin/memstore/memstore.go
@@ -0,0 +1,391 @@
+// Package memstore is an in-memory stand-in for the platform's key-value service. It implements
+// platform.Store, runs on the fake clock of testing/synctest, and injects the service's faults.
+package memstore
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/boragecourse/boragecourse/internal/platform"
+)
+
+// Causes of injected faults.
+var (
+	errOutage     = errors.New("injected outage")
+	errAnswerLost = errors.New("injected lost answer")
+)
+
+// Store holds the data. Daemons use it through a Client each, so that faults can be set per host.
+type Store struct {
+	mu       sync.Mutex
+	revision int64
+	values   map[string]platform.KeyValue
+	leases   map[platform.LeaseID]*lease
+	nextID   platform.LeaseID
+	watches  map[*watch]bool
+	history  []platform.Event
+	reads    int64
+	writes   int64
+}
+
+type lease struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
+
+type watch struct {
+	prefix string
+	queue  []platform.WatchBatch
+	wake   chan struct{}
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{
+		values: map[string]platform.KeyValue{}, leases: map[platform.LeaseID]*lease{},
+		watches: map[*watch]bool{},
+	}
+}
+
+// Calls returns how many reads and writes reached the store; a watch counts as one read, a lease renewal as a write.
+func (s *Store) Calls() (reads, writes int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads, s.writes
+}
+
+// LapseLease ends a lease before its time, as the service does when its holder is paused.
+func (s *Store) LapseLease(id platform.LeaseID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropLease(id)
+}
+
+// BreakWatches ends all open watches with an error, so that events are missed.
+func (s *Store) BreakWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for w := range s.watches {
+		w.push(platform.WatchBatch{Err: &platform.UnavailableError{Op: "watch", Cause: errOutage}})
+		delete(s.watches, w)
+	}
+}
+
+// Client is one host's connection to the store.
+type Client struct {
+	store *Store
+
+	mu         sync.Mutex
+	down       bool
+	delay      time.Duration
+	loseAnswer int
+}
+
+var _ platform.Store = (*Client)(nil)
+
+// Client returns a connection without faults.
+func (s *Store) Client() *Client { return &Client{store: s} }
+
+// SetDown makes every call fail without effect and ends nothing else; open watches stay silent.
+func (c *Client) SetDown(down bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down = down
+}
+
+// SetDelay delays every call.
+func (c *Client) SetDelay(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.delay = d
+}
+
+// LoseAnswers makes the next n writes take effect while their answers are lost.
+func (c *Client) LoseAnswers(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.loseAnswer = n
+}
+
+func (c *Client) isDown() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.down
+}
+
+func (c *Client) enter(ctx context.Context, op string) error {
+	c.mu.Lock()
+	down, delay := c.down, c.delay
+	c.mu.Unlock()
+	if down {
+		return &platform.UnavailableError{Op: op, Cause: errOutage}
+	}
+	if delay > 0 {
+		timer := time.NewTimer(delay)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return &platform.UnavailableError{Op: op, Cause: ctx.Err()}
+		}
+	}
+	if err := ctx.Err(); err != nil {
+		return &platform.UnavailableError{Op: op, Cause: err}
+	}
+	return nil
+}
+
+func (c *Client) leave(op string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.loseAnswer > 0 {
+		c.loseAnswer--
+		return &platform.UnknownError{Op: op, Cause: errAnswerLost}
+	}
+	return nil
+}
+
+// Get implements platform.Store.
+func (c *Client) Get(ctx context.Context, key string) (platform.KeyValue, bool, error) {
+	if err := c.enter(ctx, "get"); err != nil {
+		return platform.KeyValue{}, false, err
+	}
+	s := c.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	kv, ok := s.values[key]
+	return kv, ok, nil
+}
+
+// List implements platform.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]platform.KeyValue, error) {
+	if err := c.enter(ctx, "list"); err != nil {
+		return nil, err
+	}
+	s := c.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	var found []platform.KeyValue
+	for k, kv := range s.values {
+		if strings.HasPrefix(k, prefix) {
+			found = append(found, kv)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	return found, nil
+}
+
+// Txn implements platform.Store.
+func (c *Client) Txn(ctx context.Context, conditions []platform.Condition, writes []platform.Write) (platform.TxnResult, error) {
+	if err := c.enter(ctx, "txn"); err != nil {
+		return platform.TxnResult{}, err
+	}
+	result := c.store.txn(conditions, writes)
+	if err := c.leave("txn"); err != nil {
+		return platform.TxnResult{}, err
+	}
+	return result, nil
+}
+
+func (s *Store) txn(conditions []platform.Condition, writes []platform.Write) platform.TxnResult {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	result := platform.TxnResult{Succeeded: true}
+	for _, cond := range conditions {
+		if s.values[cond.Key].ModRevision != cond.ModRevision {
+			result.Succeeded = false
+		}
+	}
+	for _, w := range writes {
+		if w.Lease != 0 && s.leases[w.Lease] == nil {
+			result.Succeeded = false
+		}
+	}
+	if result.Succeeded {
+		s.apply(writes)
+	} else {
+		for _, cond := range conditions {
+			if kv, ok := s.values[cond.Key]; ok {
+				result.Current = append(result.Current, kv)
+			}
+		}
+	}
+	result.Revision = s.revision
+	return result
+}
+
+func (s *Store) apply(writes []platform.Write) {
+	if len(writes) == 0 {
+		return
+	}
+	s.revision++
+	var events []platform.Event
+	for _, w := range writes {
+		kv := platform.KeyValue{Key: w.Key, Value: append([]byte(nil), w.Value...), ModRevision: s.revision, Lease: w.Lease}
+		if w.Value == nil {
+			if _, ok := s.values[w.Key]; !ok {
+				continue
+			}
+			delete(s.values, w.Key)
+			events = append(events, platform.Event{KeyValue: platform.KeyValue{Key: w.Key, ModRevision: s.revision}, Deleted: true})
+			continue
+		}
+		s.values[w.Key] = kv
+		events = append(events, platform.Event{KeyValue: kv})
+	}
+	s.history = append(s.history, events...)
+	for w := range s.watches {
+		w.deliver(events, s.revision)
+	}
+}
+
+func (w *watch) deliver(events []platform.Event, revision int64) {
+	var matching []platform.Event
+	for _, e := range events {
+		if strings.HasPrefix(e.Key, w.prefix) {
+			matching = append(matching, e)
+		}
+	}
+	if len(matching) > 0 {
+		w.push(platform.WatchBatch{Events: matching, Revision: revision})
+	}
+}
+
+func (w *watch) push(b platform.WatchBatch) {
+	w.queue = append(w.queue, b)
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Watch implements platform.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, fromRevision int64) <-chan platform.WatchBatch {
+	out := make(chan platform.WatchBatch)
+	if c.isDown() {
+		go send(ctx, out, platform.WatchBatch{Err: &platform.UnavailableError{Op: "watch", Cause: errOutage}})
+		return out
+	}
+	s := c.store
+	w := &watch{prefix: prefix, wake: make(chan struct{}, 1)}
+	s.mu.Lock()
+	s.reads++
+	s.watches[w] = true
+	var missed []platform.Event
+	for _, e := range s.history {
+		if e.ModRevision >= fromRevision {
+			missed = append(missed, e)
+		}
+	}
+	w.deliver(missed, s.revision)
+	s.mu.Unlock()
+	go c.pump(ctx, w, out)
+	return out
+}
+
+func send(ctx context.Context, out chan<- platform.WatchBatch, b platform.WatchBatch) bool {
+	select {
+	case out <- b:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (c *Client) pump(ctx context.Context, w *watch, out chan<- platform.WatchBatch) {
+	s := c.store
+	defer func() {
+		s.mu.Lock()
+		delete(s.watches, w)
+		s.mu.Unlock()
+	}()
+	for {
+		select {
+		case <-w.wake:
+		case <-ctx.Done():
+			return
+		}
+		s.mu.Lock()
+		queue := w.queue
+		w.queue = nil
+		s.mu.Unlock()
+		for _, b := range queue {
+			if c.isDown() {
+				b = platform.WatchBatch{Err: &platform.UnavailableError{Op: "watch", Cause: errOutage}}
+			}
+			if !send(ctx, out, b) || b.Err != nil {
+				return
+			}
+		}
+	}
+}
+
+// GrantLease implements platform.Store.
+func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, time.Duration, error) {
+	if err := c.enter(ctx, "lease grant"); err != nil {
+		return 0, 0, err
+	}
+	s := c.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	ttl = (ttl + time.Second - 1).Truncate(time.Second)
+	s.nextID++
+	id := s.nextID
+	s.leases[id] = &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() { s.LapseLease(id) })}
+	return id, ttl, nil
+}
+
+// KeepAlive implements platform.Store.
+func (c *Client) KeepAlive(ctx context.Context, id platform.LeaseID) (time.Duration, error) {
+	if err := c.enter(ctx, "lease renewal"); err != nil {
+		return 0, err
+	}
+	s := c.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	l := s.leases[id]
+	if l == nil {
+		return 0, &platform.LeaseLapsedError{ID: id}
+	}
+	l.timer.Reset(l.ttl)
+	return l.ttl, nil
+}
+
+// RevokeLease implements platform.Store.
+func (c *Client) RevokeLease(ctx context.Context, id platform.LeaseID) error {
+	if err := c.enter(ctx, "lease revoke"); err != nil {
+		return err
+	}
+	s := c.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	s.dropLease(id)
+	return nil
+}
+
+func (s *Store) dropLease(id platform.LeaseID) {
+	l := s.leases[id]
+	if l == nil {
+		return
+	}
+	l.timer.Stop()
+	delete(s.leases, id)
+	var deletions []platform.Write
+	for k, kv := range s.values {
+		if kv.Lease == id {
+			deletions = append(deletions, platform.Write{Key: k})
+		}
+	}
+	sort.Slice(deletions, func(i, j int) bool { return deletions[i].Key < deletions[j].Key })
+	s.apply(deletions)
+}
