Let linters run side by side

Cause: golangci-lint takes a machine-wide lock, so that checks of two work trees fail each other. Conclusion: checks of several work trees can run at once.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 
 lint: ## Check formatting and run the linters.
 	$(LINT) fmt --diff
-	$(LINT) run
+	$(LINT) run --allow-parallel-runners
 
 proto: ## Regenerate the committed protobuf code; needs protoc and the two Go plugins.
 	protoc -I . --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative $(PROTOS)
