--- /dev/null
+++ b/internal/operatorapi/errors.go
@@ -0,0 +1,74 @@
+package operatorapi
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+)
+
+// Code is the machine-readable reason of a failed operator call.
+type Code string
+
+// Codes of failed operator calls.
+const (
+	CodeInvalidFile      Code = "invalid_file"
+	CodeRace             Code = "race"
+	CodeStoreUnavailable Code = "store_unavailable"
+	CodeNotFound         Code = "not_found"
+	CodeNotReady         Code = "not_ready"
+	CodeCredential       Code = "wrong_credential"
+	CodeMalformed        Code = "malformed_request"
+	CodeInternal         Code = "internal"
+)
+
+var statusByCode = map[Code]int{
+	CodeInvalidFile:      http.StatusUnprocessableEntity,
+	CodeRace:             http.StatusConflict,
+	CodeStoreUnavailable: http.StatusServiceUnavailable,
+	CodeNotFound:         http.StatusNotFound,
+	CodeNotReady:         http.StatusServiceUnavailable,
+	CodeCredential:       http.StatusUnauthorized,
+	CodeMalformed:        http.StatusBadRequest,
+	CodeInternal:         http.StatusInternalServerError,
+}
+
+// Error is a failed operator call.
+type Error struct {
+	Code    Code   `json:"code"`
+	Message string `json:"message"`
+	// Details has one line for each fault of a rules file.
+	Details []string `json:"details,omitempty"`
+	// WinningGeneration is set with CodeRace: the generation that was accepted instead.
+	WinningGeneration uint64 `json:"winning_generation,omitempty"`
+	Cause             error  `json:"-"`
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	text := fmt.Sprintf("%s: %s", e.Code, e.Message)
+	if len(e.Details) > 0 {
+		text += "\n" + strings.Join(e.Details, "\n")
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// UnreachableError reports that no host answered.
+type UnreachableError struct {
+	// Failures has one error for each host that was tried.
+	Failures []error
+}
+
+// Error implements error.
+func (e *UnreachableError) Error() string {
+	parts := make([]string, len(e.Failures))
+	for i, f := range e.Failures {
+		parts[i] = f.Error()
+	}
+	return "no host answered: " + strings.Join(parts, "; ")
+}
+
+// Unwrap returns the failures.
+func (e *UnreachableError) Unwrap() []error { return e.Failures }
--- /dev/null
+++ b/internal/operatorapi/operatorapi_test.go
@@ -0,0 +1,116 @@
+package operatorapi_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/boragecourse/boragecourse/internal/operatorapi"
+)
+
+const credential = "operator"
+
+type backend struct {
+	operatorapi.Backend
+	file  operatorapi.File
+	apply func(operatorapi.ApplyRequest) (operatorapi.ApplyResult, error)
+}
+
+func (b *backend) File(context.Context) (operatorapi.File, error) { return b.file, nil }
+
+func (b *backend) Apply(_ context.Context, r operatorapi.ApplyRequest) (operatorapi.ApplyResult, error) {
+	return b.apply(r)
+}
+
+func start(t *testing.T, b operatorapi.Backend) string {
+	t.Helper()
+	sum := sha256.Sum256([]byte(credential))
+	h, err := operatorapi.Handler(b, hex.EncodeToString(sum[:]))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// deadHost returns an address on which nothing listens any more.
+func deadHost() string {
+	s := httptest.NewServer(http.NotFoundHandler())
+	s.Close()
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// hangingUp takes a request and closes the connection without an answer.
+func hangingUp(t *testing.T, then func()) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		then()
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// Guards against operator calls without the credential.
+func TestCredentialIsRequired(t *testing.T) {
+	g := NewWithT(t)
+	addr := start(t, &backend{})
+	_, err := operatorapi.NewClient([]string{addr}, "wrong").File(t.Context())
+	var e *operatorapi.Error
+	g.Expect(errors.As(err, &e)).To(BeTrue())
+	g.Expect(e.Code).To(Equal(operatorapi.CodeCredential))
+}
+
+// Guards against a tool that gives up when the first host is gone.
+func TestNextHostIsTried(t *testing.T) {
+	g := NewWithT(t)
+	addr := start(t, &backend{file: operatorapi.File{Generation: 3}})
+	f, err := operatorapi.NewClient([]string{deadHost(), addr}, credential).File(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(f.Generation).To(BeEquivalentTo(3))
+}
+
+// Guards against a race report that loses the winning generation on the way to the tool.
+func TestRaceReachesTheClient(t *testing.T) {
+	g := NewWithT(t)
+	addr := start(t, &backend{apply: func(operatorapi.ApplyRequest) (operatorapi.ApplyResult, error) {
+		return operatorapi.ApplyResult{}, &operatorapi.Error{Code: operatorapi.CodeRace, WinningGeneration: 9}
+	}})
+	_, err := operatorapi.NewClient([]string{addr}, credential).Apply(t.Context(), operatorapi.ApplyRequest{})
+	var e *operatorapi.Error
+	g.Expect(errors.As(err, &e)).To(BeTrue())
+	g.Expect(e.WinningGeneration).To(BeEquivalentTo(9))
+}
+
+// Guards against reporting a file as refused or accepted when the host's answer was lost, and against sending it twice.
+func TestLostApplyAnswerIsResolvedOrUnknown(t *testing.T) {
+	for _, stored := range []bool{true, false} {
+		g := NewWithT(t)
+		other := &backend{file: operatorapi.File{Generation: 1, Text: "old"}}
+		other.apply = func(operatorapi.ApplyRequest) (operatorapi.ApplyResult, error) {
+			t.Error("the file was sent a second time")
+			return operatorapi.ApplyResult{}, nil
+		}
+		lost := hangingUp(t, func() {
+			if stored {
+				other.file = operatorapi.File{Generation: 2, Text: "new"}
+			}
+		})
+		client := operatorapi.NewClient([]string{lost, start(t, other)}, credential)
+		result, err := client.Apply(t.Context(), operatorapi.ApplyRequest{BaseGeneration: 1, Text: "new"})
+		g.Expect(err).NotTo(HaveOccurred())
+		if stored {
+			g.Expect(result).To(Equal(operatorapi.ApplyResult{Status: operatorapi.StatusStored, Generation: 2}))
+		} else {
+			g.Expect(result.Status).To(Equal(operatorapi.StatusUnknown))
+		}
+	}
+}
--- /dev/null
+++ b/internal/operatorapi/server.go
@@ -0,0 +1,78 @@
+package operatorapi
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/go-chi/chi/v5/middleware"
+)
+
+// maxFileBytes bounds an uploaded rules file: 47,000 workspaces with a key each take about 12 MB.
+const maxFileBytes = 64 << 20
+
+// Handler returns the operator API. Every call needs the credential whose SHA-256 is given in hex.
+func Handler(b Backend, credentialSHA256 string) (http.Handler, error) {
+	want, err := hex.DecodeString(credentialSHA256)
+	if err != nil || len(want) != sha256.Size {
+		return nil, &Error{Code: CodeMalformed, Message: "the operator credential's hash is not a SHA-256 in hex", Cause: err}
+	}
+	r := chi.NewRouter()
+	r.Use(middleware.Recoverer, requireCredential(want))
+	r.Get("/v1/config", respond(func(req *http.Request) (any, error) { return b.File(req.Context()) }))
+	r.Post("/v1/config/apply", respond(func(req *http.Request) (any, error) {
+		var a ApplyRequest
+		if err := json.NewDecoder(http.MaxBytesReader(nil, req.Body, maxFileBytes)).Decode(&a); err != nil {
+			return nil, &Error{Code: CodeMalformed, Message: fmt.Sprintf("malformed body: %v", err), Cause: err}
+		}
+		return b.Apply(req.Context(), a)
+	}))
+	r.Get("/v1/status", respond(func(req *http.Request) (any, error) { return b.Status(req.Context()) }))
+	r.Get("/v1/charges/{id}", respond(func(req *http.Request) (any, error) {
+		return b.Charge(req.Context(), chi.URLParam(req, "id"))
+	}))
+	r.Post("/v1/drain", respond(func(req *http.Request) (any, error) { return struct{}{}, b.Drain(req.Context()) }))
+	return r, nil
+}
+
+func requireCredential(want []byte) func(http.Handler) http.Handler {
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			given := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+			got := sha256.Sum256([]byte(given))
+			if subtle.ConstantTimeCompare(got[:], want) != 1 {
+				writeError(w, &Error{Code: CodeCredential, Message: "the operator credential is missing or wrong"})
+				return
+			}
+			next.ServeHTTP(w, r)
+		})
+	}
+}
+
+func respond(call func(*http.Request) (any, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		result, err := call(r)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(result)
+	}
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	var e *Error
+	if !errors.As(err, &e) {
+		e = &Error{Code: CodeInternal, Message: err.Error(), Cause: err}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(statusByCode[e.Code])
+	_ = json.NewEncoder(w).Encode(e)
+}
--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,149 @@
+package peer
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"crypto/tls"
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+)
+
+const (
+	// secretHeader carries the shared secret of the hosts.
+	secretHeader = "boragecourse-peer-secret"
+	// maxMessageBytes holds a configuration chunk answer of several chunks.
+	maxMessageBytes = 16 << 20
+	// connectTimeout is below the time in which contact counts as recent, so that a dead host does not
+	// hold up a live one.
+	connectTimeout = time.Second
+	// maxReconnectDelay bounds the time until a healed link is used again.
+	maxReconnectDelay = time.Second
+	keepaliveInterval = 20 * time.Second
+	keepaliveTimeout  = 5 * time.Second
+)
+
+// Pool implements Dialer over TCP. It keeps one connection for each address.
+type Pool struct {
+	options []grpc.DialOption
+
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+var _ Dialer = (*Pool)(nil)
+
+// NewPool returns a pool that presents the shared secret on every call. A nil tlsConfig means plain TCP.
+func NewPool(secret string, tlsConfig *tls.Config) *Pool {
+	transport := insecure.NewCredentials()
+	if tlsConfig != nil {
+		transport = credentials.NewTLS(tlsConfig)
+	}
+	b := backoff.DefaultConfig
+	b.BaseDelay = 100 * time.Millisecond
+	b.MaxDelay = maxReconnectDelay
+	return &Pool{
+		conns: map[string]*grpc.ClientConn{},
+		options: []grpc.DialOption{
+			grpc.WithTransportCredentials(transport),
+			grpc.WithPerRPCCredentials(sharedSecret(secret)),
+			grpc.WithConnectParams(grpc.ConnectParams{Backoff: b, MinConnectTimeout: connectTimeout}),
+			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
+			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		},
+	}
+}
+
+// Conn implements Dialer. A malformed address gives a connection whose calls fail.
+func (p *Pool) Conn(addr string) grpc.ClientConnInterface {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.conns[addr]; c != nil {
+		return c
+	}
+	c, err := grpc.NewClient("passthrough:///"+addr, p.options...)
+	if err != nil {
+		return brokenConn{fmt.Errorf("dial %s: %w", addr, err)}
+	}
+	p.conns[addr] = c
+	return c
+}
+
+// Prune closes connections to addresses that keep does not report as used.
+func (p *Pool) Prune(keep func(addr string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, c := range p.conns {
+		if !keep(addr) {
+			_ = c.Close()
+			delete(p.conns, addr)
+		}
+	}
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.Prune(func(string) bool { return false })
+}
+
+// NewServer returns a grpc server that refuses calls without the shared secret.
+func NewServer(secret string, tlsConfig *tls.Config) *grpc.Server {
+	options := []grpc.ServerOption{
+		grpc.UnaryInterceptor(requireSecret(secret)),
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
+	}
+	if tlsConfig != nil {
+		options = append(options, grpc.Creds(credentials.NewTLS(tlsConfig)))
+	}
+	return grpc.NewServer(options...)
+}
+
+// requireSecret compares hashes, so that the comparison time tells nothing about the secret.
+func requireSecret(secret string) grpc.UnaryServerInterceptor {
+	want := sha256.Sum256([]byte(secret))
+	return func(ctx context.Context, req any, _ *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
+		md, _ := metadata.FromIncomingContext(ctx)
+		for _, v := range md.Get(secretHeader) {
+			got := sha256.Sum256([]byte(v))
+			if subtle.ConstantTimeCompare(got[:], want[:]) == 1 {
+				return handler(ctx, req)
+			}
+		}
+		return nil, status.Error(codes.Unauthenticated, "peer secret is missing or wrong")
+	}
+}
+
+type sharedSecret string
+
+// GetRequestMetadata implements credentials.PerRPCCredentials.
+func (s sharedSecret) GetRequestMetadata(context.Context, ...string) (map[string]string, error) {
+	return map[string]string{secretHeader: string(s)}, nil
+}
+
+// RequireTransportSecurity implements credentials.PerRPCCredentials. Plain TCP is allowed, since hosts may
+// share a private network.
+func (s sharedSecret) RequireTransportSecurity() bool { return false }
+
+// brokenConn fails every call with the error of the dial.
+type brokenConn struct{ err error }
+
+// Invoke implements grpc.ClientConnInterface.
+func (b brokenConn) Invoke(context.Context, string, any, any, ...grpc.CallOption) error {
+	return status.Error(codes.Unavailable, b.err.Error())
+}
+
+// NewStream implements grpc.ClientConnInterface.
+func (b brokenConn) NewStream(context.Context, *grpc.StreamDesc, string, ...grpc.CallOption) (grpc.ClientStream, error) {
+	return nil, status.Error(codes.Unavailable, b.err.Error())
+}
