--- a/internal/rules/types.go
+++ b/internal/rules/types.go
@@ -12,6 +12,8 @@
 	Who, Why string
 	// Text is the rule as written, without the comment.
 	Text string
+	// column is where Text starts in its line, counted from 1.
+	column int
 }
 
 // Rule is one of *Zone, *Workspace, *Key, *Server and *Route.
