--- /dev/null
+++ b/internal/cli/errors.go
@@ -0,0 +1,37 @@
+package cli
+
+import "fmt"
+
+// declinedError reports that the person did not confirm the change.
+type declinedError struct{}
+
+// Error implements error.
+func (*declinedError) Error() string { return "not confirmed; nothing was changed" }
+
+// unknownApplyError reports an apply whose outcome could not be found out.
+type unknownApplyError struct{}
+
+// Error implements error.
+func (*unknownApplyError) Error() string {
+	return "the change may or may not have been accepted; run get or diff once the store is reachable"
+}
+
+// notInForceError reports an accepted change that is not yet known to be in force.
+type notInForceError struct {
+	Generation uint64
+}
+
+// Error implements error.
+func (e *notInForceError) Error() string {
+	return fmt.Sprintf("generation %d is stored and not yet in force everywhere; hosts that lack it install it as soon as they reach the store or a peer", e.Generation)
+}
+
+// noSuchKeyError reports a withdrawal of a key that is not in the rules.
+type noSuchKeyError struct {
+	Workspace, ID string
+}
+
+// Error implements error.
+func (e *noSuchKeyError) Error() string {
+	return fmt.Sprintf("workspace %s has no key %s", e.Workspace, e.ID)
+}
--- /dev/null
+++ b/internal/cli/keys.go
@@ -0,0 +1,117 @@
+package cli
+
+import (
+	"crypto/rand"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/boragecourse/boragecourse/internal/operatorapi"
+	"github.com/boragecourse/boragecourse/internal/rules"
+)
+
+// keyBytes gives keys 192 bits of randomness.
+const keyBytes = 24
+
+// KeysCmd groups the commands on keys.
+type KeysCmd struct {
+	Issue    IssueCmd    `cmd:"" help:"Issue a key and print it once. Example: boragecourse keys issue inspectors --id=k2 --who=ana --why='second office'"`
+	Withdraw WithdrawCmd `cmd:"" help:"Withdraw a key. Example: boragecourse keys withdraw inspectors k2"`
+}
+
+// IssueCmd issues a key.
+type IssueCmd struct {
+	Workspace string `arg:"" help:"Workspace that the key is for."`
+	ID        string `help:"Name of the key in charges and logs." required:""`
+	Who       string `help:"Who asked for the key." required:""`
+	Why       string `help:"Why it was asked for." required:""`
+}
+
+// issuedKey is the command's result. The key itself is stored nowhere.
+type issuedKey struct {
+	Workspace string                  `json:"workspace"`
+	ID        string                  `json:"id"`
+	Key       string                  `json:"key"`
+	Apply     operatorapi.ApplyResult `json:"apply"`
+}
+
+// Run implements the command.
+func (c *IssueCmd) Run(e *Env) error {
+	secret := make([]byte, keyBytes)
+	if _, err := rand.Read(secret); err != nil {
+		return fmt.Errorf("make key: %w", err)
+	}
+	key := "bc-" + base64.RawURLEncoding.EncodeToString(secret)
+	rule := &rules.Key{
+		Origin:    rules.Origin{Who: c.Who, Why: c.Why},
+		Workspace: c.Workspace, KeyID: c.ID, Hash: rules.HashKey(key),
+	}
+	result, err := e.edit(func(f *rules.File) error { return f.Append(rule) })
+	if err != nil {
+		return err
+	}
+	issued := issuedKey{Workspace: c.Workspace, ID: c.ID, Key: key, Apply: result}
+	if err := e.print(issued, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "key %s for workspace %s: %s\n", c.ID, c.Workspace, key)
+	}); err != nil {
+		return err
+	}
+	return e.editOutcome(result)
+}
+
+// WithdrawCmd withdraws a key.
+type WithdrawCmd struct {
+	Workspace string `arg:"" help:"Workspace of the key."`
+	ID        string `arg:"" help:"Name of the key."`
+}
+
+// Run implements the command.
+func (c *WithdrawCmd) Run(e *Env) error {
+	key := &rules.Key{Workspace: c.Workspace, KeyID: c.ID}
+	result, err := e.edit(func(f *rules.File) error {
+		if !f.Remove(key.ID()) {
+			return &noSuchKeyError{Workspace: c.Workspace, ID: c.ID}
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	return e.reportApply(result)
+}
+
+// edit changes the installed file and applies it. A race is repeated on the winning file, since adding or
+// removing one key does not conflict with other changes.
+func (e *Env) edit(change func(*rules.File) error) (operatorapi.ApplyResult, error) {
+	var lost error
+	for range maxRaces {
+		base, err := e.installed()
+		if err != nil {
+			return operatorapi.ApplyResult{}, err
+		}
+		if err := change(base.parsed); err != nil {
+			return operatorapi.ApplyResult{}, err
+		}
+		request := operatorapi.ApplyRequest{BaseGeneration: base.Generation, Text: string(base.parsed.Format())}
+		result, err := e.Client.Apply(e.Context, request)
+		var api *operatorapi.Error
+		if errors.As(err, &api) && api.Code == operatorapi.CodeRace {
+			lost = err
+			continue
+		}
+		return result, err
+	}
+	return operatorapi.ApplyResult{}, lost
+}
+
+// editOutcome turns an apply that is not in force into the command's failure, after its result was printed.
+func (e *Env) editOutcome(r operatorapi.ApplyResult) error {
+	switch r.Status {
+	case operatorapi.StatusUnknown:
+		return &ExitError{Code: ExitUnknown, Err: &unknownApplyError{}}
+	case operatorapi.StatusStored:
+		return &ExitError{Code: ExitNotInForce, Err: &notInForceError{Generation: r.Generation}}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,159 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/boragecourse/boragecourse/internal/operatorapi"
+)
+
+// statusTimeout bounds the wait for one host, so that hosts that are down do not hold up the others' answers.
+const statusTimeout = 3 * time.Second
+
+// StatusCmd shows the fleet as each host sees it.
+type StatusCmd struct{}
+
+// hostAnswer is one host's status, or why it has none.
+type hostAnswer struct {
+	Address string              `json:"address"`
+	Error   string              `json:"error,omitempty"`
+	Status  *operatorapi.Status `json:"status,omitempty"`
+}
+
+// Run implements the command.
+func (c *StatusCmd) Run(e *Env) error {
+	e.Client.HTTP.Timeout = statusTimeout
+	answers := make([]hostAnswer, len(e.Client.Hosts))
+	var wg sync.WaitGroup
+	for i, h := range e.Client.Hosts {
+		wg.Go(func() {
+			answers[i].Address = h
+			s, err := e.Client.StatusOf(e.Context, h)
+			if err != nil {
+				answers[i].Error = err.Error()
+				return
+			}
+			answers[i].Status = &s
+		})
+	}
+	wg.Wait()
+	if err := e.print(answers, func(w io.Writer) { printStatus(w, answers) }); err != nil {
+		return err
+	}
+	for _, a := range answers {
+		if a.Status != nil {
+			return nil
+		}
+	}
+	return &operatorapi.UnreachableError{}
+}
+
+func printStatus(w io.Writer, answers []hostAnswer) {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "HOST\tZONE\tSTATE\tAUTHORITY\tGENERATION\tCONFIRMED\tEPOCH\tOPEN\tUNREACHABLE FROM IT")
+	var best *operatorapi.Status
+	for _, a := range answers {
+		if a.Status == nil {
+			_, _ = fmt.Fprintf(t, "%s\t-\tno answer\t-\t-\t-\t-\t-\t%s\n", a.Address, a.Error)
+			continue
+		}
+		s := a.Status
+		if best == nil || s.Generation > best.Generation {
+			best = s
+		}
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\t%d\t%d\t%s\n", s.Host, s.Zone, state(s), s.Authority,
+			s.Generation, confirmed(s.Freshness), s.Epoch, s.OpenCalls, unreachable(s))
+	}
+	_ = t.Flush()
+	if best == nil {
+		return
+	}
+	_, _ = fmt.Fprintln(w)
+	t = tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "ZONE\tSHARE OF EACH BUCKET")
+	for _, z := range best.Shares {
+		_, _ = fmt.Fprintf(t, "%s\t%.3f\n", z.Zone, z.Share)
+	}
+	_, _ = fmt.Fprintln(t, "\nBACKEND SERVER\tZONE\tROLE\tFOR\tSTATE")
+	for _, b := range best.Servers {
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\n", b.Name, b.Zone, b.Role, b.For, b.State)
+	}
+	_ = t.Flush()
+}
+
+func state(s *operatorapi.Status) string {
+	switch {
+	case s.Draining:
+		return "draining"
+	case s.Ready:
+		return "ready"
+	default:
+		return "not ready"
+	}
+}
+
+func confirmed(age time.Duration) string {
+	if age < 0 {
+		return "never"
+	}
+	return age.Round(10*time.Millisecond).String() + " ago"
+}
+
+func unreachable(s *operatorapi.Status) string {
+	var names string
+	for _, h := range s.Hosts {
+		if !h.Reachable && h.Name != s.Host {
+			if names != "" {
+				names += ","
+			}
+			names += h.Name
+		}
+	}
+	if names == "" {
+		return "-"
+	}
+	return names
+}
+
+// DrainCmd drains one host.
+type DrainCmd struct {
+	Host string `arg:"" help:"Operator address of the host, ip:port."`
+}
+
+// Run implements the command.
+func (c *DrainCmd) Run(e *Env) error {
+	if err := e.Client.DrainHost(e.Context, c.Host); err != nil {
+		return err
+	}
+	return e.print(map[string]string{"draining": c.Host}, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "%s is draining\n", c.Host)
+	})
+}
+
+// ChargesCmd groups the commands on charges.
+type ChargesCmd struct {
+	Trace TraceCmd `cmd:"" help:"Show the rule and the person behind a request's charge. Example: boragecourse charges trace REQUEST-ID"`
+}
+
+// TraceCmd shows the charge of a request.
+type TraceCmd struct {
+	RequestID string `arg:"" help:"Request id, from the X-Request-Id header of the answer."`
+}
+
+// Run implements the command.
+func (c *TraceCmd) Run(e *Env) error {
+	ch, err := e.Client.Charge(e.Context, c.RequestID)
+	if err != nil {
+		return err
+	}
+	return e.print(ch, func(w io.Writer) {
+		t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+		_, _ = fmt.Fprintf(t, "request\t%s\noutcome\t%s\nworkspace\t%s (key %s)\nroute\t%s\n", ch.RequestID, ch.Outcome, ch.Workspace, ch.KeyID, ch.Route)
+		_, _ = fmt.Fprintf(t, "tokens\t%d prompt (%d cached), %d output, %d per call\n", ch.PromptTokens, ch.CachedTokens, ch.OutputTokens, ch.CostTokens)
+		_, _ = fmt.Fprintf(t, "rule\tgeneration %d, line %d: %s\nasked by\t%s: %s\n", ch.Generation, ch.RuleLine, ch.RuleText, ch.Who, ch.Why)
+		_ = t.Flush()
+	})
+}
