--- a/internal/claim/ticket.go
+++ b/internal/claim/ticket.go
@@ -155,6 +155,6 @@
 		go func() { results <- e.record() }()
 	}
 	for range entries {
-		_ = <-results
+		<-results
 	}
 }
