--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,20 @@
 LINT = $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 PROTOS = $(wildcard proto/peer/v1/*.proto proto/etcd/*/*.proto)
 
-.PHONY: build test fmt lint proto
+.PHONY: build programs test demo bench-path fmt lint proto
 
 build: ## Build every package.
 	$(GO) build ./...
 
+programs: ## Build the daemon, the tool and the stand-ins into bin/.
+	$(GO) build -o bin/ ./cmd/... ./test/cmd/...
+
+demo: programs ## Run the main job on loopback, in under a minute.
+	$(GO) run ./test/demo
+
+bench-path: programs ## Measure what the router adds to a request.
+	$(GO) run ./test/benchpath
+
 test: ## Run all tests.
 	$(GO) test $(TESTFLAGS) ./...
 
--- /dev/null
+++ b/test/benchpath/main.go
@@ -0,0 +1,245 @@
+// Command benchpath measures what the router adds to a request: the time to the first token and the memory per open
+// stream, against calling the fake engine directly in the same run. Everything runs on loopback.
+package main
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/boragecourse/boragecourse/test/loopback"
+)
+
+const (
+	model      = "keeper-llm"
+	key        = "bc-benchpath"
+	credential = "benchpath-credential"
+	runTimeout = 2 * time.Minute
+	// warmUp streams open the connections before anything is measured.
+	warmUp = 32
+	// rounds of each path alternate, so that both meet the same state of the machine.
+	rounds = 5
+	// maxAddedMillis and maxStreamBytes are the targets of the design page.
+	maxAddedMillis = 1.0
+	maxStreamBytes = 64 << 10
+)
+
+func main() {
+	bin := flag.String("bin", "bin", "folder with the built programs")
+	streams := flag.Int("streams", 200, "concurrent streams")
+	flag.Parse()
+	if err := run(*bin, *streams); err != nil {
+		fmt.Fprintf(os.Stderr, "benchpath: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+// fleet is one engine, one daemon and the store.
+type fleet struct {
+	procs                                    *loopback.Processes
+	store, engine, callers, peers, operators string
+	daemon                                   *loopback.Process
+}
+
+func run(bin string, streams int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), runTimeout)
+	defer cancel()
+	logs := filepath.Join("out", "benchpath")
+	if err := os.MkdirAll(logs, 0o755); err != nil {
+		return fmt.Errorf("folder for logs: %w", err)
+	}
+	f := &fleet{procs: &loopback.Processes{Bin: bin, Logs: logs}}
+	defer f.procs.StopAll()
+	if err := f.start(ctx); err != nil {
+		return err
+	}
+	http.DefaultTransport.(*http.Transport).MaxIdleConnsPerHost = streams
+	var direct, routed []time.Duration
+	var perStream int64
+	measure(ctx, f.engine, warmUp, nil)
+	measure(ctx, f.callers, warmUp, nil)
+	for range rounds {
+		direct = append(direct, measure(ctx, f.engine, streams, nil)...)
+		before := rss(f.daemon.PID())
+		var during int64
+		routed = append(routed, measure(ctx, f.callers, streams, func() { during = rss(f.daemon.PID()) })...)
+		perStream = max(perStream, (during-before)/int64(streams))
+	}
+	return report(streams, direct, routed, perStream)
+}
+
+func report(streams int, direct, routed []time.Duration, perStream int64) error {
+	if len(direct) != streams*rounds || len(routed) != streams*rounds {
+		return &missedError{fmt.Sprintf("%d direct and %d routed answers of %d", len(direct), len(routed), streams*rounds)}
+	}
+	added := millis(quantile(routed, 0.5)) - millis(quantile(direct, 0.5))
+	fmt.Printf("%d concurrent streams, %d rounds\n", streams, rounds)
+	for _, p := range []float64{0.5, 0.95, 0.99} {
+		fmt.Printf("first token p%.0f: direct %.2f ms, routed %.2f ms\n", p*100, millis(quantile(direct, p)), millis(quantile(routed, p)))
+	}
+	fmt.Printf("median added time to the first token: %.2f ms (target under %.0f ms)\n", added, maxAddedMillis)
+	fmt.Printf("memory per open stream, largest of the rounds: %.1f KB (target under %d KB)\n", float64(perStream)/1024, maxStreamBytes>>10)
+	if added >= maxAddedMillis || perStream >= maxStreamBytes {
+		return &missedError{"a target was missed"}
+	}
+	return nil
+}
+
+// missedError reports a run that missed a target or lost answers.
+type missedError struct{ text string }
+
+// Error implements error.
+func (e *missedError) Error() string { return e.text }
+
+func (f *fleet) start(ctx context.Context) error {
+	addrs, err := loopback.FreeAddresses(5)
+	if err != nil {
+		return err
+	}
+	f.store, f.engine, f.callers, f.peers, f.operators = addrs[0], addrs[1], addrs[2], addrs[3], addrs[4]
+	sum := sha256.Sum256([]byte(credential))
+	starts := [][]string{
+		{"platform", "standin-platform", "--listen=" + f.store},
+		{"engine", "standin-engine", "--listen=" + f.engine, "--name=keeper-1", "--role=both", "--slots=2000", "--pieces=100000",
+			"--prefill-token=100us", "--output-token=20ms", "--natural-tokens=40"},
+		{"daemon", "boragecoursed", "--name=entry-1", "--zone=piran-a", "--store=" + f.store, "--listen-callers=" + f.callers,
+			"--listen-peers=" + f.peers, "--listen-operators=" + f.operators, "--peer-secret=0123456789abcdef",
+			"--operator-credential-sha256=" + hex.EncodeToString(sum[:])},
+	}
+	for _, s := range starts {
+		pr, err := f.procs.Start(s[0], s[1], s[2:]...)
+		if err != nil {
+			return err
+		}
+		f.daemon = pr
+	}
+	path := filepath.Join(f.procs.Logs, "fleet.rules")
+	if err := os.WriteFile(path, []byte(f.rules()), 0o600); err != nil {
+		return fmt.Errorf("write rules: %w", err)
+	}
+	if err := loopback.Await(ctx, "an accepted apply", func() error {
+		return exec.CommandContext(ctx, filepath.Join(f.procs.Bin, "boragecourse"), "--hosts="+f.operators,
+			"--credential="+credential, "apply", "--yes", path).Run()
+	}); err != nil {
+		return err
+	}
+	return loopback.Await(ctx, "the daemon", func() error { return loopback.AnswersOK("http://" + f.callers + "/readyz") })
+}
+
+func (f *fleet) rules() string {
+	sum := sha256.Sum256([]byte(key))
+	return fmt.Sprintf(`zone piran-a region=primorska # ana: measurement
+workspace guests rate=10000000/s burst=100000000 # ana: measurement
+key guests sha256=%s id=k1 # ana: measurement
+server keeper-1 zone=piran-a addr=%s role=both model=%s slots=2000 # ana: measurement
+route /v1/chat/completions model=%s repeatable=yes class=latency # ana: measurement
+`, hex.EncodeToString(sum[:]), f.engine, model, model)
+}
+
+// measure opens the streams at once and returns the times to their first tokens. opened runs once, when every
+// stream has its first token.
+func measure(ctx context.Context, addr string, streams int, opened func()) []time.Duration {
+	var mu sync.Mutex
+	var times []time.Duration
+	var first, all sync.WaitGroup
+	first.Add(streams)
+	for i := range streams {
+		all.Go(func() {
+			d, err := stream(ctx, addr, i, first.Done)
+			if err != nil {
+				fmt.Fprintf(os.Stderr, "stream on %s: %v\n", addr, err)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			times = append(times, d)
+		})
+	}
+	first.Wait()
+	if opened != nil {
+		opened()
+	}
+	all.Wait()
+	return times
+}
+
+// stream sends one request and reads its whole answer; it returns the time to the first data event.
+func stream(ctx context.Context, addr string, n int, gotFirst func()) (time.Duration, error) {
+	reported := false
+	report := func() {
+		if !reported {
+			reported = true
+			gotFirst()
+		}
+	}
+	defer report()
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":40,"messages":[{"role":"user","content":"%d %s"}]}`,
+		model, n, strings.Repeat("tide ", 40))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return 0, fmt.Errorf("make request: %w", err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+key)
+	start := time.Now()
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, fmt.Errorf("send: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(resp.Body)
+		return 0, &missedError{fmt.Sprintf("status %d: %s", resp.StatusCode, text)}
+	}
+	var firstAt time.Duration
+	done := false
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		line := lines.Text()
+		if strings.HasPrefix(line, "data:") && firstAt == 0 {
+			firstAt = time.Since(start)
+			report()
+		}
+		done = done || strings.Contains(line, "[DONE]")
+	}
+	if err := lines.Err(); err != nil || !done {
+		return 0, &missedError{fmt.Sprintf("answer ended early: %v", err)}
+	}
+	return firstAt, nil
+}
+
+// rss returns the resident memory of a process in bytes.
+func rss(pid int) int64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(data), "\n") {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(rest), " kB"), 10, 64)
+			return kb << 10
+		}
+	}
+	return 0
+}
+
+func quantile(d []time.Duration, q float64) time.Duration {
+	sorted := slices.Sorted(slices.Values(d))
+	return sorted[int(q*float64(len(sorted)-1))]
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/test/loopback/process.go
@@ -0,0 +1,136 @@
+// Package loopback starts the programs of a small fleet on loopback addresses and stops exactly those.
+package loopback
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+const (
+	startTimeout = 10 * time.Second
+	pollInterval = 50 * time.Millisecond
+)
+
+// Process is one started program.
+type Process struct {
+	name string
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// Processes starts programs from the folder Bin and keeps their output in the folder Logs.
+type Processes struct {
+	Bin, Logs string
+	running   []*Process
+}
+
+// Start runs a program; its output goes to a log file of its own.
+func (p *Processes) Start(name, program string, args ...string) (*Process, error) {
+	log, err := os.Create(filepath.Join(p.Logs, name+".log"))
+	if err != nil {
+		return nil, fmt.Errorf("log of %s: %w", name, err)
+	}
+	cmd := exec.Command(filepath.Join(p.Bin, program), args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return nil, fmt.Errorf("start %s: %w", name, err)
+	}
+	pr := &Process{name: name, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		defer close(pr.done)
+		_ = cmd.Wait()
+		_ = log.Close()
+	}()
+	p.running = append(p.running, pr)
+	return pr, nil
+}
+
+// Terminate asks the process to stop and waits up to the given time; it reports whether it stopped by itself.
+func (pr *Process) Terminate(wait time.Duration) bool {
+	_ = pr.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-pr.done:
+		return true
+	case <-time.After(wait):
+		_ = pr.cmd.Process.Kill()
+		<-pr.done
+		return false
+	}
+}
+
+// StopAll kills what still runs.
+func (p *Processes) StopAll() {
+	for _, pr := range p.running {
+		select {
+		case <-pr.done:
+		default:
+			_ = pr.cmd.Process.Kill()
+		}
+	}
+	for _, pr := range p.running {
+		<-pr.done
+	}
+}
+
+// FreeAddresses returns n loopback addresses that were free a moment ago.
+func FreeAddresses(n int) ([]string, error) {
+	addrs := make([]string, n)
+	for i := range addrs {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("find a free port: %w", err)
+		}
+		defer l.Close()
+		addrs[i] = l.Addr().String()
+	}
+	return addrs, nil
+}
+
+// Await polls until ready returns nil or the time is over.
+func Await(ctx context.Context, what string, ready func() error) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for {
+		err := ready()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("wait for %s: %w", what, err)
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+// AnswersOK reports whether a GET gives status 200.
+func AnswersOK(url string) error {
+	resp, err := http.Get(url) //nolint:gosec // Loopback addresses of the demo's own processes.
+	if err != nil {
+		return fmt.Errorf("get %s: %w", url, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("get %s: status %d", url, resp.StatusCode) //nolint:err113 // Shown to a person.
+	}
+	return nil
+}
+
+// Listening reports whether something accepts connections.
+func Listening(addr string) error {
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return fmt.Errorf("connect to %s: %w", addr, err)
+	}
+	return c.Close()
+}
+
+// PID returns the process id.
+func (pr *Process) PID() int { return pr.cmd.Process.Pid }
