Add the etcd v3 adapter of the platform store and its stand-in server

Cause: daemons need the platform's key-value service through its published protocol, and tests need that service without a third-party server. Change: internal/platform/etcd implements platform.Store over grpc-go. A stats handler notes whether a call reached a connection, which tells a call without effect from a write with a lost answer. The host list is read from /platform/hosts/.

--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -1,6 +1,9 @@
 package platform
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
 
 // UnavailableError reports a store call that certainly had no effect.
 type UnavailableError struct {
@@ -37,3 +40,18 @@
 
 // Error implements error.
 func (e *LeaseLapsedError) Error() string { return fmt.Sprintf("lease %x has lapsed", int64(e.ID)) }
+
+// errIncompleteHost is the cause for an entry of the host list that lacks its name, address or state.
+var errIncompleteHost = errors.New("name, addr or state is missing")
+
+// HostEntryError reports an unreadable entry of the platform's host list.
+type HostEntryError struct {
+	Key   string
+	Cause error
+}
+
+// Error implements error.
+func (e *HostEntryError) Error() string { return fmt.Sprintf("host entry %s: %v", e.Key, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *HostEntryError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/internal/platform/etcd/classify.go
@@ -0,0 +1,70 @@
+package etcd
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/stats"
+	"google.golang.org/grpc/status"
+
+	"github.com/boragecourse/boragecourse/internal/platform"
+)
+
+// sendTracker notes whether a call reached a connection. A call that failed before its headers were handed to
+// a connection certainly had no effect; the status code alone does not tell, since it is Unavailable both for
+// a refused connection and for one that broke after the request was sent.
+type sendTracker struct{}
+
+type sentKey struct{}
+
+func trackSend(ctx context.Context) (context.Context, *atomic.Bool) {
+	sent := &atomic.Bool{}
+	return context.WithValue(ctx, sentKey{}, sent), sent
+}
+
+// TagRPC implements stats.Handler.
+func (sendTracker) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+
+// HandleRPC implements stats.Handler.
+func (sendTracker) HandleRPC(ctx context.Context, s stats.RPCStats) {
+	if _, ok := s.(*stats.OutHeader); !ok {
+		return
+	}
+	if sent, ok := ctx.Value(sentKey{}).(*atomic.Bool); ok {
+		sent.Store(true)
+	}
+}
+
+// TagConn implements stats.Handler.
+func (sendTracker) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+
+// HandleConn implements stats.Handler.
+func (sendTracker) HandleConn(context.Context, stats.ConnStats) {}
+
+// classify types an error. Reads have no effect. A write had none if it never reached a connection or if the
+// store refused it with a code that it gives before acting.
+func classify(op string, writes bool, sent *atomic.Bool, err error) error {
+	if writes && sent.Load() && !refused(status.Code(err)) {
+		return &platform.UnknownError{Op: op, Cause: err}
+	}
+	return &platform.UnavailableError{Op: op, Cause: err}
+}
+
+// refused lists codes that the store gives only without acting. ResourceExhausted is not among them, since the
+// client gives it for an answer that is too large.
+func refused(c codes.Code) bool {
+	switch c {
+	case codes.InvalidArgument, codes.NotFound, codes.AlreadyExists, codes.PermissionDenied, codes.Unauthenticated,
+		codes.FailedPrecondition, codes.OutOfRange, codes.Unimplemented:
+		return true
+	default:
+		return false
+	}
+}
+
+// isLeaseNotFound recognizes the store's refusal of a lease that lapsed.
+func isLeaseNotFound(err error) bool {
+	return status.Code(err) == codes.NotFound && strings.Contains(status.Convert(err).Message(), "lease not found")
+}
--- /dev/null
+++ b/internal/platform/etcd/lease.go
@@ -0,0 +1,61 @@
+package etcd
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/boragecourse/boragecourse/internal/platform"
+	pb "github.com/boragecourse/boragecourse/proto/etcd/etcdserverpb"
+)
+
+// GrantLease implements platform.Store. After an *UnknownError the store may hold a lease without an owner,
+// which lapses by itself.
+func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, time.Duration, error) {
+	seconds := int64((ttl + time.Second - 1) / time.Second)
+	var resp *pb.LeaseGrantResponse
+	err := s.call(ctx, "lease grant", true, func(ctx context.Context) (err error) {
+		resp, err = s.lease.LeaseGrant(ctx, &pb.LeaseGrantRequest{TTL: seconds})
+		return err
+	})
+	if err != nil {
+		return 0, 0, err
+	}
+	return platform.LeaseID(resp.ID), time.Duration(resp.TTL) * time.Second, nil
+}
+
+// KeepAlive implements platform.Store.
+func (s *Store) KeepAlive(ctx context.Context, id platform.LeaseID) (time.Duration, error) {
+	var resp *pb.LeaseKeepAliveResponse
+	err := s.call(ctx, "lease renewal", true, func(ctx context.Context) error {
+		stream, err := s.lease.LeaseKeepAlive(ctx)
+		if err != nil {
+			return err
+		}
+		// A failed Send reports io.EOF; the cause comes from Recv.
+		_ = stream.Send(&pb.LeaseKeepAliveRequest{ID: int64(id)})
+		if resp, err = stream.Recv(); err != nil {
+			return err
+		}
+		return stream.CloseSend()
+	})
+	if err != nil {
+		return 0, err
+	}
+	if resp.TTL <= 0 {
+		return 0, &platform.LeaseLapsedError{ID: id}
+	}
+	return time.Duration(resp.TTL) * time.Second, nil
+}
+
+// RevokeLease implements platform.Store. A lease that is already gone is no error.
+func (s *Store) RevokeLease(ctx context.Context, id platform.LeaseID) error {
+	err := s.call(ctx, "lease revoke", true, func(ctx context.Context) error {
+		_, err := s.lease.LeaseRevoke(ctx, &pb.LeaseRevokeRequest{ID: int64(id)})
+		return err
+	})
+	if isLeaseNotFound(errors.Unwrap(err)) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/platform/etcd/watch.go
@@ -0,0 +1,77 @@
+package etcd
+
+import (
+	"context"
+
+	"github.com/boragecourse/boragecourse/internal/platform"
+	pb "github.com/boragecourse/boragecourse/proto/etcd/etcdserverpb"
+	"github.com/boragecourse/boragecourse/proto/etcd/mvccpb"
+)
+
+// Watch implements platform.Store. The channel carries one batch with Err when the watch ends for any reason but
+// the context, and is not closed. The client does not reopen a watch by itself, because the caller has to read
+// the keys in between.
+//
+// A store discards old revisions. A watch from a discarded one ends with a *WatchCanceledError; after that, a
+// watch on the same prefix starts no earlier than the store's oldest revision. The caller's read after the error
+// is newer than that, so nothing is missed.
+func (s *Store) Watch(ctx context.Context, prefix string, fromRevision int64) <-chan platform.WatchBatch {
+	out := make(chan platform.WatchBatch)
+	s.mu.Lock()
+	fromRevision = max(fromRevision, s.compacted[prefix])
+	s.mu.Unlock()
+	go func() {
+		err := s.runWatch(ctx, prefix, fromRevision, out)
+		deliver(ctx, out, platform.WatchBatch{Err: &platform.UnavailableError{Op: "watch", Cause: err}})
+	}()
+	return out
+}
+
+func deliver(ctx context.Context, out chan<- platform.WatchBatch, b platform.WatchBatch) bool {
+	select {
+	case out <- b:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Store) runWatch(ctx context.Context, prefix string, from int64, out chan<- platform.WatchBatch) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := s.watch.Watch(ctx)
+	if err != nil {
+		return err
+	}
+	create := &pb.WatchCreateRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: from}
+	// A failed Send reports io.EOF; the cause comes from Recv.
+	_ = stream.Send(&pb.WatchRequest{RequestUnion: &pb.WatchRequest_CreateRequest{CreateRequest: create}})
+	for {
+		resp, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if resp.Canceled {
+			if resp.CompactRevision > 0 {
+				s.mu.Lock()
+				s.compacted[prefix] = resp.CompactRevision
+				s.mu.Unlock()
+			}
+			return &WatchCanceledError{Reason: resp.CancelReason, CompactRevision: resp.CompactRevision}
+		}
+		if len(resp.Events) == 0 {
+			continue
+		}
+		batch := platform.WatchBatch{Revision: resp.Header.GetRevision()}
+		for _, e := range resp.Events {
+			event := platform.Event{KeyValue: keyValue(e.Kv), Deleted: e.Type == mvccpb.Event_DELETE}
+			if event.Deleted {
+				event.Value = nil
+			}
+			batch.Events = append(batch.Events, event)
+		}
+		if !deliver(ctx, out, batch) {
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/hostlist.go
@@ -0,0 +1,56 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+)
+
+// HostPrefix is the key prefix under which the platform publishes its hosts, one JSON object per host.
+const HostPrefix = "/platform/hosts/"
+
+// NewHostList reads the platform's host list through the store.
+func NewHostList(store Store) Hosts { return &hostList{store: store} }
+
+type hostList struct{ store Store }
+
+type hostJSON struct {
+	Name  string    `json:"name"`
+	Addr  string    `json:"addr"`
+	Zone  string    `json:"zone"`
+	State HostState `json:"state"`
+}
+
+// EncodeHost returns the key and value under which the platform publishes an entry.
+func EncodeHost(e HostEntry) (key string, value []byte, err error) {
+	value, err = json.Marshal(hostJSON(e))
+	if err != nil {
+		return "", nil, &HostEntryError{Key: HostPrefix + e.Name, Cause: err}
+	}
+	return HostPrefix + e.Name, value, nil
+}
+
+// ListHosts implements Hosts. Entries that cannot be read are left out; the error then joins one
+// *HostEntryError for each, beside the readable entries.
+func (l *hostList) ListHosts(ctx context.Context) ([]HostEntry, error) {
+	kvs, err := l.store.List(ctx, HostPrefix)
+	if err != nil {
+		return nil, fmt.Errorf("read host list: %w", err)
+	}
+	var hosts []HostEntry
+	var faults []error
+	for _, kv := range kvs {
+		var h hostJSON
+		err := json.Unmarshal(kv.Value, &h)
+		if err == nil && (h.Name == "" || h.Addr == "" || (h.State != HostLive && h.State != HostLeaving)) {
+			err = errIncompleteHost
+		}
+		if err != nil {
+			faults = append(faults, &HostEntryError{Key: kv.Key, Cause: err})
+			continue
+		}
+		hosts = append(hosts, HostEntry(h))
+	}
+	return hosts, errors.Join(faults...)
+}
--- /dev/null
+++ b/test/standin/platform/txn.go
@@ -0,0 +1,129 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/boragecourse/boragecourse/internal/platform"
+	pb "github.com/boragecourse/boragecourse/proto/etcd/etcdserverpb"
+)
+
+// errLeaseNotFound has the published server's wording.
+var errLeaseNotFound = status.Error(codes.NotFound, "etcdserver: requested lease not found")
+
+// Txn implements the KV service.
+func (s *Server) Txn(ctx context.Context, req *pb.TxnRequest) (*pb.TxnResponse, error) {
+	conditions, err := conditionsOf(req.Compare)
+	if err != nil {
+		return nil, err
+	}
+	writes, err := writesOf(req.Success)
+	if err != nil {
+		return nil, err
+	}
+	res, err := s.Client.Txn(ctx, conditions, writes)
+	if err != nil {
+		return nil, failure(err)
+	}
+	resp := &pb.TxnResponse{Header: &pb.ResponseHeader{Revision: res.Revision}, Succeeded: res.Succeeded}
+	if res.Succeeded {
+		return resp, nil
+	}
+	current := map[string]platform.KeyValue{}
+	for _, kv := range res.Current {
+		current[kv.Key] = kv
+	}
+	hold := true
+	for _, c := range conditions {
+		hold = hold && current[c.Key].ModRevision == c.ModRevision
+	}
+	if hold {
+		return nil, errLeaseNotFound
+	}
+	for _, op := range req.Failure {
+		r := op.GetRequestRange()
+		if r == nil || !isSingleKey(r.RangeEnd) {
+			return nil, status.Error(codes.Unimplemented, "only reads of single keys after a failed comparison")
+		}
+		found := &pb.RangeResponse{Header: resp.Header}
+		if kv, ok := current[string(r.Key)]; ok {
+			found.Kvs, found.Count = append(found.Kvs, wireKeyValue(kv)), 1
+		}
+		resp.Responses = append(resp.Responses, &pb.ResponseOp{Response: &pb.ResponseOp_ResponseRange{ResponseRange: found}})
+	}
+	return resp, nil
+}
+
+func conditionsOf(compares []*pb.Compare) ([]platform.Condition, error) {
+	var conditions []platform.Condition
+	for _, c := range compares {
+		if c.Target != pb.Compare_MOD || c.Result != pb.Compare_EQUAL {
+			return nil, status.Error(codes.Unimplemented, "only MOD EQUAL comparisons")
+		}
+		conditions = append(conditions, platform.Condition{Key: string(c.Key), ModRevision: c.GetModRevision()})
+	}
+	return conditions, nil
+}
+
+func writesOf(ops []*pb.RequestOp) ([]platform.Write, error) {
+	var writes []platform.Write
+	for _, op := range ops {
+		put, del := op.GetRequestPut(), op.GetRequestDeleteRange()
+		switch {
+		case put != nil:
+			value := put.Value
+			if value == nil {
+				value = []byte{}
+			}
+			writes = append(writes, platform.Write{Key: string(put.Key), Value: value, Lease: platform.LeaseID(put.Lease)})
+		case del != nil && isSingleKey(del.RangeEnd):
+			writes = append(writes, platform.Write{Key: string(del.Key)})
+		default:
+			return nil, status.Error(codes.Unimplemented, "only puts and deletions of single keys")
+		}
+	}
+	return writes, nil
+}
+
+// LeaseGrant implements the Lease service.
+func (s *Server) LeaseGrant(ctx context.Context, req *pb.LeaseGrantRequest) (*pb.LeaseGrantResponse, error) {
+	if req.TTL <= 0 || req.ID != 0 {
+		return nil, status.Error(codes.InvalidArgument, "the TTL must be positive and the ID left to the store")
+	}
+	id, ttl, err := s.Client.GrantLease(ctx, time.Duration(req.TTL)*time.Second)
+	if err != nil {
+		return nil, failure(err)
+	}
+	return &pb.LeaseGrantResponse{ID: int64(id), TTL: int64(ttl / time.Second)}, nil
+}
+
+// LeaseRevoke implements the Lease service.
+func (s *Server) LeaseRevoke(ctx context.Context, req *pb.LeaseRevokeRequest) (*pb.LeaseRevokeResponse, error) {
+	if err := s.Client.RevokeLease(ctx, platform.LeaseID(req.ID)); err != nil {
+		return nil, failure(err)
+	}
+	return &pb.LeaseRevokeResponse{}, nil
+}
+
+// LeaseKeepAlive implements the Lease service; a TTL of zero means that the lease is gone.
+func (s *Server) LeaseKeepAlive(stream grpc.BidiStreamingServer[pb.LeaseKeepAliveRequest, pb.LeaseKeepAliveResponse]) error {
+	for {
+		req, err := stream.Recv()
+		if err != nil {
+			return nil //nolint:nilerr // The client closed the stream.
+		}
+		ttl, err := s.Client.KeepAlive(stream.Context(), platform.LeaseID(req.ID))
+		var lapsed *platform.LeaseLapsedError
+		if err != nil && !errors.As(err, &lapsed) {
+			return failure(err)
+		}
+		if err := stream.Send(&pb.LeaseKeepAliveResponse{ID: req.ID, TTL: int64(ttl / time.Second)}); err != nil {
+			return err
+		}
+	}
+}
