Add membership: epoch, leases, heartbeats and admission authority

Cause: the other packages need membership.Viewer with a real epoch behind it. Change: add a pure state machine and a service that holds a lease, registers, joins the epoch by compare-and-swap, sends heartbeats, answers reports of silence, proposes exclusions and leaves on drain.

--- /dev/null
+++ b/internal/membership/execute.go
@@ -0,0 +1,216 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/boragecourse/boragecourse/internal/host"
+	"github.com/boragecourse/boragecourse/internal/metrics"
+	"github.com/boragecourse/boragecourse/internal/platform"
+	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
+)
+
+// storeTimeoutTerms bounds a store call in lease terms: a renewal that takes longer is of no use.
+const storeTimeoutTerms = 1
+
+// execute carries out one action and gives the machine the outcome.
+func (s *Service) execute(ctx context.Context, action Action) {
+	timeout := s.opts.Timing.LeaseTTL * storeTimeoutTerms
+	switch action.(type) {
+	case SendHeartbeat, AskReport:
+		// A later reply would not be recent any more.
+		timeout = s.opts.Timing.Contact
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	switch a := action.(type) {
+	case SendHeartbeat:
+		s.sendHeartbeat(ctx, a)
+	case AskReport:
+		s.askReport(ctx, a)
+	case AcquireLease:
+		s.acquireLease(ctx, a)
+	case RenewLease:
+		s.renewLease(ctx, a)
+	case ReadEpoch:
+		s.readEpoch(ctx, a)
+	case ReadRegistry:
+		s.readRegistry(ctx)
+	case ProposeEpoch:
+		s.proposeEpoch(ctx, a)
+	}
+}
+
+func (s *Service) storeFailed(call StoreCall, err error) {
+	s.opts.Metrics.Inc("membership_store_failures", metrics.L("call", callNames[call]))
+	s.opts.Log.V(1).Info("store call failed", "call", callNames[call], "cause", err.Error())
+	s.handle(StoreFailed{Call: call})
+}
+
+var callNames = [storeCalls]string{"lease", "read_epoch", "read_registry", "propose"}
+
+func (s *Service) sendHeartbeat(ctx context.Context, a SendHeartbeat) {
+	req := &peerv1.HeartbeatRequest{
+		From: a.Heartbeat.From.Proto(), Epoch: a.Heartbeat.Epoch, Session: a.Heartbeat.Session,
+	}
+	if s.opts.Generation != nil {
+		req.Generation = s.opts.Generation()
+	}
+	client := peerv1.NewMembershipClient(s.opts.Dialer.Conn(a.To.Addr))
+	sent := time.Now()
+	s.opts.Metrics.Inc("membership_heartbeats_sent")
+	resp, err := client.Heartbeat(ctx, req)
+	if err != nil {
+		s.opts.Metrics.Inc("membership_heartbeat_failures")
+		return
+	}
+	reply := HeartbeatReply{From: host.FromProto(resp.GetFrom()), Epoch: resp.GetEpoch(), Counts: resp.GetCountsAsContact()}
+	if resp.GetNewerEpoch() != nil {
+		r := recordFromProto(resp.GetNewerEpoch())
+		reply.Newer = &r
+	}
+	s.handle(HeartbeatReplied{To: a.To, Sent: sent, Reply: reply})
+	if s.opts.OnPeerReport != nil {
+		age := resp.GetFreshnessAgeNanos()
+		s.opts.OnPeerReport(PeerReport{
+			From: reply.From, Generation: resp.GetGeneration(),
+			FreshnessAge: time.Duration(max(age, 0)), Confirmed: age >= 0, Sent: sent,
+		})
+	}
+}
+
+func (s *Service) askReport(ctx context.Context, a AskReport) {
+	req := &peerv1.ReportSilenceRequest{From: s.opts.Self.Proto(), SilenceNanos: a.Request.Silence.Nanoseconds()}
+	for _, e := range a.Request.Suspects {
+		req.Suspects = append(req.Suspects, e.Host.Proto())
+		req.Sessions = append(req.Sessions, e.Session)
+	}
+	resp, err := peerv1.NewMembershipClient(s.opts.Dialer.Conn(a.To.Addr)).ReportSilence(ctx, req)
+	if err == nil {
+		s.handle(ReportReplied{Ask: a, Reply: ReportReply{Silent: resp.GetSilent(), Known: resp.GetKnownEpochs()}})
+	}
+}
+
+func (s *Service) acquireLease(ctx context.Context, a AcquireLease) {
+	sent := time.Now()
+	id, ttl, err := s.opts.Store.GrantLease(ctx, s.opts.Timing.LeaseTTL)
+	if err != nil {
+		s.storeFailed(CallLease, err)
+		return
+	}
+	value, err := proto.Marshal(&peerv1.Registration{Host: s.opts.Self.Proto(), Ready: a.Ready})
+	if err != nil {
+		s.storeFailed(CallLease, err)
+		return
+	}
+	result, err := s.opts.Store.Txn(ctx, nil, []platform.Write{
+		{Key: registeredKey(s.opts.Self), Value: value, Lease: id},
+		{Key: sessionKey(s.opts.Self), Value: []byte(s.opts.Self.Addr)},
+	})
+	if err == nil && !result.Succeeded {
+		err = &platform.LeaseLapsedError{ID: id}
+	}
+	if err != nil {
+		s.storeFailed(CallLease, err)
+		return
+	}
+	s.handle(LeaseAcquired{Sent: sent, Lease: id, TTL: min(ttl, s.opts.Timing.LeaseTTL), Session: result.Revision, Ready: a.Ready})
+}
+
+func (s *Service) renewLease(ctx context.Context, a RenewLease) {
+	sent := time.Now()
+	ttl, err := s.opts.Store.KeepAlive(ctx, a.Lease)
+	var lapsed *platform.LeaseLapsedError
+	switch {
+	case errors.As(err, &lapsed):
+		s.opts.Metrics.Inc("membership_leases_lost")
+		s.handle(LeaseLost(a))
+	case err != nil:
+		s.storeFailed(CallLease, err)
+	default:
+		s.handle(LeaseRenewed{Sent: sent, Lease: a.Lease, TTL: min(ttl, s.opts.Timing.LeaseTTL)})
+	}
+}
+
+func (s *Service) readEpoch(ctx context.Context, a ReadEpoch) {
+	kv, found, err := s.opts.Store.Get(ctx, epochKey)
+	if err != nil {
+		s.storeFailed(CallReadEpoch, err)
+		return
+	}
+	read := EpochRead{Read: a, Found: found, Revision: kv.ModRevision}
+	if found {
+		if read.Record, err = unmarshalRecord(kv.Value); err != nil {
+			s.opts.Log.Error(err, "epoch record refused")
+			s.storeFailed(CallReadEpoch, err)
+			return
+		}
+	}
+	s.handle(read)
+}
+
+func (s *Service) readRegistry(ctx context.Context) {
+	kvs, err := s.opts.Store.List(ctx, memberPrefix)
+	if err != nil {
+		s.storeFailed(CallReadRegistry, err)
+		return
+	}
+	s.handle(RegistryRead{Registry: parseRegistry(kvs)})
+}
+
+// parseRegistry skips records that it cannot read: a missing registration alone never excludes a host.
+func parseRegistry(kvs []platform.KeyValue) Registry {
+	r := Registry{Sessions: map[hostKey]int64{}}
+	for _, kv := range kvs {
+		if suffix, ok := strings.CutPrefix(kv.Key, sessionPrefix); ok {
+			if k, ok := parseKeySuffix(suffix); ok {
+				r.Sessions[k] = kv.ModRevision
+			}
+			continue
+		}
+		var reg peerv1.Registration
+		if strings.HasPrefix(kv.Key, registeredPrefix) && proto.Unmarshal(kv.Value, &reg) == nil {
+			r.Registered = append(r.Registered, Registration{Host: host.FromProto(reg.GetHost()), Ready: reg.GetReady()})
+		}
+	}
+	return r
+}
+
+// proposeEpoch does the compare-and-swap. Excluded hosts must hold no registration and must not have begun a
+// later session, so that a host that regained its lease is never excluded on old evidence.
+func (s *Service) proposeEpoch(ctx context.Context, a ProposeEpoch) {
+	value, err := marshalRecord(a.Record)
+	if err != nil {
+		s.storeFailed(CallPropose, err)
+		return
+	}
+	conditions := []platform.Condition{{Key: epochKey, ModRevision: a.Revision}}
+	writes := []platform.Write{{Key: epochKey, Value: value}}
+	for _, e := range a.Excluded {
+		conditions = append(conditions, platform.Condition{Key: registeredKey(e.Host)},
+			platform.Condition{Key: sessionKey(e.Host), ModRevision: e.Session})
+		writes = append(writes, platform.Write{Key: sessionKey(e.Host)})
+	}
+	for _, h := range a.Replaced {
+		writes = append(writes, platform.Write{Key: sessionKey(h)})
+	}
+	result, err := s.opts.Store.Txn(ctx, conditions, writes)
+	if err != nil {
+		s.storeFailed(CallPropose, err)
+		return
+	}
+	s.opts.Log.Info("epoch proposed", "epoch", a.Record.Number, "accepted", result.Succeeded,
+		"hosts", len(a.Record.Hosts), "excluded", len(a.Excluded), "replaced", len(a.Replaced))
+	s.handle(EpochProposed{Proposal: a, Accepted: result.Succeeded, Revision: result.Revision})
+}
+
+func (s *Service) listHosts(ctx context.Context) {
+	entries, err := s.opts.Hosts.ListHosts(ctx)
+	if err == nil {
+		s.handle(HostsListed{Entries: entries})
+	}
+}
