--- /dev/null
+++ b/internal/quota/service_test.go
@@ -0,0 +1,374 @@
+package quota_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+
+	"github.com/boragecourse/boragecourse/internal/config"
+	"github.com/boragecourse/boragecourse/internal/host"
+	"github.com/boragecourse/boragecourse/internal/membership"
+	"github.com/boragecourse/boragecourse/internal/metrics"
+	"github.com/boragecourse/boragecourse/internal/quota"
+	"github.com/boragecourse/boragecourse/internal/rules"
+	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
+	"github.com/boragecourse/boragecourse/test/standin/memnet"
+)
+
+// fleet runs a quota service on every host over the in-memory network, inside a synctest bubble.
+type fleet struct {
+	*GomegaWithT
+	t     *testing.T
+	net   *memnet.Network
+	mu    sync.Mutex
+	epoch membership.Epoch
+	snap  *config.Snapshot
+	hosts map[string]*node
+	// admitted is every reservation with its time, for the check of all windows.
+	admitted []admission
+}
+
+type admission struct {
+	at     time.Time
+	tokens int64
+}
+
+// node is one host; it is its own membership.Viewer.
+type node struct {
+	f         *fleet
+	id        host.ID
+	svc       *quota.Service
+	metrics   *metrics.Registry
+	cancel    context.CancelFunc
+	done      chan struct{}
+	authority error
+	// unreachable names hosts without recent direct replies.
+	unreachable map[string]bool
+}
+
+var errNoAuthority = errors.New("no authority")
+
+func (n *node) Self() host.ID { return n.id }
+
+func (n *node) Epoch() membership.Epoch {
+	n.f.mu.Lock()
+	defer n.f.mu.Unlock()
+	return n.f.epoch
+}
+
+func (n *node) CanAdmit(time.Time) error {
+	n.f.mu.Lock()
+	defer n.f.mu.Unlock()
+	return n.authority
+}
+
+func (n *node) Reachable(id host.ID) bool {
+	n.f.mu.Lock()
+	defer n.f.mu.Unlock()
+	return !n.unreachable[id.Name]
+}
+
+func (n *node) EpochKnownByMajority(uint64) bool { return true }
+
+func (n *node) Current() *config.Snapshot {
+	n.f.mu.Lock()
+	defer n.f.mu.Unlock()
+	return n.f.snap
+}
+
+func (n *node) KeyedRequestsAllowed(string) error { return nil }
+
+const (
+	testRate  = int64(1000)
+	testBurst = int64(20000)
+	// warmUp fills every bucket from empty.
+	warmUp = 40 * time.Second
+)
+
+func rulesFor(burst int64, zones ...string) []rules.Rule {
+	all := []rules.Rule{&rules.Workspace{Name: "ws", Rate: testRate, Burst: burst}}
+	for _, z := range zones {
+		all = append(all, &rules.Zone{Name: z, Share: 1})
+	}
+	return all
+}
+
+// newFleet starts hosts named zone/name.
+func newFleet(t *testing.T, hosts ...host.ID) *fleet {
+	f := &fleet{GomegaWithT: NewWithT(t), t: t, net: memnet.New(), hosts: map[string]*node{}}
+	f.net.SetDelay(func(_, _ string) time.Duration { return 500 * time.Microsecond })
+	f.snap = config.NewSnapshot(1, rulesFor(testBurst, "za", "zb", "zc", "zd"))
+	f.epoch = membership.Epoch{Number: 1, Hosts: hosts}
+	for _, id := range hosts {
+		f.start(id)
+	}
+	return f
+}
+
+func id(zone, name string) host.ID {
+	return host.ID{Name: name, Zone: zone, Addr: name, Incarnation: 1}
+}
+
+func (f *fleet) start(id host.ID) *node {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{f: f, id: id, cancel: cancel, done: make(chan struct{}), metrics: metrics.New(), unreachable: map[string]bool{}}
+	node := f.net.Node(id.Addr)
+	n.svc = quota.New(quota.Options{
+		Viewer: n, Spread: n, Dialer: node, Config: n, Metrics: n.metrics, Log: logr.Discard(),
+	})
+	peerv1.RegisterQuotaServer(node, n.svc)
+	go func() {
+		defer close(n.done)
+		_ = n.svc.Serve(ctx)
+	}()
+	f.hosts[id.Name] = n
+	return n
+}
+
+func (f *fleet) stop(name string) {
+	f.net.Node(f.hosts[name].id.Addr).SetDown(true)
+	f.hosts[name].cancel()
+	<-f.hosts[name].done
+}
+
+func (f *fleet) stopAll() {
+	for name := range f.hosts {
+		f.hosts[name].cancel()
+		<-f.hosts[name].done
+	}
+}
+
+func (f *fleet) setEpoch(hosts ...host.ID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.epoch = membership.Epoch{Number: f.epoch.Number + 1, Hosts: hosts}
+}
+
+// reserve admits tokens on a host and records them.
+func (f *fleet) reserve(name string, tokens int64) (quota.Reservation, error) {
+	r, err := f.hosts[name].svc.Reserve(context.Background(), "ws", tokens)
+	if err == nil {
+		f.mu.Lock()
+		f.admitted = append(f.admitted, admission{time.Now(), tokens})
+		f.mu.Unlock()
+	}
+	return r, err
+}
+
+// expectWithinBound checks every window: a bucket with the whole rate and burst must cover all admissions.
+func (f *fleet) expectWithinBound() {
+	f.t.Helper()
+	level := float64(testBurst)
+	var last time.Time
+	for i, a := range f.admitted {
+		if i > 0 {
+			level = min(float64(testBurst), level+a.at.Sub(last).Seconds()*float64(testRate))
+		}
+		last = a.at
+		level -= float64(a.tokens)
+		f.Expect(level).To(BeNumerically(">=", -1e-6), "admission %d", i)
+	}
+}
+
+func use(r quota.Reservation, tokens int64) {
+	r.Use(tokens)
+	r.Close()
+}
+
+// The whole burst must be available to one host while all zones are reachable, and nothing beyond it.
+func TestWholeBurstFromAllZones(t *testing.T) {
+	for _, hosts := range [][]host.ID{
+		{id("za", "a1")},
+		{id("za", "a1"), id("za", "a2"), id("zb", "b1"), id("zc", "c1"), id("zd", "d1")},
+	} {
+		t.Run(fmt.Sprint(len(hosts)), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, hosts...)
+				defer f.stopAll()
+				time.Sleep(warmUp)
+				r, err := f.reserve("a1", testBurst)
+				f.Expect(err).NotTo(HaveOccurred())
+				_, err = f.reserve("a1", 100)
+				var refused *quota.RefusedError
+				f.Expect(errors.As(err, &refused)).To(BeTrue())
+				f.Expect(refused.RetryAfter).To(BeNumerically("~", 100*time.Millisecond, 10*time.Millisecond))
+				_, err = f.reserve("a1", testBurst+1)
+				var exceeds *quota.ExceedsBurstError
+				f.Expect(errors.As(err, &exceeds)).To(BeTrue())
+				use(r, testBurst)
+				f.expectWithinBound()
+			})
+		})
+	}
+}
+
+// fiveHosts has two hosts in za and one in each other zone.
+func fiveHosts() []host.ID {
+	return []host.ID{id("za", "a1"), id("za", "a2"), id("zb", "b1"), id("zc", "c1"), id("zd", "d1")}
+}
+
+// load sends requests of 100 tokens from the given hosts for a time, at twice the rate, and returns what was
+// admitted. Half of each request is used.
+func (f *fleet) load(d time.Duration, names ...string) (admitted int64) {
+	var calls sync.WaitGroup
+	var mu sync.Mutex
+	for range d / (50 * time.Millisecond) {
+		time.Sleep(50 * time.Millisecond)
+		for _, name := range names {
+			calls.Go(func() {
+				r, err := f.reserve(name, 100)
+				if err != nil {
+					return
+				}
+				time.Sleep(20 * time.Millisecond)
+				mu.Lock()
+				admitted += 100
+				mu.Unlock()
+				use(r, 100)
+			})
+		}
+	}
+	calls.Wait()
+	return admitted
+}
+
+// A fault must neither let more through than the bucket nor stop the hosts that it does not concern.
+func TestServiceFaults(t *testing.T) {
+	all := fiveHosts()
+	home, _ := membership.Epoch{Hosts: all}.Home("za", "ws")
+	other := "a1"
+	if home.Name == "a1" {
+		other = "a2"
+	}
+	cases := []struct {
+		name  string
+		fault func(f *fleet)
+		from  []string
+		// least is the share of rate * time that must still be admitted after the fault.
+		least float64
+	}{
+		{"none", func(*fleet) {}, []string{"a1", "a2", "b1", "c1", "d1"}, 0.95},
+		{"skew", func(*fleet) {}, []string{other}, 0.95},
+		{"home host dies and is excluded", func(f *fleet) {
+			f.stop(home.Name)
+			time.Sleep(10 * time.Second)
+			f.setEpoch(without(all, home.Name)...)
+		}, []string{other, "b1"}, 0.8},
+		{"zone without hosts gives its share to the others", func(f *fleet) {
+			f.stop("d1")
+			time.Sleep(10 * time.Second)
+			f.setEpoch(without(all, "d1")...)
+		}, []string{"a1", "b1"}, 0.9},
+		{"zone cut", func(f *fleet) { f.cutZone("d1") }, []string{"a1", "b1", "d1"}, 0.9},
+		{"cut not yet noticed", func(f *fleet) {
+			for _, h := range all {
+				if h.Name != "d1" {
+					f.net.CutBoth(h.Addr, "d1")
+				}
+			}
+		}, []string{other, "b1"}, 0.7},
+		{"home host drains and leaves", func(f *fleet) {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			f.Expect(f.hosts[home.Name].svc.Drain(ctx)).To(Succeed())
+			f.setEpoch(without(all, home.Name)...)
+			f.stop(home.Name)
+		}, []string{other, "b1"}, 0.8},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, all...)
+				defer f.stopAll()
+				time.Sleep(warmUp)
+				f.load(5*time.Second, "a1", "a2", "b1", "c1", "d1")
+				c.fault(f)
+				// The bucket must be empty before the count, or its burst hides a loss.
+				f.load(20*time.Second, c.from...)
+				admitted := f.load(20*time.Second, c.from...)
+				f.Expect(float64(admitted)).To(BeNumerically(">=", c.least*20*float64(testRate)))
+				f.expectWithinBound()
+			})
+		})
+	}
+}
+
+func without(hosts []host.ID, name string) []host.ID {
+	var rest []host.ID
+	for _, h := range hosts {
+		if h.Name != name {
+			rest = append(rest, h)
+		}
+	}
+	return rest
+}
+
+// cutZone cuts a host off from all others, which know it.
+func (f *fleet) cutZone(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for other, n := range f.hosts {
+		if other != name {
+			f.net.CutBoth(n.id.Addr, f.hosts[name].id.Addr)
+			n.unreachable[name] = true
+			f.hosts[name].unreachable[other] = true
+		}
+	}
+}
+
+// A host that joins takes its buckets over with their level. Without the hand-over it would start empty and
+// refuse requests that are inside the rate.
+func TestHandOverOnJoin(t *testing.T) {
+	all := fiveHosts()
+	home, _ := membership.Epoch{Hosts: all}.Home("za", "ws")
+	for _, used := range []int64{0, 15000} {
+		t.Run(fmt.Sprint(used), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, without(all, home.Name)...)
+				defer f.stopAll()
+				time.Sleep(warmUp)
+				if used > 0 {
+					r, err := f.reserve("b1", used)
+					f.Expect(err).NotTo(HaveOccurred())
+					use(r, used)
+				}
+				f.start(home)
+				f.setEpoch(all...)
+				time.Sleep(time.Second)
+				_, err := f.reserve(home.Name, min(testBurst, testBurst-used+500))
+				f.Expect(err).NotTo(HaveOccurred())
+				f.expectWithinBound()
+			})
+		})
+	}
+}
+
+// Without authority nothing is admitted, neither on the host itself nor for a borrower that asks it.
+func TestNoAuthority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, fiveHosts()...)
+		defer f.stopAll()
+		time.Sleep(warmUp)
+		for _, n := range f.hosts {
+			if n.id.Name != "b1" {
+				n.authority = errNoAuthority
+			}
+		}
+		_, err := f.reserve("c1", 10)
+		var unavailable *quota.UnavailableError
+		f.Expect(errors.As(err, &unavailable)).To(BeTrue())
+		f.Expect(errors.Is(err, errNoAuthority)).To(BeTrue())
+		_, err = f.reserve("b1", testBurst/4)
+		f.Expect(err).NotTo(HaveOccurred())
+		_, err = f.reserve("b1", 1000)
+		var refused *quota.RefusedError
+		f.Expect(errors.As(err, &refused)).To(BeTrue())
+	})
+}
