Reserve decode slots and prefills at home hosts

Cause: without a slot in time a KV result dies in under a second and its prefill is wasted. Change: reservation books, fair order, chooser, cost model, the Placement grpc service, renewal by digest, polling of engines and release for excluded incarnations.

--- /dev/null
+++ b/internal/placement/cost.go
@@ -0,0 +1,79 @@
+package placement
+
+import (
+	"time"
+)
+
+const (
+	// DefaultPrefillPerToken is the prefill time per uncached token before the first observation.
+	DefaultPrefillPerToken = 25 * time.Microsecond
+	// DefaultDecodePerToken is the time per output token of one stream before the first observation.
+	DefaultDecodePerToken = 28 * time.Millisecond
+	// DefaultTransferPerToken is the transfer time per prompt token on an idle link before the first observation.
+	DefaultTransferPerToken = 5 * time.Microsecond
+	// stageBase is the fixed part of a prefill or transfer: connection, scheduling, one engine step.
+	stageBase = 4 * time.Millisecond
+	// fasterWeight and slowerWeight weigh new samples. Observed durations hold waits at the engine, which the
+	// book predicts separately, so a faster sample says more about the cost than a slower one.
+	fasterWeight = 0.3
+	slowerWeight = 0.05
+	// minCostTokens is the least number of tokens that a sample needs; short ones measure mostly the fixed part.
+	minCostTokens = 64
+)
+
+// Costs are the learned costs of one server, in nanoseconds per token.
+type Costs struct {
+	prefill, decode, transfer float64
+}
+
+// DefaultCosts returns the costs of a server that was not observed.
+func DefaultCosts() Costs {
+	return Costs{
+		prefill: float64(DefaultPrefillPerToken), decode: float64(DefaultDecodePerToken),
+		transfer: float64(DefaultTransferPerToken),
+	}
+}
+
+// Learn updates the costs by an observation. Failed ones and, for prefill and transfer, short ones say nothing.
+func (c *Costs) Learn(o Observation) {
+	if o.Failed || o.Tokens <= 0 || o.Duration <= 0 {
+		return
+	}
+	switch o.Stage {
+	case StagePrefill:
+		learn(&c.prefill, o, stageBase)
+	case StageTransfer:
+		learn(&c.transfer, o, stageBase)
+	case StageDecode:
+		sample := float64(o.Duration) / float64(o.Tokens)
+		c.decode += slowerWeight * (sample - c.decode)
+	case StageService:
+	}
+}
+
+func learn(cost *float64, o Observation, base time.Duration) {
+	if o.Tokens < minCostTokens || o.Duration <= base {
+		return
+	}
+	sample := float64(o.Duration-base) / float64(o.Tokens)
+	weight := slowerWeight
+	if sample < *cost {
+		weight = fasterWeight
+	}
+	*cost += weight * (sample - *cost)
+}
+
+// Prefill predicts the prefill time of uncached tokens.
+func (c *Costs) Prefill(tokens int64) time.Duration {
+	return stageBase + time.Duration(c.prefill*float64(max(0, tokens)))
+}
+
+// Decode predicts the time of output tokens.
+func (c *Costs) Decode(tokens int64) time.Duration {
+	return time.Duration(c.decode * float64(max(0, tokens)))
+}
+
+// Transfer predicts the transfer time of a prompt's KV cache behind tokens that are already in flight.
+func (c *Costs) Transfer(tokens, inFlight int64) time.Duration {
+	return stageBase + time.Duration(c.transfer*float64(tokens+inFlight))
+}
--- /dev/null
+++ b/internal/placement/grpc.go
@@ -0,0 +1,87 @@
+package placement
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/boragecourse/boragecourse/internal/host"
+	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
+)
+
+// Reserve implements the Placement grpc service.
+func (s *Service) Reserve(ctx context.Context, q *peerv1.ReserveRequest) (*peerv1.ReserveResponse, error) {
+	if q.GetFrom().GetName() == "" || q.GetServer() == "" {
+		return nil, status.Error(codes.InvalidArgument, "from and server are required")
+	}
+	now := time.Now()
+	r, err := s.reserveHere(ctx, q.GetServer(), Ask{
+		ID:        ReservationID{Owner: ownerOf(host.FromProto(q.GetFrom())), ID: q.GetReservationId()},
+		Workspace: q.GetWorkspace(), Weight: q.GetWeight(), Stage: stageFrom(q.GetStage()), Tokens: q.GetTokens(),
+		Priority: int(q.GetPriority()), Patient: q.GetPatient(), Duration: time.Duration(q.GetExpectedDurationNanos()),
+		Start: now.Add(time.Duration(q.GetStartAfterNanos())), Deadline: now.Add(time.Duration(q.GetMaxWaitNanos())),
+	}, q.GetPrefixBlocks())
+	if err != nil {
+		if ctx.Err() != nil {
+			return nil, status.FromContextError(ctx.Err()).Err()
+		}
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	return &peerv1.ReserveResponse{
+		Granted: r.granted, NotHome: r.notHome, QueueFull: r.queueFull, RetryAfterNanos: int64(r.retryAfter),
+		CachedBlocks: int32(r.cached), Load: toProto("", r.load), //nolint:gosec // At most cacheindex.MaxBlocks.
+	}, nil
+}
+
+// Release implements the Placement grpc service.
+func (s *Service) Release(_ context.Context, q *peerv1.ReleaseRequest) (*peerv1.ReleaseResponse, error) {
+	s.releaseHere(q.GetServer(), ReservationID{Owner: ownerOf(host.FromProto(q.GetFrom())), ID: q.GetReservationId()})
+	return &peerv1.ReleaseResponse{}, nil
+}
+
+// Renew implements the Placement grpc service.
+func (s *Service) Renew(_ context.Context, q *peerv1.RenewRequest) (*peerv1.RenewResponse, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.syncLocked(now, nil)
+	id := ownerOf(host.FromProto(q.GetFrom()))
+	o := s.homes.heard(now, id)
+	resp := &peerv1.RenewResponse{}
+	if q.GetFull() {
+		o.differed = false
+		s.reconcileLocked(now, id, q.GetOpen())
+	} else {
+		count, digest, fresh := s.homes.digest(now, id)
+		differs := count != q.GetCount() || digest != q.GetDigest()
+		// One difference may be a change in flight; a second one, or one at a new book, asks for the list.
+		resp.NeedFull = differs && (o.differed || fresh)
+		o.differed = differs
+	}
+	for name, b := range s.homes.books {
+		resp.Loads = append(resp.Loads, toProto(name, b.Load(now)))
+	}
+	return resp, nil
+}
+
+func toProto(server string, l Load) *peerv1.ServerLoad {
+	return &peerv1.ServerLoad{
+		Server: server, Slots: clampUint(int64(l.Slots)), Busy: clampUint(int64(l.Busy)), Waiting: clampUint(int64(l.Waiting)),
+		SlotWaitMicros: clampUint(l.SlotWait.Microseconds()), PrefillWaitMicros: clampUint(l.PrefillWait.Microseconds()), Down: l.Down,
+	}
+}
+
+func fromProto(l *peerv1.ServerLoad) Load {
+	return Load{
+		Slots: int(l.GetSlots()), Busy: int(l.GetBusy()), Waiting: int(l.GetWaiting()), Down: l.GetDown(),
+		SlotWait:    time.Duration(l.GetSlotWaitMicros()) * time.Microsecond,
+		PrefillWait: time.Duration(l.GetPrefillWaitMicros()) * time.Microsecond,
+	}
+}
+
+func clampUint(n int64) uint32 {
+	const limit = 1<<32 - 1
+	return uint32(min(max(n, 0), limit)) //nolint:gosec // Clamped.
+}
--- /dev/null
+++ b/internal/placement/metrics.go
@@ -0,0 +1,25 @@
+package placement
+
+// Names of counters and the reasons that label them.
+const (
+	metricPlaced    = "placement_placed_total"
+	metricRefusals  = "placement_refusals_total"
+	metricFallbacks = "placement_fallbacks_total"
+	metricRetries   = "placement_retries_total"
+	metricReleased  = "placement_released_total"
+	metricFailures  = "placement_stage_failures_total"
+	metricResyncs   = "placement_cache_resyncs_total"
+	metricPollFails = "placement_poll_failures_total"
+
+	reasonNoServer      = "no_server"
+	reasonDeadline      = "deadline"
+	reasonQueueFull     = "queue_full"
+	reasonCanceled      = "canceled"
+	reasonHomeSilent    = "home_silent"
+	reasonNotHome       = "not_home"
+	reasonRefused       = "home_refused"
+	reasonOwnerGone     = "owner_gone"
+	reasonHostExcluded  = "host_excluded"
+	reasonUnknownHolder = "unknown_holder"
+	reasonListed        = "not_listed"
+)
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -24,13 +24,18 @@
 	ServerQueueLimit int
 	// WaitRound is how long a wait-class request waits at one server before it chooses again. Default 1 s.
 	WaitRound time.Duration
-	// CallTimeout bounds a call to a home host, without the wait for the grant. Default 30 ms.
+	// CallTimeout bounds a call to a home host, without the wait for the grant. Default 50 ms.
 	CallTimeout time.Duration
 	// HomeRetry is how long an unreachable home host is not asked again. Default 1 s.
 	HomeRetry time.Duration
-	// RenewInterval is the period of the exchange with the other home hosts. Default 1 s.
+	// RenewInterval is the shortest period of the exchange with the other home hosts. Default 250 ms.
 	RenewInterval time.Duration
-	// OwnerTTL is how long reservations outlive the last renewal by their owner. Default 3 s.
+	// RenewMax is the longest period; within both the period follows ControlBytes. Default 2 s.
+	RenewMax time.Duration
+	// ControlBytes is how many bytes per second this host's own exchanges may take, both directions together. It
+	// serves about as many for others. Default 2200.
+	ControlBytes int
+	// OwnerTTL is how long reservations outlive the last sign of life of their owner. Default 6 s.
 	OwnerTTL time.Duration
 	// PollInterval is the period of load reports and cache events from own servers. Default 250 ms.
 	PollInterval time.Duration
@@ -55,10 +60,12 @@
 	duration(&o.CrossZoneMargin, 10*time.Millisecond)
 	duration(&o.PrefillAhead, 40*time.Millisecond)
 	duration(&o.WaitRound, time.Second)
-	duration(&o.CallTimeout, 30*time.Millisecond)
+	duration(&o.CallTimeout, 50*time.Millisecond)
 	duration(&o.HomeRetry, time.Second)
-	duration(&o.RenewInterval, time.Second)
-	duration(&o.OwnerTTL, 3*time.Second)
+	duration(&o.RenewInterval, 250*time.Millisecond)
+	duration(&o.RenewMax, 2*time.Second)
+	number(&o.ControlBytes, 2200)
+	duration(&o.OwnerTTL, 6*time.Second)
 	duration(&o.PollInterval, 250*time.Millisecond)
 	duration(&o.DownFor, 2*time.Second)
 	number(&o.FairReserve, 2)
--- /dev/null
+++ b/internal/placement/place.go
@@ -0,0 +1,334 @@
+package placement
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/boragecourse/boragecourse/internal/config"
+	"github.com/boragecourse/boragecourse/internal/metrics"
+	"github.com/boragecourse/boragecourse/internal/rules"
+)
+
+const (
+	// maxTries bounds the pairs that one attempt asks for.
+	maxTries = 4
+	// retryPause is how long a wait-class request pauses after an attempt that could not wait at a home host.
+	retryPause = 100 * time.Millisecond
+	// patientPrefill is how long a wait-class request with a decode slot waits for a prefill server. The slot is
+	// idle meanwhile, so it is short.
+	patientPrefill = 300 * time.Millisecond
+	// fallbackPrefill is the time assumed for each own prefill in flight at a server without a reachable home host.
+	fallbackPrefill = 50 * time.Millisecond
+)
+
+// Place implements Placer. Wait-class requests wait until they are placed or the context ends; its error is then
+// wrapped.
+func (s *Service) Place(ctx context.Context, snap *config.Snapshot, r Request) (*Placement, error) {
+	return s.place(ctx, snap, r, nil)
+}
+
+// PlaceDecode implements Placer.
+func (s *Service) PlaceDecode(ctx context.Context, snap *config.Snapshot, r Request, prefill *rules.Server) (*Placement, error) {
+	return s.place(ctx, snap, r, prefill)
+}
+
+func (s *Service) place(ctx context.Context, snap *config.Snapshot, r Request, fixed *rules.Server) (*Placement, error) {
+	patient := r.Class == rules.ClassWait && fixed == nil
+	if patient {
+		if err := s.enqueue(); err != nil {
+			return nil, s.refused(err)
+		}
+		defer s.dequeue()
+	}
+	for {
+		p, err := s.attempt(ctx, snap, r, fixed)
+		if err == nil {
+			s.metrics.Inc(metricPlaced)
+			return p, nil
+		}
+		if ctx.Err() != nil {
+			return nil, s.refused(fmt.Errorf("place request %s: %w", r.ID, ctx.Err()))
+		}
+		if !patient || !s.configured(snap, r) {
+			return nil, s.refused(err)
+		}
+		s.metrics.Inc(metricRetries, metrics.L("reason", reasonOf(err)))
+		if err := pause(ctx, retryPause); err != nil {
+			return nil, s.refused(fmt.Errorf("place request %s: %w", r.ID, err))
+		}
+	}
+}
+
+// configured reports whether the rules have active servers for both stages, so that waiting makes sense.
+func (s *Service) configured(snap *config.Snapshot, r Request) bool {
+	if installed := s.snapshot(); installed != nil {
+		snap = installed
+	}
+	engines := snap.Engines(r.Model)
+	return len(usable(engines, StagePrefill, nil)) > 0 && len(usable(engines, StageDecode, nil)) > 0
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *Service) enqueue() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiting >= s.opt.QueueLimit {
+		return &QueueFullError{Waiting: s.waiting, RetryAfter: s.opt.WaitRound}
+	}
+	s.waiting++
+	return nil
+}
+
+func (s *Service) dequeue() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting--
+}
+
+func (s *Service) refused(err error) error {
+	s.metrics.Inc(metricRefusals, metrics.L("reason", reasonOf(err)))
+	return err
+}
+
+func reasonOf(err error) string {
+	var deadline *DeadlineError
+	var full *QueueFullError
+	var none *NoServerError
+	switch {
+	case errors.As(err, &deadline):
+		return reasonDeadline
+	case errors.As(err, &full):
+		return reasonQueueFull
+	case errors.As(err, &none):
+		return reasonNoServer
+	default:
+		return reasonCanceled
+	}
+}
+
+// attempt tries pairs until both reservations are granted.
+type attempt struct {
+	s       *Service
+	snap    *config.Snapshot
+	r       Request
+	q       query
+	decode  *reservation
+	refusal error
+	// last is when the first token must come; the zero time means no deadline.
+	last time.Time
+}
+
+func (s *Service) attempt(ctx context.Context, snap *config.Snapshot, r Request, fixed *rules.Server) (*Placement, error) {
+	a := &attempt{s: s, snap: snap, r: r, q: query{tokens: r.PromptTokens, blocks: r.PrefixBlocks, exclude: r.Exclude}}
+	if r.Class != rules.ClassWait && fixed == nil {
+		a.last = r.Arrived.Add(s.opt.FirstToken)
+	}
+	for range maxTries {
+		best := a.pick(fixed)
+		if !best.ok || a.late(best) {
+			break
+		}
+		p, again := a.try(ctx, best)
+		if p != nil {
+			return p, nil
+		}
+		if !again || ctx.Err() != nil {
+			break
+		}
+	}
+	if a.decode != nil {
+		a.decode.release()
+	}
+	if p := a.fallback(fixed); p != nil {
+		return p, nil
+	}
+	if a.refusal == nil {
+		a.refusal = &NoServerError{Model: r.Model}
+	}
+	return nil, a.refusal
+}
+
+// pick chooses the best pair of servers whose home hosts answer.
+func (a *attempt) pick(fixed *rules.Server) pair {
+	a.s.mu.Lock()
+	defer a.s.mu.Unlock()
+	a.q.now = time.Now()
+	a.s.syncLocked(a.q.now, a.snap)
+	a.q.zone = a.s.view.zone(a.s.viewer.Self().Zone)
+	if fixed != nil {
+		if a.q.fixed = a.s.view.servers[fixed.Name]; a.q.fixed == nil {
+			return pair{}
+		}
+	}
+	m := a.s.view.models[a.r.Model]
+	if m == nil {
+		return pair{}
+	}
+	best := a.s.view.choose(m, &a.q)
+	if best.ok {
+		costs := &best.decode.server.costs
+		best.step, best.hold = costs.Decode(1), best.transfer+costs.Decode(a.r.MaxOutputTokens)
+		best.need = best.prefill.server.costs.Prefill(uncached(a.r.PromptTokens, best.prefill.cached))
+	}
+	return best
+}
+
+// late records a refusal when the predicted first token misses the deadline.
+func (a *attempt) late(p pair) bool {
+	if a.last.IsZero() || !a.q.now.Add(p.first).After(a.last) {
+		return false
+	}
+	over := a.q.now.Add(p.first).Sub(a.last)
+	a.refusal = &DeadlineError{Predicted: a.q.now.Sub(a.r.Arrived) + p.first, RetryAfter: over}
+	return true
+}
+
+// try asks for the decode slot, then for the prefill. It reports whether another pair may be tried.
+func (a *attempt) try(ctx context.Context, p pair) (*Placement, bool) {
+	s, patient := a.s, a.r.Class == rules.ClassWait && a.q.fixed == nil
+	now := a.q.now
+	if a.decode == nil {
+		deadline := now.Add(s.opt.WaitRound)
+		if !a.last.IsZero() {
+			deadline = a.last.Add(-p.transfer - p.step)
+		} else if !patient {
+			deadline = now.Add(s.opt.KVLife / 2)
+		}
+		res, rep := s.reserve(ctx, p.decode.server, Ask{
+			Workspace: a.r.Workspace, Weight: a.r.Weight, Stage: StageDecode, Priority: a.r.Priority, Patient: patient,
+			Tokens: a.r.PromptTokens + a.r.MaxOutputTokens, Start: now.Add(p.prefill.ready), Deadline: deadline,
+			Duration: p.hold,
+		}, nil)
+		if res == nil {
+			a.note(rep)
+			a.q.noDecode = append(a.q.noDecode, p.decode.server)
+			return nil, !patient || !rep.asked()
+		}
+		a.decode, a.q.keep = res, p.decode.server
+	}
+	if a.q.fixed != nil {
+		return a.placement(p, nil, 0), false
+	}
+	deadline := time.Now().Add(patientPrefill)
+	if !a.last.IsZero() {
+		deadline = a.last.Add(-p.transfer - p.step - p.need)
+	}
+	res, rep := s.reserve(ctx, p.prefill.server, Ask{
+		Workspace: a.r.Workspace, Weight: a.r.Weight, Stage: StagePrefill, Priority: a.r.Priority, Patient: patient,
+		Tokens: a.r.PromptTokens, Start: now, Deadline: deadline, Duration: p.need,
+	}, a.r.PrefixBlocks)
+	if res == nil {
+		a.note(rep)
+		a.q.noPre = append(a.q.noPre, p.prefill.server)
+		return nil, true
+	}
+	return a.placement(p, res, rep.cached), false
+}
+
+// note keeps the reason of a refusal for the caller.
+func (a *attempt) note(r reply) {
+	switch {
+	case r.queueFull:
+		a.refusal = &QueueFullError{Waiting: a.s.opt.ServerQueueLimit, RetryAfter: r.retryAfter}
+	case r.asked():
+		a.refusal = &DeadlineError{Predicted: time.Since(a.r.Arrived) + r.retryAfter, RetryAfter: r.retryAfter}
+	}
+}
+
+func (a *attempt) placement(p pair, prefill *reservation, cached int) *Placement {
+	s := a.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	ready := now.Add(p.prefill.ready)
+	if p.prefill.server != p.decode.server {
+		s.view.links.add(now, p.prefill.zone, p.decode.zone,
+			flight{start: ready, end: ready.Add(p.transfer), tokens: a.r.PromptTokens})
+	}
+	out := &Placement{
+		Prefill: p.prefill.server.rule, Decode: p.decode.server.rule, ReleasePrefill: func() {}, ReleaseDecode: a.decode.release,
+	}
+	if prefill != nil {
+		out.ReleasePrefill = prefill.release
+		out.CachedTokens = a.r.PromptTokens - uncached(a.r.PromptTokens, cached)
+		s.view.index.Hint(p.prefill.server.name, now, a.r.PrefixBlocks)
+	}
+	return out
+}
+
+// fallback places without reservations while some home host does not answer: two random choices for each stage on
+// the last reported load and this host's own count. The engine's own limit is the last guard.
+func (a *attempt) fallback(fixed *rules.Server) *Placement {
+	s := a.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, now := s.view.models[a.r.Model], time.Now()
+	if m == nil || !anyBlind(now, m) {
+		return nil
+	}
+	prefillLoad := func(r *rules.Server) float64 {
+		wait := s.view.servers[r.Name].prefillWait(now) + time.Duration(s.own.get(r.Name, StagePrefill))*fallbackPrefill
+		return float64(wait) / float64(s.opt.FirstToken)
+	}
+	decodeLoad := func(r *rules.Server) float64 {
+		_, load := s.view.servers[r.Name].slotWait()
+		return load + s.ownLoad(StageDecode)(r)
+	}
+	prefill := fixed
+	if prefill == nil {
+		prefill = twoChoices(a.blindChoices(now, m.prefill), prefillLoad)
+	}
+	decode := twoChoices(a.blindChoices(now, m.decode), decodeLoad)
+	// Known overload is refused here too, so that the fallback does not collapse.
+	if prefill == nil || decode == nil || decodeLoad(decode) >= 1 || (fixed == nil && prefillLoad(prefill) >= 1) {
+		return nil
+	}
+	s.metrics.Inc(metricFallbacks, metrics.L("reason", reasonHomeSilent))
+	release := func() {}
+	if fixed == nil {
+		release = s.own.add(prefill.Name, StagePrefill)
+	}
+	return &Placement{Prefill: prefill, Decode: decode, ReleasePrefill: release, ReleaseDecode: s.own.add(decode.Name, StageDecode)}
+}
+
+func anyBlind(now time.Time, m *modelView) bool {
+	for _, list := range [][]*serverView{m.prefill, m.decode} {
+		for _, v := range list {
+			if v.blind(now) && !v.down(now) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// blindChoices are the servers that the fallback draws from: those without a reachable home host, or all if every
+// home host answers.
+func (a *attempt) blindChoices(now time.Time, list []*serverView) []*rules.Server {
+	var blind, all []*rules.Server
+	for _, v := range list {
+		if a.q.skips(v, nil) {
+			continue
+		}
+		all = append(all, v.rule)
+		if v.blind(now) {
+			blind = append(blind, v.rule)
+		}
+	}
+	if len(blind) > 0 {
+		return blind
+	}
+	return all
+}
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -2,60 +2,138 @@
 
 import (
 	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/grpc"
 
 	"github.com/boragecourse/boragecourse/internal/config"
+	"github.com/boragecourse/boragecourse/internal/engine"
+	"github.com/boragecourse/boragecourse/internal/membership"
+	"github.com/boragecourse/boragecourse/internal/metrics"
+	"github.com/boragecourse/boragecourse/internal/peer"
 	"github.com/boragecourse/boragecourse/internal/rules"
+	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
 )
 
-// Service implements Placer on one host. It is safe for concurrent use.
+// Deps are the parts that a Service works with. Viewer and Dialer are required; without Config the snapshot passed
+// to Place is used, without Engines no server is polled.
+type Deps struct {
+	Viewer  membership.Viewer
+	Dialer  peer.Dialer
+	Config  config.Reader
+	Engines engine.Directory
+	Metrics *metrics.Registry
+	Log     logr.Logger
+}
+
+// Service implements Placer on one host, and is the home host of some servers. It is safe for concurrent use.
 type Service struct {
-	opt Options
-	own inflight
+	peerv1.UnimplementedPlacementServer
+
+	opt     Options
+	viewer  membership.Viewer
+	dialer  peer.Dialer
+	config  config.Reader
+	engines engine.Directory
+	metrics *metrics.Registry
+	log     logr.Logger
+	own     inflight
+
+	mu    sync.Mutex
+	view  *view
+	homes *homes
+	// held are this host's open reservations by ID.
+	held map[string]*holding
+	// seen holds the incarnations of all epochs known so far, strangers the unknown holders at engines.
+	seen      map[OwnerID]time.Time
+	strangers map[OwnerID]time.Time
+	lastID    uint64
+	// waiting counts the wait-class requests in Place.
+	waiting int
 }
 
-// New returns a service that places on its own counts only.
-func New(o Options) *Service { return &Service{opt: o.withDefaults()} }
+// holding is a reservation that this host holds.
+type holding struct {
+	ask    Ask
+	server string
+	since  time.Time
+}
 
-// Place implements Placer.
-func (s *Service) Place(_ context.Context, snap *config.Snapshot, r Request) (*Placement, error) {
-	prefill := twoChoices(usable(snap.Engines(r.Model), StagePrefill, r.Exclude), s.load(StagePrefill))
-	if prefill == nil {
-		return nil, &NoServerError{Model: r.Model}
+// New returns a service. Call Register before the peer server starts, and Serve.
+func New(d Deps, o Options) *Service {
+	o = o.withDefaults()
+	s := &Service{
+		opt: o, viewer: d.Viewer, dialer: d.Dialer, config: d.Config, engines: d.Engines, metrics: d.Metrics, log: d.Log,
+		homes: newHomes(o), held: map[string]*holding{}, seen: map[OwnerID]time.Time{}, strangers: map[OwnerID]time.Time{},
 	}
-	return s.withDecode(snap, r, prefill, s.own.add(prefill.Name, StagePrefill))
+	s.view = newView(&s.opt)
+	return s
 }
 
-// PlaceDecode implements Placer.
-func (s *Service) PlaceDecode(_ context.Context, snap *config.Snapshot, r Request, prefill *rules.Server) (*Placement, error) {
-	return s.withDecode(snap, r, prefill, func() {})
-}
+// Register adds the Placement grpc service.
+func (s *Service) Register(r grpc.ServiceRegistrar) { peerv1.RegisterPlacementServer(r, s) }
 
-func (s *Service) withDecode(snap *config.Snapshot, r Request, prefill *rules.Server, release func()) (*Placement, error) {
-	decode := twoChoices(usable(snap.Engines(r.Model), StageDecode, r.Exclude), s.load(StageDecode))
-	if decode == nil {
-		release()
-		return nil, &NoServerError{Model: r.Model}
+// Observe implements Placer.
+func (s *Service) Observe(o Observation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if v := s.view.servers[o.Server]; v != nil {
+		v.observe(time.Now(), o, s.opt.DownFor)
+	}
+	if o.Failed {
+		s.metrics.Inc(metricFailures, metrics.L("stage", string(o.Stage)))
 	}
-	return &Placement{
-		Prefill: prefill, Decode: decode,
-		ReleasePrefill: release, ReleaseDecode: s.own.add(decode.Name, StageDecode),
-	}, nil
 }
 
-// PlaceService implements Placer.
+// PlaceService implements Placer: two random choices on this host's own calls, in its zone while it has any.
 func (s *Service) PlaceService(_ context.Context, snap *config.Snapshot, pool string, exclude []string) (*rules.Server, func(), error) {
-	server := twoChoices(usable(snap.Pool(pool), StageService, exclude), s.load(StageService))
-	if server == nil {
-		return nil, nil, &NoServerError{Pool: pool}
+	all := usable(snap.Pool(pool), StageService, exclude)
+	up, near := s.upServers(snap, all)
+	for _, servers := range [][]*rules.Server{near, up, all} {
+		if server := twoChoices(servers, s.ownLoad(StageService)); server != nil {
+			return server, s.own.add(server.Name, StageService), nil
+		}
 	}
-	return server, s.own.add(server.Name, StageService), nil
+	s.metrics.Inc(metricRefusals, metrics.L("reason", reasonNoServer))
+	return nil, nil, &NoServerError{Pool: pool}
 }
 
-// Observe implements Placer.
-func (s *Service) Observe(Observation) {}
+// upServers returns the servers that do not fail, and those of them in this host's zone.
+func (s *Service) upServers(snap *config.Snapshot, all []*rules.Server) (up, near []*rules.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.syncLocked(now, snap)
+	for _, r := range all {
+		if v := s.view.servers[r.Name]; v != nil && v.down(now) {
+			continue
+		}
+		up = append(up, r)
+		if r.Zone == s.viewer.Self().Zone {
+			near = append(near, r)
+		}
+	}
+	return up, near
+}
+
+func (s *Service) ownLoad(stage Stage) func(*rules.Server) float64 {
+	return func(r *rules.Server) float64 { return float64(s.own.get(r.Name, stage)) / float64(max(r.Slots, 1)) }
+}
+
+func (s *Service) snapshot() *config.Snapshot {
+	if s.config == nil {
+		return nil
+	}
+	return s.config.Current()
+}
 
-func (s *Service) load(stage Stage) func(*rules.Server) float64 {
-	return func(srv *rules.Server) float64 { return float64(s.own.get(srv.Name, stage)) }
+// newIDLocked returns the next reservation ID; the owner makes it unique in the fleet.
+func (s *Service) newIDLocked() ReservationID {
+	s.lastID++
+	return ReservationID{Owner: ownerOf(s.viewer.Self()), ID: strconv.FormatUint(s.lastID, 36)}
 }
 
 var _ Placer = (*Service)(nil)
