--- /dev/null
+++ b/test/standin/engine/errors.go
@@ -0,0 +1,28 @@
+package engine
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Causes of failed calls.
+var (
+	errRefusedConnection = errors.New("connection refused")
+	errAborted           = errors.New("attempt aborted")
+	errCrashed           = errors.New("engine crashed")
+	errInjected          = errors.New("injected failure")
+	errUnknownAttempt    = errors.New("unknown attempt")
+	errExportGone        = errors.New("export is gone")
+	errStreamBroken      = errors.New("stream broken")
+)
+
+// BadRequestError reports a request body that the fake cannot read.
+type BadRequestError struct {
+	Cause error
+}
+
+// Error implements error.
+func (e *BadRequestError) Error() string { return fmt.Sprintf("bad request: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *BadRequestError) Unwrap() error { return e.Cause }
