Add the HTTP adapter for backend servers

Cause: the router speaks to engines and services only through interfaces. Failures are classified by whether a byte was sent and by the engine's not-run marker.

--- /dev/null
+++ b/internal/engine/openai/service.go
@@ -0,0 +1,71 @@
+package openai
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+
+	"github.com/boragecourse/boragecourse/internal/engine"
+)
+
+// forwarded are the headers that services receive. An allow list keeps callers' keys and cookies away from
+// them, whatever header a caller puts them in.
+var forwarded = []string{
+	"Accept", "Accept-Language", "Content-Encoding", "Content-Language", "Content-Type", "Idempotency-Key",
+	"If-Match", "If-Modified-Since", "If-None-Match", "If-Unmodified-Since", "Range", "Traceparent", "Tracestate",
+	"User-Agent",
+}
+
+// service is a client for a plain HTTP service.
+type service client
+
+var _ engine.Service = (*service)(nil)
+
+// Name implements engine.Service.
+func (s *service) Name() string { return s.name }
+
+// Do implements engine.Service. Redirects are not followed. The error is *engine.ConnectError when no byte was
+// sent, *engine.RefusedError when the service says that it did not act, and *engine.FailedError otherwise.
+func (s *service) Do(ctx context.Context, a engine.Attempt, r *http.Request) (*http.Response, error) {
+	c := (*client)(s)
+	out := &http.Request{
+		Method: r.Method, Host: s.addr, Header: http.Header{},
+		URL:           &url.URL{Scheme: "http", Host: s.addr, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery},
+		Body:          r.Body,
+		ContentLength: r.ContentLength,
+	}
+	for _, name := range forwarded {
+		if values := r.Header.Values(name); len(values) > 0 {
+			out.Header[name] = slices.Clone(values)
+		}
+	}
+	transport := c.d.fresh
+	if r.Method == http.MethodGet || r.Method == http.MethodHead {
+		transport = c.d.shared
+	}
+	if out.Body == nil || out.Body == http.NoBody {
+		out.Body = emptyBody{}
+	}
+	res, err := c.send(transport, out.WithContext(ctx), a)
+	if err != nil {
+		return nil, err
+	}
+	if notRun(res) {
+		defer closeBody(res.Body)
+		return nil, c.failure(res)
+	}
+	return res, nil
+}
+
+// emptyBody is a request body without content. net/http sends a GET without a body again by itself when a reused
+// connection breaks, which must not happen to calls that may not be repeated; a body that cannot be read again
+// prevents it.
+type emptyBody struct{}
+
+// Read implements io.Reader.
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+
+// Close implements io.Closer.
+func (emptyBody) Close() error { return nil }
--- /dev/null
+++ b/internal/engine/openai/stream.go
@@ -0,0 +1,106 @@
+package openai
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"strconv"
+	"sync"
+
+	"github.com/boragecourse/boragecourse/internal/engine"
+)
+
+// stream reads one decode answer. Next is called by one goroutine; Close may be called by another.
+type stream struct {
+	server string
+	body   io.ReadCloser
+	events *sseReader
+	cancel context.CancelFunc
+	close  sync.Once
+	offset int64
+	done   bool
+}
+
+func newStream(server string, body io.ReadCloser, cancel context.CancelFunc, offset int64) *stream {
+	return &stream{server: server, body: body, events: newSSEReader(body), cancel: cancel, offset: offset}
+}
+
+// chunkJSON is the part of an OpenAI stream event that the router needs.
+type chunkJSON struct {
+	Choices []struct {
+		Text  string `json:"text"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+// Next implements engine.Stream.
+func (s *stream) Next() (engine.Chunk, error) {
+	if s.done {
+		return engine.Chunk{}, io.EOF
+	}
+	e, err := s.events.next()
+	if errors.Is(err, io.EOF) {
+		err = errIncomplete
+	}
+	if err != nil {
+		return engine.Chunk{}, s.lost(err)
+	}
+	if bytes.Equal(e.data, []byte("[DONE]")) {
+		s.done = true
+		return engine.Chunk{}, io.EOF
+	}
+	if e.name == "error" {
+		return engine.Chunk{}, s.lost(&StreamEventError{Data: string(e.data)})
+	}
+	return s.chunk(e)
+}
+
+func (s *stream) chunk(e sseEvent) (engine.Chunk, error) {
+	var in chunkJSON
+	if err := json.Unmarshal(e.data, &in); err != nil {
+		return engine.Chunk{}, s.lost(err)
+	}
+	ch := engine.Chunk{Offset: s.offset, Data: e.data}
+	if len(in.Choices) > 0 {
+		choice := in.Choices[0]
+		ch.Text = choice.Text + choice.Delta.Content
+		ch.FinishReason = choice.FinishReason
+	}
+	switch {
+	case e.id != "":
+		after, err := strconv.ParseInt(e.id, 10, 64)
+		if err == nil && after < s.offset {
+			err = errOrder
+		}
+		if err != nil {
+			return engine.Chunk{}, s.lost(err)
+		}
+		ch.Tokens = after - s.offset
+	case ch.Text != "":
+		// Engines without event ids send one token in an event.
+		ch.Tokens = 1
+	}
+	s.offset += ch.Tokens
+	return ch, nil
+}
+
+func (s *stream) lost(cause error) error {
+	return &engine.StreamLostError{Server: s.server, Offset: s.offset, Cause: cause}
+}
+
+// Close implements engine.Stream.
+func (s *stream) Close() error {
+	s.close.Do(func() {
+		if s.done {
+			closeBody(s.body)
+		}
+		s.cancel()
+		_ = s.body.Close()
+	})
+	return nil
+}
