--- /dev/null
+++ b/internal/claim/ask.go
@@ -0,0 +1,124 @@
+package claim
+
+import (
+	"context"
+	"time"
+
+	"github.com/boragecourse/boragecourse/internal/host"
+	"github.com/boragecourse/boragecourse/internal/metrics"
+	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
+)
+
+// ask asks the host that holds the claim about its attempt.
+func (e *entry) ask(ctx context.Context) Action {
+	e.mu.Lock()
+	found := e.found
+	e.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, e.c.cfg.AskTimeout)
+	defer cancel()
+	request := &peerv1.AskClaimRequest{
+		From: e.c.viewer.Self().Proto(), Workspace: e.call.Workspace, IdempotencyKey: e.call.IdempotencyKey,
+		Attempt: found.GetAttempt(), ClaimingIncarnation: found.GetHost().GetIncarnation(),
+	}
+	var response *peerv1.AskClaimResponse
+	var err error
+	if self := e.c.viewer.Self(); isSelf(self, found.GetHost()) {
+		response, err = e.c.Ask(ctx, request)
+	} else {
+		response, err = peerv1.NewClaimsClient(e.c.dialer.Conn(found.GetHost().GetAddr())).Ask(ctx, request)
+	}
+	ev := peerEvent(response, err)
+	e.c.metrics.Inc("claim_asked_total", metrics.L("reply", askResult(response, err)))
+	if response.GetAnswer() != nil && ev.Reply == ReplyDone {
+		e.mu.Lock()
+		found.Answer = response.GetAnswer()
+		e.mu.Unlock()
+	}
+	return e.step(ev)
+}
+
+func isSelf(self host.ID, h *peerv1.HostID) bool {
+	return h.GetName() == self.Name && h.GetIncarnation() == self.Incarnation
+}
+
+// peerEvent translates a response. A done attempt comes without an answer when the answer is too large to record.
+func peerEvent(r *peerv1.AskClaimResponse, err error) Event {
+	if err != nil {
+		return Event{Kind: EventPeerGone}
+	}
+	ev := Event{Kind: EventPeerAnswered, Reply: ReplyUnknown}
+	switch r.GetState() {
+	case peerv1.AskClaimResponse_STATE_RUNNING:
+		ev.Reply = ReplyRunning
+	case peerv1.AskClaimResponse_STATE_GIVEN_UP:
+		ev.Reply = ReplyGivenUp
+	case peerv1.AskClaimResponse_STATE_DONE:
+		ev.Reply = ReplyDone
+		if r.GetAnswer() == nil {
+			ev.Reply = ReplyTooLarge
+		}
+	}
+	return ev
+}
+
+func askResult(r *peerv1.AskClaimResponse, err error) string {
+	if err != nil {
+		return "none"
+	}
+	return r.GetState().String()
+}
+
+// Ask implements the Claims grpc service. An attempt of this incarnation that is not in the table was either
+// refused before it was dispatched, or its final state is in the store; the answer is "given up" for both, and in
+// the second case the comparison of the take-over fails and returns the final record.
+func (c *Coordinator) Ask(ctx context.Context, r *peerv1.AskClaimRequest) (*peerv1.AskClaimResponse, error) {
+	if r.GetClaimingIncarnation() != c.viewer.Self().Incarnation {
+		return &peerv1.AskClaimResponse{State: peerv1.AskClaimResponse_STATE_UNKNOWN}, nil
+	}
+	c.mu.Lock()
+	e := c.open[r.GetAttempt()]
+	c.mu.Unlock()
+	if e == nil {
+		return &peerv1.AskClaimResponse{State: peerv1.AskClaimResponse_STATE_GIVEN_UP}, nil
+	}
+	e.awaitDispatch(ctx, c.cfg.DispatchGrace)
+
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	action := e.stepLocked(Event{Kind: EventAsked})
+	response := &peerv1.AskClaimResponse{}
+	switch action.Reply {
+	case ReplyRunning:
+		response.State = peerv1.AskClaimResponse_STATE_RUNNING
+	case ReplyGivenUp:
+		response.State = peerv1.AskClaimResponse_STATE_GIVEN_UP
+	case ReplyDone:
+		response.State, response.Answer = peerv1.AskClaimResponse_STATE_DONE, e.answer
+	default:
+		response.State = peerv1.AskClaimResponse_STATE_UNKNOWN
+	}
+	return response, nil
+}
+
+// awaitDispatch waits for the attempt to be dispatched or refused, at most for the grace period.
+func (e *entry) awaitDispatch(ctx context.Context, grace time.Duration) {
+	timer := time.NewTimer(grace)
+	defer timer.Stop()
+	for {
+		e.mu.Lock()
+		phase, changed := e.attempt.Phase, e.changed
+		e.mu.Unlock()
+		switch phase {
+		case PhaseCreating, PhaseAsking, PhaseTakingOver, PhaseClaimed:
+		default:
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -27,8 +27,8 @@
 // Service grants claims. It is safe for concurrent use.
 type Service interface {
 	// Claim returns a Ticket when this host may dispatch the call, or the recorded answer of an earlier
-	// attempt. Errors are *ReusedKeyError, *InProgressError, *UnknownOutcomeError and *UnavailableError; the
-	// call must not be dispatched then.
+	// attempt. Errors are *ReusedKeyError, *InProgressError, *UnknownOutcomeError, *TooLargeError,
+	// *GivenUpError, *OrderError and *UnavailableError; the call must not be dispatched then.
 	Claim(ctx context.Context, c Call) (Ticket, *Answer, error)
 }
 
--- /dev/null
+++ b/internal/claim/record.go
@@ -0,0 +1,82 @@
+package claim
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/boragecourse/boragecourse/internal/host"
+	"github.com/boragecourse/boragecourse/internal/platform"
+	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
+)
+
+const (
+	// keyPrefix precedes all claims in the store.
+	keyPrefix = "/boragecourse/claim/"
+	// shardDigits of the key's hash form the shard by which the sweep reads, 4,096 shards in all.
+	shardDigits = 3
+	shards      = 1 << (4 * shardDigits)
+)
+
+// storeKey is the claim's key. It is a hash, since callers choose idempotency keys freely.
+func storeKey(c Call) string {
+	h := sha256.New()
+	_, _ = fmt.Fprintf(h, "%d:%s%s", len(c.Workspace), c.Workspace, c.IdempotencyKey)
+	sum := hex.EncodeToString(h.Sum(nil))
+	return keyPrefix + sum[:shardDigits] + "/" + sum[shardDigits:]
+}
+
+func shardPrefix(shard int) string { return fmt.Sprintf("%s%0*x/", keyPrefix, shardDigits, shard) }
+
+// newRecord returns the claim of an attempt in progress.
+func newRecord(c Call, self host.ID, now time.Time) *peerv1.ClaimRecord {
+	return &peerv1.ClaimRecord{
+		State:     peerv1.ClaimRecord_STATE_IN_PROGRESS,
+		Workspace: c.Workspace, IdempotencyKey: c.IdempotencyKey, Digest: c.Digest[:],
+		Attempt: c.Attempt, Host: self.Proto(), UpdatedUnixNanos: now.UnixNano(),
+	}
+}
+
+func encode(r *peerv1.ClaimRecord) ([]byte, error) {
+	b, err := proto.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encode claim: %w", err)
+	}
+	return b, nil
+}
+
+// decode returns the found record and what it means for the call.
+func decode(kv platform.KeyValue, c Call) (*peerv1.ClaimRecord, FoundState) {
+	if kv.ModRevision == 0 {
+		return nil, FoundNothing
+	}
+	r := &peerv1.ClaimRecord{}
+	if err := proto.Unmarshal(kv.Value, r); err != nil {
+		return r, FoundUnknown
+	}
+	if !bytes.Equal(r.Digest, c.Digest[:]) {
+		return r, FoundOtherDigest
+	}
+	switch r.State {
+	case peerv1.ClaimRecord_STATE_IN_PROGRESS:
+		return r, FoundInProgress
+	case peerv1.ClaimRecord_STATE_DONE:
+		return r, FoundDone
+	case peerv1.ClaimRecord_STATE_DONE_TOO_LARGE:
+		return r, FoundTooLarge
+	default:
+		return r, FoundUnknown
+	}
+}
+
+func answerFromProto(a *peerv1.RecordedAnswer) *Answer {
+	return &Answer{Status: int(a.GetStatus()), ContentType: a.GetContentType(), Body: a.GetBody()}
+}
+
+func answerProto(a Answer) *peerv1.RecordedAnswer {
+	return &peerv1.RecordedAnswer{Status: int32(a.Status), ContentType: a.ContentType, Body: a.Body} //nolint:gosec // HTTP status.
+}
--- /dev/null
+++ b/internal/claim/sweep.go
@@ -0,0 +1,108 @@
+package claim
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/boragecourse/boragecourse/internal/host"
+	"github.com/boragecourse/boragecourse/internal/membership"
+	"github.com/boragecourse/boragecourse/internal/platform"
+	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
+)
+
+// maxSweepDeletes bounds the deletions after one read; the rest is left to the next pass.
+const maxSweepDeletes = 200
+
+// Serve repeats unrecorded final states and sweeps old claims until ctx ends. It is a suture service.
+func (c *Coordinator) Serve(ctx context.Context) error {
+	nextSweep := time.Now().Add(c.sweepInterval())
+	ticker := time.NewTicker(c.cfg.RetryInterval)
+	defer ticker.Stop()
+	sweep := time.NewTimer(time.Until(nextSweep))
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			c.recordAll()
+		case <-sweep.C:
+			c.sweepNext(ctx)
+			sweep.Reset(c.sweepInterval())
+		}
+	}
+}
+
+// Flush repeats unrecorded final states until the store holds all of them or ctx ends, as part of a drain.
+func (c *Coordinator) Flush(ctx context.Context) error {
+	for {
+		c.recordAll()
+		_, unrecorded := c.Open()
+		if unrecorded == 0 {
+			return nil
+		}
+		if !sleep(ctx, c.cfg.RetryInterval) {
+			return &UnavailableError{Op: "flush", Cause: ctx.Err()}
+		}
+	}
+}
+
+// sweepInterval divides the fleet's read budget among the hosts of the epoch.
+func (c *Coordinator) sweepInterval() time.Duration {
+	hosts := max(1, len(c.viewer.Epoch().Hosts))
+	return time.Duration(float64(hosts) / c.cfg.SweepReadsPerSecond * float64(time.Second))
+}
+
+// sweepNext sweeps the next shard that this host owns.
+func (c *Coordinator) sweepNext(ctx context.Context) {
+	epoch, self := c.viewer.Epoch(), c.viewer.Self()
+	for range shards {
+		c.mu.Lock()
+		shard := c.shard
+		c.shard = (c.shard + 1) % shards
+		c.mu.Unlock()
+		if owner, ok := host.Home(shardPrefix(shard), epoch.Hosts); ok && owner.Name == self.Name {
+			c.sweepShard(ctx, epoch, shard)
+			return
+		}
+	}
+}
+
+// sweepShard deletes the shard's expired claims by compare-and-swap. Two hosts that sweep the same shard do no
+// harm.
+func (c *Coordinator) sweepShard(ctx context.Context, epoch membership.Epoch, shard int) {
+	kvs, err := c.store.List(ctx, shardPrefix(shard))
+	if err != nil {
+		c.log.V(1).Info("sweep skipped", "shard", shard, "cause", err)
+		return
+	}
+	var results []<-chan writeResult
+	for _, kv := range kvs {
+		if len(results) == maxSweepDeletes {
+			break
+		}
+		if c.isExpired(kv, epoch, time.Now()) {
+			results = append(results, c.writes.submit(kv.Key, kv.ModRevision, nil))
+		}
+	}
+	for _, result := range results {
+		if r := <-result; r.ok {
+			c.metrics.Inc("claim_swept_total")
+		}
+	}
+}
+
+// isExpired reports whether a claim is older than the retention time. A claim in progress stays as long as its
+// host's incarnation is in the epoch; afterwards no host can run it any more.
+func (c *Coordinator) isExpired(kv platform.KeyValue, epoch membership.Epoch, now time.Time) bool {
+	r := &peerv1.ClaimRecord{}
+	if err := proto.Unmarshal(kv.Value, r); err != nil {
+		return false
+	}
+	if now.Sub(time.Unix(0, r.GetUpdatedUnixNanos())) <= c.cfg.Retention {
+		return false
+	}
+	return r.GetState() != peerv1.ClaimRecord_STATE_IN_PROGRESS || !epoch.Contains(host.FromProto(r.GetHost()))
+}
--- /dev/null
+++ b/internal/claim/ticket.go
@@ -0,0 +1,160 @@
+package claim
+
+import (
+	"context"
+	"time"
+
+	"github.com/boragecourse/boragecourse/internal/metrics"
+	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
+)
+
+// ticket implements Ticket.
+type ticket struct{ e *entry }
+
+// Dispatching implements Ticket.
+func (t *ticket) Dispatching() error {
+	action := t.e.step(Event{Kind: EventDispatching})
+	switch action.Kind {
+	case ActionNone:
+		return nil
+	case ActionRelease:
+		t.e.release()
+		t.e.c.count("dispatch_too_late")
+		return &GivenUpError{Attempt: t.e.call.Attempt, Reason: "the dispatch limit has passed since the claim"}
+	default:
+		if action.Refusal == RefusalGivenUp {
+			t.e.c.count("given_up")
+		}
+		return t.e.refusal(action.Refusal)
+	}
+}
+
+// Done implements Ticket. An *UnrecordedError means that this host keeps the answer and repeats the write.
+func (t *ticket) Done(ctx context.Context, a Answer) error {
+	record := t.e.finalRecord(peerv1.ClaimRecord_STATE_DONE)
+	answer := answerProto(a)
+	if len(a.Body) <= t.e.c.cfg.MaxAnswerBytes {
+		record.Answer = answer
+	} else {
+		record.State = peerv1.ClaimRecord_STATE_DONE_TOO_LARGE
+		t.e.c.metrics.Inc("claim_answers_too_large_total")
+		answer = nil
+	}
+	return t.finish(ctx, EventFinished, record, answer)
+}
+
+// Unknown implements Ticket. An *UnrecordedError means that this host keeps the state and repeats the write.
+func (t *ticket) Unknown(ctx context.Context) error {
+	return t.finish(ctx, EventLost, t.e.finalRecord(peerv1.ClaimRecord_STATE_UNKNOWN), nil)
+}
+
+// GiveUp implements Ticket. The attempt is given up in any case; an error only means that the store still holds
+// the claim, which other hosts resolve by asking this one.
+func (t *ticket) GiveUp(ctx context.Context) error {
+	action := t.e.step(Event{Kind: EventAbandoned})
+	switch action.Kind {
+	case ActionNone:
+		return nil
+	case ActionRelease:
+	default:
+		return t.e.refusal(action.Refusal)
+	}
+	select {
+	case r := <-t.e.release():
+		if r.err != nil {
+			return &UnavailableError{Op: "release", Cause: r.err}
+		}
+		return nil
+	case <-ctx.Done():
+		return &UnavailableError{Op: "release", Cause: ctx.Err()}
+	}
+}
+
+func (e *entry) finalRecord(state peerv1.ClaimRecord_State) *peerv1.ClaimRecord {
+	r := newRecord(e.call, e.c.viewer.Self(), time.Now())
+	r.State = state
+	return r
+}
+
+// finish makes the attempt final in memory and then writes it.
+func (t *ticket) finish(ctx context.Context, kind EventKind, record *peerv1.ClaimRecord, answer *peerv1.RecordedAnswer) error {
+	e := t.e
+	value, err := encode(record)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	action := e.stepLocked(Event{Kind: kind})
+	if action.Kind == ActionRecord {
+		e.final, e.answer = value, answer
+	}
+	e.mu.Unlock()
+	if action.Kind != ActionRecord {
+		return e.refusal(action.Refusal)
+	}
+	e.c.mu.Lock()
+	e.c.unrecorded[e] = true
+	e.c.mu.Unlock()
+
+	done := make(chan error, 1)
+	go func() { done <- e.record() }()
+	select {
+	case err = <-done:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	if err != nil {
+		return &UnrecordedError{Attempt: e.call.Attempt, Cause: err}
+	}
+	return nil
+}
+
+// record writes the final state once; Serve repeats it after a failure.
+func (e *entry) record() error {
+	e.mu.Lock()
+	if e.recording || e.attempt.Phase != PhaseRecording {
+		e.mu.Unlock()
+		return nil
+	}
+	e.recording = true
+	revision, value := e.attempt.Revision, e.final
+	e.mu.Unlock()
+
+	r := <-e.c.writes.submit(e.key, revision, value)
+
+	ev := Event{Kind: EventAcknowledged, Revision: r.revision}
+	switch {
+	case r.err != nil:
+		ev.Kind = EventStoreFailed
+		e.c.metrics.Inc("claim_record_failures_total")
+	case !r.ok:
+		ev.Kind = EventConflict
+		e.c.metrics.Inc("claim_record_conflicts_total")
+		e.c.log.Info("claim changed before its final state was recorded", "workspace", e.call.Workspace,
+			"attempt", e.call.Attempt)
+	}
+	e.mu.Lock()
+	e.recording = false
+	e.stepLocked(ev)
+	e.mu.Unlock()
+	return r.err
+}
+
+// recordAll repeats the writes of final states that the store does not hold yet.
+func (c *Coordinator) recordAll() {
+	c.mu.Lock()
+	entries := make([]*entry, 0, len(c.unrecorded))
+	for e := range c.unrecorded {
+		entries = append(entries, e)
+	}
+	c.mu.Unlock()
+	c.metrics.Set("claim_unrecorded", int64(len(entries)))
+	results := make(chan error, len(entries))
+	for _, e := range entries {
+		c.metrics.Inc("claim_store_retries_total", metrics.L("reason", "final_state"))
+		go func() { results <- e.record() }()
+	}
+	for range entries {
+		<-results
+	}
+}
--- a/test/standin/engine/cache.go
+++ b/test/standin/engine/cache.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/boragecourse/boragecourse/internal/cacheindex"
 	"github.com/boragecourse/boragecourse/internal/engine"
 )
 
@@ -31,17 +32,17 @@
 // match returns how many tokens of the text's start are cached.
 func (p *prefixCache) match(text string) int64 {
 	var tokens int64
-	for i, block := range engine.PrefixBlocks(text) {
+	for i, block := range cacheindex.Blocks(p.cfg.Model, text) {
 		if p.blocks[block] == nil {
 			break
 		}
-		tokens = int64((i + 1) * engine.PrefixBlockBytes / p.cfg.BytesPerToken)
+		tokens = int64((i + 1) * cacheindex.BlockBytes / p.cfg.BytesPerToken)
 	}
 	return tokens
 }
 
 func (p *prefixCache) insert(text string) {
-	blocks := engine.PrefixBlocks(text)
+	blocks := cacheindex.Blocks(p.cfg.Model, text)
 	// Longer prefixes are touched first, so that they are evicted before the shorter ones that they need.
 	blocks = blocks[:min(len(blocks), p.cfg.CacheBlocks)]
 	for _, block := range slices.Backward(blocks) {
