--- /dev/null
+++ b/internal/claim/coordinator_test.go
@@ -0,0 +1,239 @@
+package claim
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/boragecourse/boragecourse/internal/outcome"
+	"github.com/boragecourse/boragecourse/internal/platform"
+)
+
+// bubble runs f with a fleet on the fake clock.
+func bubble(t *testing.T, cfg Config, hosts int, f func(g Gomega, fl *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f(NewWithT(t), newFleet(ctx, cfg, hosts, 1))
+	})
+}
+
+func (f *fleet) claim(i int, key, attempt string) (Ticket, *Answer, error) {
+	return f.host(i).coord.Claim(f.ctx, call(key, attempt))
+}
+
+// mustClaim claims and dispatches.
+func (f *fleet) mustClaim(g Gomega, i int, key, attempt string) Ticket {
+	ticket, answer, err := f.claim(i, key, attempt)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(answer).To(BeNil())
+	g.Expect(ticket.Dispatching()).To(Succeed())
+	return ticket
+}
+
+func (f *fleet) records(g Gomega) []platform.KeyValue {
+	kvs, err := f.store.Client().List(f.ctx, keyPrefix)
+	g.Expect(err).NotTo(HaveOccurred())
+	return kvs
+}
+
+// as reports whether err is of type E and carries the given outcome.
+func as[E interface {
+	error
+	Outcome() outcome.Outcome
+}](g Gomega, err error, want outcome.Outcome) {
+	var e E
+	g.Expect(errors.As(err, &e)).To(BeTrue(), "got %T %v", err, err)
+	g.Expect(e.Outcome()).To(Equal(want))
+}
+
+// Guards against a lost answer that makes a host refuse its own claim, and against one that lets it dispatch
+// without knowing.
+func TestLostAnswerIsResolvedOrGivenUp(t *testing.T) {
+	bubble(t, Config{}, 2, func(g Gomega, f *fleet) {
+		f.host(0).store.LoseAnswers(2)
+		f.mustClaim(g, 0, "resolved", "a")
+		g.Expect(f.records(g)).To(HaveLen(1))
+
+		f.host(0).store.LoseAnswers(1000)
+		_, _, err := f.claim(0, "unresolved", "b")
+		as[*UnavailableError](g, err, outcome.NotRun)
+		g.Expect(f.records(g)).To(HaveLen(2))
+		f.mustClaim(g, 1, "unresolved", "c")
+		g.Expect(f.m.Count("claim_takeovers_total")).To(Equal(int64(1)))
+	})
+}
+
+// Guards against a dispatch without a claim while the store is out of reach.
+func TestStoreOutageRefusesAsNotRun(t *testing.T) {
+	bubble(t, Config{}, 1, func(g Gomega, f *fleet) {
+		f.host(0).store.SetDown(true)
+		ticket, _, err := f.claim(0, "k", "a")
+		g.Expect(ticket).To(BeNil())
+		as[*UnavailableError](g, err, outcome.NotRun)
+		f.host(0).store.SetDown(false)
+		f.mustClaim(g, 0, "k", "b")
+	})
+}
+
+// Guards against claims that need a store write each, and against a conflict of one claim that fails the others of
+// its transaction.
+func TestConcurrentClaimsShareTransactions(t *testing.T) {
+	bubble(t, Config{}, 2, func(g Gomega, f *fleet) {
+		for i := range 10 {
+			g.Expect(f.mustClaim(g, 1, fmt.Sprintf("k%d", i*30), "first").Done(f.ctx, Answer{Status: 201})).To(Succeed())
+		}
+		_, before := f.store.Calls()
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		granted, replayed := 0, 0
+		for i := range 300 {
+			wg.Go(func() {
+				ticket, answer, _ := f.claim(0, fmt.Sprintf("k%d", i), fmt.Sprintf("a%d", i))
+				mu.Lock()
+				defer mu.Unlock()
+				if ticket != nil {
+					granted++
+				}
+				if answer != nil && answer.Status == 201 {
+					replayed++
+				}
+			})
+		}
+		wg.Wait()
+		_, after := f.store.Calls()
+		g.Expect([]int{granted, replayed}).To(Equal([]int{290, 10}))
+		g.Expect(after - before).To(BeNumerically("<=", 6))
+	})
+}
+
+// Guards against a process that was paused between acknowledgement and dispatch for so long that its claim may be
+// swept, and against an asked host that dispatches after it gave up.
+func TestPauseBeforeDispatchGivesUp(t *testing.T) {
+	bubble(t, Config{}, 2, func(g Gomega, f *fleet) {
+		late, _, err := f.claim(0, "late", "a")
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(31 * time.Second)
+		as[*GivenUpError](g, late.Dispatching(), outcome.NotRun)
+		time.Sleep(time.Second)
+		g.Expect(f.records(g)).To(BeEmpty())
+
+		asked, _, err := f.claim(0, "asked", "b")
+		g.Expect(err).NotTo(HaveOccurred())
+		f.mustClaim(g, 1, "asked", "c")
+		as[*GivenUpError](g, asked.Dispatching(), outcome.NotRun)
+		_, _, err = f.claim(0, "asked", "d")
+		as[*InProgressError](g, err, outcome.Unknown)
+	})
+}
+
+// Guards against an answer that is lost because the store was down when it came: it is served from memory first and
+// from the store later. Also against a repeat that gets another answer after its claiming host died.
+func TestAnswerSurvivesStoreOutageAndHostDeath(t *testing.T) {
+	bubble(t, Config{}, 3, func(g Gomega, f *fleet) {
+		answer := Answer{Status: 200, ContentType: "text/plain", Body: []byte("booked")}
+		ticket := f.mustClaim(g, 0, "k", "a")
+		f.host(0).store.SetDown(true)
+		var unrecorded *UnrecordedError
+		g.Expect(errors.As(ticket.Done(f.ctx, answer), &unrecorded)).To(BeTrue())
+		_, replayed, err := f.claim(1, "k", "b")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(*replayed).To(Equal(answer))
+		f.host(0).store.SetDown(false)
+		g.Expect(f.host(0).coord.Flush(f.ctx)).To(Succeed())
+		f.host(0).kill()
+		_, replayed, err = f.claim(2, "k", "c")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(*replayed).To(Equal(answer))
+	})
+}
+
+// Guards against a repeat that runs the call again after its claiming host died, restarted, lost the answer, or got
+// an answer too large to record.
+func TestRepeatsOfUnansweredCalls(t *testing.T) {
+	bubble(t, Config{MaxAnswerBytes: 10}, 2, func(g Gomega, f *fleet) {
+		f.mustClaim(g, 0, "dead", "a")
+		g.Expect(f.mustClaim(g, 0, "lost", "b").Unknown(f.ctx)).To(Succeed())
+		large := Answer{Status: 200, Body: bytes.Repeat([]byte("x"), 11)}
+		g.Expect(f.mustClaim(g, 0, "large", "c").Done(f.ctx, large)).To(Succeed())
+		unrecorded := f.mustClaim(g, 0, "large, in memory", "d")
+		f.host(0).store.SetDown(true)
+		_ = unrecorded.Done(f.ctx, large)
+		_, _, err := f.claim(1, "large, in memory", "e")
+		as[*TooLargeError](g, err, outcome.Ran)
+		f.host(0).kill()
+		_, _, err = f.claim(1, "dead", "f")
+		as[*UnknownOutcomeError](g, err, outcome.Unknown)
+		f.start(0, 2)
+		_, _, err = f.claim(1, "dead", "g")
+		as[*UnknownOutcomeError](g, err, outcome.Unknown)
+		_, _, err = f.claim(0, "lost", "h")
+		as[*UnknownOutcomeError](g, err, outcome.Unknown)
+		_, _, err = f.claim(1, "large", "i")
+		as[*TooLargeError](g, err, outcome.Ran)
+		other := call("large", "j")
+		other.Digest[0] = 1
+		_, _, err = f.host(1).coord.Claim(f.ctx, other)
+		as[*ReusedKeyError](g, err, outcome.NotRun)
+	})
+}
+
+// Guards against records that are kept for ever, swept too early, or swept while their host may still finish them;
+// and against a sweep that reads more than its budget.
+func TestSweepRemovesExpiredClaims(t *testing.T) {
+	bubble(t, Config{Retention: time.Hour, SweepReadsPerSecond: 8}, 2, func(g Gomega, f *fleet) {
+		g.Expect(f.mustClaim(g, 0, "done", "a").Done(f.ctx, Answer{})).To(Succeed())
+		f.mustClaim(g, 0, "open on a live host", "b")
+		f.mustClaim(g, 1, "open on a dead host", "c")
+		f.host(1).kill()
+		f.start(1, 2)
+		readsBefore, _ := f.store.Calls()
+		time.Sleep(59 * time.Minute)
+		g.Expect(f.records(g)).To(HaveLen(3))
+		time.Sleep(20 * time.Minute)
+		left := f.records(g)
+		g.Expect(left).To(HaveLen(1))
+		g.Expect(left[0].Key).To(Equal(storeKey(call("open on a live host", ""))))
+		reads, _ := f.store.Calls()
+		g.Expect(reads - readsBefore).To(BeNumerically("~", 79*60*8, 79*60))
+	})
+}
+
+// Guards against calls in the wrong order, attempts without bound, and claims that outlive their caller.
+func TestTicketOrderBoundsAndAbandonment(t *testing.T) {
+	bubble(t, Config{MaxOpen: 2}, 1, func(g Gomega, f *fleet) {
+		var order *OrderError
+		first, _, err := f.claim(0, "k", "a")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(errors.As(first.Done(f.ctx, Answer{}), &order)).To(BeTrue())
+		_, _, err = f.claim(0, "other", "a")
+		g.Expect(errors.As(err, &order)).To(BeTrue())
+		g.Expect(first.Dispatching()).To(Succeed())
+		g.Expect(errors.As(first.Dispatching(), &order)).To(BeTrue())
+		g.Expect(errors.As(first.GiveUp(f.ctx), &order)).To(BeTrue())
+
+		second, _, err := f.claim(0, "second", "b")
+		g.Expect(err).NotTo(HaveOccurred())
+		_, _, err = f.claim(0, "third", "c")
+		as[*UnavailableError](g, err, outcome.NotRun)
+		g.Expect(second.GiveUp(f.ctx)).To(Succeed())
+		g.Expect(f.records(g)).To(HaveLen(1))
+
+		f.host(0).store.SetDelay(100 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(f.ctx, 50*time.Millisecond)
+		defer cancel()
+		_, _, err = f.host(0).coord.Claim(ctx, call("abandoned", "d"))
+		as[*GivenUpError](g, err, outcome.NotRun)
+		time.Sleep(time.Second)
+		g.Expect(f.records(g)).To(HaveLen(1))
+		open, _ := f.host(0).coord.Open()
+		g.Expect(open).To(Equal(1))
+	})
+}
