--- a/internal/membership/events.go
+++ b/internal/membership/events.go
@@ -34,6 +34,12 @@
 	Ready bool
 }
 
+// LeaseRefused reports that the session record was not at the expected revision, so nothing was registered.
+type LeaseRefused struct {
+	// Session is the present revision of the session record, or zero if there is none.
+	Session int64
+}
+
 // LeaseRenewed reports a renewal. Sent is when it was requested.
 type LeaseRenewed struct {
 	Sent  time.Time
@@ -84,6 +90,7 @@
 func (Tick) event()             {}
 func (HeartbeatReplied) event() {}
 func (LeaseAcquired) event()    {}
+func (LeaseRefused) event()     {}
 func (LeaseRenewed) event()     {}
 func (LeaseLost) event()        {}
 func (EpochRead) event()        {}
@@ -116,8 +123,13 @@
 	Heartbeat Heartbeat
 }
 
-// AcquireLease asks for a new lease, and for a registration and a session record in one transaction under it.
-type AcquireLease struct{ Ready bool }
+// AcquireLease asks for a new lease, and for a registration under it and a new session record in one transaction.
+// The transaction must fail if the session record is not at the given revision. Otherwise a delayed earlier
+// acquisition could move the registration to a lease that nobody renews.
+type AcquireLease struct {
+	Ready   bool
+	Session int64
+}
 
 // RenewLease asks for a renewal.
 type RenewLease struct{ Lease platform.LeaseID }
--- a/internal/membership/execute.go
+++ b/internal/membership/execute.go
@@ -107,17 +107,25 @@
 		s.storeFailed(CallLease, err)
 		return
 	}
-	result, err := s.opts.Store.Txn(ctx, nil, []platform.Write{
+	session := sessionKey(s.opts.Self)
+	result, err := s.opts.Store.Txn(ctx, []platform.Condition{{Key: session, ModRevision: a.Session}}, []platform.Write{
 		{Key: registeredKey(s.opts.Self), Value: value, Lease: id},
-		{Key: sessionKey(s.opts.Self), Value: []byte(s.opts.Self.Addr)},
+		{Key: session, Value: []byte(s.opts.Self.Addr)},
 	})
-	if err == nil && !result.Succeeded {
-		err = &platform.LeaseLapsedError{ID: id}
-	}
 	if err != nil {
 		s.storeFailed(CallLease, err)
 		return
 	}
+	if !result.Succeeded {
+		refused := LeaseRefused{}
+		for _, kv := range result.Current {
+			if kv.Key == session {
+				refused.Session = kv.ModRevision
+			}
+		}
+		s.handle(refused)
+		return
+	}
 	s.handle(LeaseAcquired{Sent: sent, Lease: id, TTL: min(ttl, s.opts.Timing.LeaseTTL), Session: result.Revision, Ready: a.Ready})
 }
 
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -97,14 +97,20 @@
 }
 
 // claimedSession is the session that ends promises of others: the newest one that was followed by a read of the epoch.
-func (m *Machine) claimedSession() int64 { return m.lease.readSession }
+func (m *Machine) claimedSession() int64 {
+	if m.policy.readEndsPromise {
+		return m.reads
+	}
+	return m.lease.readSession
+}
 
 // AnswerHeartbeat answers another host's heartbeat. The actions ask the sender for a newer epoch.
 func (m *Machine) AnswerHeartbeat(now time.Time, hb Heartbeat) (HeartbeatReply, []Action) {
 	p := m.peer(hb.From)
 	p.heard = now
 	p.known = max(p.known, hb.Epoch)
-	if p.promised && (hb.Session > p.promisedSession || m.policy.readEndsPromise && hb.Session != 0) {
+	p.session = max(p.session, hb.Session)
+	if hb.Session > p.promisedSession {
 		p.promised = false
 	}
 	reply := HeartbeatReply{From: m.self, Epoch: m.record.Number, Counts: !p.promised && !m.leaving}
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -40,14 +40,16 @@
 	suspects map[hostKey]*suspect
 	registry Registry
 	hinted   map[string]bool
-	// cachedAuthority is used only by a policy of the tests.
+	// cachedAuthority and reads are used only by policies of the tests.
 	cachedAuthority error
+	reads           int64
 }
 
 // leaseState is what the host knows of its store lease. Times are send times.
 type leaseState struct {
-	id      platform.LeaseID
-	ttl     time.Duration
+	id  platform.LeaseID
+	ttl time.Duration
+	// session is the last known revision of the host's session record, or zero for none.
 	session int64
 	// readSession is the newest session that was followed by a read of the epoch.
 	readSession int64
@@ -83,6 +85,8 @@
 	// promised is set while replies to the peer do not count, for its sessions up to promisedSession.
 	promised        bool
 	promisedSession int64
+	// session is the newest session that the peer has claimed.
+	session int64
 	// replaced is set once another process has answered at the peer's address.
 	replaced bool
 }
@@ -103,7 +107,7 @@
 		actions = m.tick(now)
 	case HeartbeatReplied:
 		m.heartbeatReplied(now, e)
-	case LeaseAcquired, LeaseRenewed, LeaseLost:
+	case LeaseAcquired, LeaseRefused, LeaseRenewed, LeaseLost:
 		actions = m.leaseEvent(now, e)
 	case EpochRead:
 		actions = m.epochRead(now, e)
@@ -122,7 +126,9 @@
 	case Leave:
 		m.leaving = true
 	}
-	m.cachedAuthority = m.authority(now)
+	if m.policy.cachedAuthority {
+		m.cachedAuthority = m.authority(now)
+	}
 	return actions
 }
 
@@ -147,7 +153,7 @@
 	}
 	m.open[CallLease] = true
 	if mustRegister {
-		return []Action{AcquireLease{Ready: m.ready}}
+		return []Action{AcquireLease{Ready: m.ready, Session: m.lease.session}}
 	}
 	return []Action{RenewLease{Lease: m.lease.id}}
 }
@@ -159,12 +165,21 @@
 	case LeaseAcquired:
 		m.lease.id, m.lease.ttl, m.lease.session, m.lease.ready = e.Lease, e.TTL, e.Session, e.Ready
 		m.lease.next = now.Add(m.timing.Renewal)
+		if m.policy.renewalAlone {
+			m.lease.base = e.Sent
+		}
 		return m.readEpoch(e.Sent)
+	case LeaseRefused:
+		m.lease.session, m.lease.next = e.Session, now
+		return m.leaseActions(now)
 	case LeaseRenewed:
 		if e.Lease != m.lease.id {
 			return nil
 		}
 		m.lease.ttl, m.lease.next = e.TTL, now.Add(m.timing.Renewal)
+		if m.policy.renewalAlone {
+			m.lease.base = e.Sent
+		}
 		return m.readEpoch(e.Sent)
 	case LeaseLost:
 		if e.Lease == m.lease.id {
@@ -196,6 +211,7 @@
 	if e.Record.Number >= m.record.Number {
 		// A read of an older epoch, or of none, shows a read that was overtaken or a store that was reset. It does
 		// not extend the authority.
+		m.reads++
 		m.lease.readSession = max(m.lease.readSession, e.Read.Session)
 		if e.Read.Lease == m.lease.id && e.Read.Base.After(m.lease.base) {
 			m.lease.base = e.Read.Base
--- a/internal/membership/policy.go
+++ b/internal/membership/policy.go
@@ -17,7 +17,7 @@
 	ignoreLease bool
 	// noPromise makes reports without promises.
 	noPromise bool
-	// readEndsPromise ends a promise at any read of the epoch, without a new session.
+	// readEndsPromise ends a promise at any later read of the epoch, without a new session.
 	readEndsPromise bool
 	// cachedAuthority keeps the answer of CanAdmit from the last event.
 	cachedAuthority bool
@@ -28,4 +28,8 @@
 	ungatedEpochs bool
 	// staleZone applies condition b to a host that may not know the present hosts of its zone.
 	staleZone bool
+	// renewalAlone counts the lease as valid without a read of the epoch after the renewal.
+	renewalAlone bool
+	// anyAcquisition lets a delayed acquisition of a lease register although a later one has succeeded.
+	anyAcquisition bool
 }
--- a/internal/membership/report.go
+++ b/internal/membership/report.go
@@ -201,7 +201,11 @@
 		p := m.peer(s.Host)
 		if silent && !m.policy.noPromise {
 			p.promised = true
-			p.promisedSession = max(p.promisedSession, s.Session)
+			if m.policy.readEndsPromise {
+				p.promisedSession = p.session
+			} else {
+				p.promisedSession = max(p.promisedSession, s.Session)
+			}
 		}
 		reply.Silent = append(reply.Silent, silent)
 		reply.Known = append(reply.Known, p.known)
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -106,3 +107,218 @@
 		}
 	})
 }
+
+// expectEpoch checks that the named hosts agree on an epoch of exactly the wanted ones.
+func (f *fleet) expectEpoch(seenBy []string, want ...string) {
+	f.t.Helper()
+	for _, name := range seenBy {
+		f.g.Expect(names(f.hosts[name].Epoch())).To(Equal(want), "seen by %s", name)
+	}
+}
+
+// expectAdmit checks which hosts may admit now.
+func (f *fleet) expectAdmit(can bool, hosts ...string) {
+	f.t.Helper()
+	for _, name := range hosts {
+		err := f.hosts[name].CanAdmit(time.Now())
+		if can {
+			f.g.Expect(err).NotTo(HaveOccurred(), name)
+		} else {
+			var none *membership.NoAuthorityError
+			f.g.Expect(errors.As(err, &none)).To(BeTrue(), name)
+		}
+	}
+}
+
+func (f *fleet) storeDown(down bool, hosts ...string) {
+	for _, name := range hosts {
+		f.hosts[name].store.SetDown(down)
+	}
+}
+
+// cutOff cuts the inside hosts off from the outside ones.
+func (f *fleet) cutOff(inside, outside []string) {
+	for _, a := range inside {
+		for _, b := range outside {
+			f.net.CutBoth(a+":7000", b+":7000")
+		}
+	}
+}
+
+// hold checks, twice a second for a time, that all the named hosts may admit.
+func (f *fleet) hold(d time.Duration, hosts ...string) {
+	f.t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		f.expectAdmit(true, hosts...)
+	}
+}
+
+var fiveHosts = []string{"a1", "a2", "b1", "b2", "c1"}
+
+// scenarios are checked on a fleet of five hosts in zones of 2, 2 and 1 with the default timing.
+var scenarios = []struct {
+	// name says which failure the scenario guards against.
+	name string
+	run  func(f *fleet)
+}{
+	{"a crashed host keeps its share of the quota", func(f *fleet) {
+		f.hosts["a2"].stop()
+		time.Sleep(15 * time.Second)
+		f.expectEpoch([]string{"a1", "b1", "b2", "c1"}, "a1", "b1", "b2", "c1")
+		f.hold(time.Minute, "a1", "b1", "b2", "c1")
+	}},
+	{"the last host of a zone is never excluded, since no zone peer can fence it", func(f *fleet) {
+		f.hosts["c1"].stop()
+		time.Sleep(2 * time.Minute)
+		f.expectEpoch([]string{"a1", "b2"}, fiveHosts...)
+		time.Sleep(5 * time.Minute)
+		f.expectEpoch([]string{"a1", "b2"}, "a1", "a2", "b1", "b2")
+	}},
+	{"survivors without a majority lose their authority, or exclude on their own", func(f *fleet) {
+		for _, name := range []string{"a2", "b2", "c1"} {
+			f.hosts[name].stop()
+		}
+		f.hold(10*time.Minute, "a1", "b1")
+		f.expectEpoch([]string{"a1", "b1"}, fiveHosts...)
+	}},
+	{"a restarted host waits for its predecessor's exclusion", func(f *fleet) {
+		old := f.hosts["b1"].Self()
+		f.hosts["b1"].stop()
+		f.start("b1", "b")
+		time.Sleep(3 * time.Second)
+		f.expectEpoch(fiveHosts, fiveHosts...)
+		f.expectAdmit(true, fiveHosts...)
+		e := f.hosts["a1"].Epoch()
+		f.g.Expect(e.Contains(old)).To(BeFalse())
+		f.g.Expect(f.hosts["a1"].EpochSettled(old, e.Number)).To(BeTrue())
+	}},
+	{"a restart of the whole fleet at once finds no majority to go on from", func(f *fleet) {
+		for _, name := range fiveHosts {
+			f.hosts[name].stop()
+		}
+		for _, name := range fiveHosts {
+			f.start(name, name[:1])
+		}
+		time.Sleep(10 * time.Second)
+		f.expectEpoch(fiveHosts, fiveHosts...)
+		f.expectAdmit(true, fiveHosts...)
+	}},
+	{"a host without progress for longer than its terms admits on them", func(f *fleet) {
+		f.hosts["a1"].stop()
+		f.expectAdmit(true, "a1")
+		time.Sleep(5 * time.Second)
+		f.expectAdmit(false, "a1")
+	}},
+	{"a store outage stops admission, or costs hosts their place in the epoch", func(f *fleet) {
+		f.storeDown(true, fiveHosts...)
+		f.hold(10*time.Minute, fiveHosts...)
+		f.storeDown(false, fiveHosts...)
+		f.hold(20*time.Second, fiveHosts...)
+		f.expectEpoch(fiveHosts, fiveHosts...)
+	}},
+	{"a crash during a store outage is taken for proof before the store is back", func(f *fleet) {
+		f.storeDown(true, fiveHosts...)
+		time.Sleep(time.Minute)
+		f.hosts["a2"].stop()
+		f.hold(time.Minute, "a1", "b1", "b2", "c1")
+		f.expectEpoch([]string{"a1", "b1"}, fiveHosts...)
+		f.storeDown(false, "a1", "b1", "b2", "c1")
+		time.Sleep(10 * time.Second)
+		f.expectEpoch([]string{"a1", "b1", "b2", "c1"}, "a1", "b1", "b2", "c1")
+	}},
+	{"a zone that is cut off stops at once, or goes on beyond the isolation limit", func(f *fleet) {
+		zone, rest := []string{"a1", "a2"}, []string{"b1", "b2", "c1"}
+		f.cutOff(zone, rest)
+		f.storeDown(true, zone...)
+		f.hold(4*time.Minute+40*time.Second, fiveHosts...)
+		f.expectEpoch(fiveHosts, fiveHosts...)
+		time.Sleep(25 * time.Second)
+		f.expectAdmit(false, zone...)
+		f.expectEpoch(rest, fiveHosts...)
+		time.Sleep(time.Minute)
+		f.expectEpoch(rest, rest...)
+		f.net.HealAll()
+		f.storeDown(false, zone...)
+		time.Sleep(15 * time.Second)
+		f.expectEpoch(fiveHosts, fiveHosts...)
+		f.expectAdmit(true, fiveHosts...)
+	}},
+	{"a host that is cut off goes on after its zone peer has fenced it", func(f *fleet) {
+		f.cutOff([]string{"a1"}, []string{"a2", "b1", "b2", "c1"})
+		f.storeDown(true, "a1")
+		time.Sleep(15 * time.Second)
+		f.expectEpoch([]string{"a2", "b1"}, "a2", "b1", "b2", "c1")
+		f.expectAdmit(false, "a1")
+		f.net.HealAll()
+		time.Sleep(2 * time.Second)
+		f.expectAdmit(false, "a1")
+		f.expectEpoch([]string{"a1"}, "a2", "b1", "b2", "c1")
+	}},
+	{"a drained host stays in the epoch or goes on admitting", func(f *fleet) {
+		d := f.hosts["b2"]
+		f.g.Expect(d.Leave(f.t.Context())).To(Succeed())
+		f.expectAdmit(false, "b2")
+		d.stop()
+		time.Sleep(3 * time.Second)
+		f.expectEpoch([]string{"a1", "a2", "b1", "c1"}, "a1", "a2", "b1", "c1")
+		f.start("b2", "b")
+		time.Sleep(3 * time.Second)
+		f.expectEpoch(fiveHosts, fiveHosts...)
+	}},
+	{"a drain without the store hangs beyond its deadline", func(f *fleet) {
+		f.storeDown(true, "b2")
+		ctx, cancel := context.WithTimeout(f.t.Context(), 5*time.Second)
+		defer cancel()
+		var failed *membership.LeaveError
+		f.g.Expect(errors.As(f.hosts["b2"].Leave(ctx), &failed)).To(BeTrue())
+		f.expectAdmit(false, "b2")
+	}},
+	{"a lost answer to the compare-and-swap leaves a host out or adds it twice", func(f *fleet) {
+		d := f.hosts["c1"]
+		f.g.Expect(d.Leave(f.t.Context())).To(Succeed())
+		d.stop()
+		time.Sleep(3 * time.Second)
+		before := f.hosts["a1"].Epoch().Number
+		d = f.start("c1", "c")
+		// The host registers at once and proposes at a later tick, so the epoch is the next write.
+		time.Sleep(100 * time.Millisecond)
+		f.g.Expect(d.Epoch().Contains(d.Self())).To(BeFalse())
+		d.store.LoseAnswers(1)
+		time.Sleep(5 * time.Second)
+		f.expectEpoch(fiveHosts, fiveHosts...)
+		f.expectAdmit(true, fiveHosts...)
+		f.g.Expect(d.Epoch().Number).To(Equal(before + 1))
+	}},
+	{"a lost answer to an exclusion is taken for a failure and excludes another time", func(f *fleet) {
+		before := f.hosts["a1"].Epoch().Number
+		f.hosts["a2"].stop()
+		rest := []string{"a1", "b1", "b2", "c1"}
+		for _, name := range rest {
+			f.hosts[name].store.LoseAnswers(1)
+		}
+		time.Sleep(15 * time.Second)
+		f.expectEpoch(rest, rest...)
+		f.expectAdmit(true, rest...)
+		f.g.Expect(f.hosts["a1"].Epoch().Number).To(Equal(before + 1))
+	}},
+	{"subscribers miss the newest epoch", func(f *fleet) {
+		epochs := f.hosts["a1"].Subscribe(f.t.Context())
+		f.g.Expect((<-epochs).Hosts).To(HaveLen(5))
+		f.hosts["b1"].stop()
+		f.g.Expect((<-epochs).Hosts).To(HaveLen(4))
+	}},
+}
+
+func TestScenarios(t *testing.T) {
+	for _, sc := range scenarios {
+		t.Run(sc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				defer f.stopAll()
+				f.startAll(2, 2, 1)
+				f.expectEpoch(fiveHosts, fiveHosts...)
+				sc.run(f)
+			})
+		})
+	}
+}
