--- /dev/null
+++ b/internal/config/cluster_test.go
@@ -0,0 +1,212 @@
+package config_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/boragecourse/boragecourse/internal/config"
+	"github.com/boragecourse/boragecourse/internal/host"
+	"github.com/boragecourse/boragecourse/internal/membership"
+	"github.com/boragecourse/boragecourse/internal/platform"
+	"github.com/boragecourse/boragecourse/internal/rules"
+	"github.com/boragecourse/boragecourse/test/standin/memnet"
+	"github.com/boragecourse/boragecourse/test/standin/memstore"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+const epochKey = "/boragecourse/epoch"
+
+// cluster runs configuration services on the in-memory network and store, on fake time.
+type cluster struct {
+	*WithT
+	t     testing.TB
+	net   *memnet.Network
+	store *memstore.Store
+	admin *memstore.Client
+	nodes map[string]*node
+
+	mu    sync.Mutex
+	epoch membership.Epoch
+	cut   map[[2]string]bool
+}
+
+// node is one daemon. It is its own membership view.
+type node struct {
+	c     *cluster
+	id    host.ID
+	store *memstore.Client
+	svc   *config.Service
+	stop  context.CancelFunc
+	done  chan struct{}
+	// installs lists the generations that the notification hook reported.
+	installs []uint64
+	// epoch overrides the cluster's epoch when set.
+	epoch *membership.Epoch
+}
+
+func (n *node) Self() host.ID { return n.id }
+
+func (n *node) Epoch() membership.Epoch {
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	if n.epoch != nil {
+		return *n.epoch
+	}
+	return n.c.epoch
+}
+
+func (n *node) CanAdmit(time.Time) error { return nil }
+
+func (n *node) Reachable(id host.ID) bool {
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	other := n.c.nodes[id.Name]
+	return other != nil && other.id == id && other.stop != nil && !n.c.cut[[2]string{n.id.Addr, id.Addr}]
+}
+
+// bubble runs a test in fake time with hosts named after their zones, for example "a1" in zone "a".
+func bubble(t *testing.T, hosts []string, f func(c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, hosts)
+		f(c)
+		c.close()
+	})
+}
+
+func newCluster(t testing.TB, hosts []string) *cluster {
+	c := &cluster{
+		WithT: NewWithT(t), t: t, net: memnet.New(), store: memstore.New(), nodes: map[string]*node{}, cut: map[[2]string]bool{},
+	}
+	c.admin = c.store.Client()
+	c.net.SetDelay(func(_, _ string) time.Duration { return time.Millisecond })
+	for _, name := range hosts {
+		c.start(name)
+	}
+	c.newEpoch(hosts...)
+	return c
+}
+
+func (c *cluster) close() {
+	for _, n := range c.nodes {
+		n.kill()
+	}
+}
+
+// start runs a daemon on a host, as a new incarnation when there was one before.
+func (c *cluster) start(name string) *node {
+	n := &node{c: c, store: c.store.Client(), done: make(chan struct{})}
+	n.id = host.ID{Name: name, Addr: "10.0.0." + name + ":7", Zone: name[:1], Incarnation: 1}
+	if old := c.nodes[name]; old != nil {
+		n.id.Incarnation = old.id.Incarnation + 1
+		n.store = old.store
+	}
+	c.mu.Lock()
+	c.nodes[name] = n
+	c.mu.Unlock()
+	c.net.Node(n.id.Addr).SetDown(false)
+	n.svc = config.New(config.Options{
+		Store: n.store, Viewer: n, Dialer: c.net.Node(n.id.Addr), EpochKey: epochKey,
+		DecodeEpoch: func(b []byte) (uint64, error) { return strconv.ParseUint(string(b), 10, 64) },
+		OnInstall:   func(_, s *config.Snapshot) { n.installs = append(n.installs, s.Generation) },
+	})
+	n.svc.Register(c.net.Node(n.id.Addr))
+	var ctx context.Context
+	ctx, n.stop = context.WithCancel(c.t.Context())
+	go func() {
+		defer close(n.done)
+		_ = n.svc.Serve(ctx)
+	}()
+	return n
+}
+
+func (n *node) kill() {
+	if n.stop == nil {
+		return
+	}
+	n.c.net.Node(n.id.Addr).SetDown(true)
+	n.stop()
+	<-n.done
+	n.c.mu.Lock()
+	n.stop = nil
+	n.c.mu.Unlock()
+}
+
+// newEpoch commits an epoch of the present incarnations of the named hosts.
+func (c *cluster) newEpoch(names ...string) {
+	c.mu.Lock()
+	e := membership.Epoch{Number: c.epoch.Number + 1}
+	for _, name := range names {
+		e.Hosts = append(e.Hosts, c.nodes[name].id)
+	}
+	c.epoch = e
+	c.mu.Unlock()
+	_, err := c.admin.Txn(c.t.Context(), nil, []platform.Write{{Key: epochKey, Value: []byte(strconv.FormatUint(e.Number, 10))}})
+	c.Expect(err).NotTo(HaveOccurred())
+}
+
+// partition cuts the links between two groups of hosts.
+func (c *cluster) partition(a, b []string) {
+	for _, x := range a {
+		for _, y := range b {
+			p, q := c.nodes[x].id.Addr, c.nodes[y].id.Addr
+			c.net.CutBoth(p, q)
+			c.mu.Lock()
+			c.cut[[2]string{p, q}], c.cut[[2]string{q, p}] = true, true
+			c.mu.Unlock()
+		}
+	}
+}
+
+func (c *cluster) heal() {
+	c.net.HealAll()
+	c.mu.Lock()
+	clear(c.cut)
+	c.mu.Unlock()
+}
+
+// outage cuts the named hosts from the store, or ends that.
+func (c *cluster) outage(down bool, names ...string) {
+	for _, name := range names {
+		c.nodes[name].store.SetDown(down)
+	}
+}
+
+// file is a configuration with the given keys of workspace w; workspace s is served in isolated zones.
+func file(keys ...string) []byte {
+	var b strings.Builder
+	b.WriteString("zone z region=r # ana: test\nworkspace w rate=1/s burst=1 # ana: test\nworkspace s rate=1/s burst=1 isolated=serve # ana: test\n")
+	for _, k := range keys {
+		fmt.Fprintf(&b, "key w sha256=%x id=%s # ana: test\n", rules.HashKey(k), k)
+	}
+	return []byte(b.String())
+}
+
+func (c *cluster) apply(name string, base uint64, keys ...string) *config.Report {
+	r, err := c.nodes[name].svc.Apply(c.t.Context(), base, file(keys...))
+	c.Expect(err).NotTo(HaveOccurred())
+	return r
+}
+
+// works reports whether a host serves a request with the key now.
+func (c *cluster) works(name, key string) bool {
+	svc := c.nodes[name].svc
+	allowed := svc.KeyedRequestsAllowed("w") == nil
+	s := svc.Current()
+	return s != nil && s.Key(rules.HashKey(key)) != nil && allowed
+}
