--- a/internal/claim/ticket.go
+++ b/internal/claim/ticket.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/boragecourse/boragecourse/internal/metrics"
@@ -149,12 +150,10 @@
 	}
 	c.mu.Unlock()
 	c.metrics.Set("claim_unrecorded", int64(len(entries)))
-	results := make(chan error, len(entries))
+	var running sync.WaitGroup
 	for _, e := range entries {
 		c.metrics.Inc("claim_store_retries_total", metrics.L("reason", "final_state"))
-		go func() { results <- e.record() }()
-	}
-	for range entries {
-		<-results
+		running.Go(func() { _ = e.record() })
 	}
+	running.Wait()
 }
