Connect the parts of a host in one package

Cause: the daemon and whole-host tests must run the same wiring. Change: assembly.New connects membership, configuration, quota, placement, claims, charges and the request life cycle over the interfaces to the outside.

--- /dev/null
+++ b/internal/assembly/parts.go
@@ -0,0 +1,190 @@
+// Package assembly builds the parts of one host and connects them to each other. The daemon gives it the real
+// store, peers and engines; tests give stand-ins.
+package assembly
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/thejerf/suture/v4"
+	"google.golang.org/grpc"
+
+	"github.com/boragecourse/boragecourse/internal/charge"
+	"github.com/boragecourse/boragecourse/internal/claim"
+	"github.com/boragecourse/boragecourse/internal/config"
+	"github.com/boragecourse/boragecourse/internal/engine"
+	"github.com/boragecourse/boragecourse/internal/events"
+	"github.com/boragecourse/boragecourse/internal/host"
+	"github.com/boragecourse/boragecourse/internal/membership"
+	"github.com/boragecourse/boragecourse/internal/metrics"
+	"github.com/boragecourse/boragecourse/internal/peer"
+	"github.com/boragecourse/boragecourse/internal/placement"
+	"github.com/boragecourse/boragecourse/internal/platform"
+	"github.com/boragecourse/boragecourse/internal/quota"
+	"github.com/boragecourse/boragecourse/internal/request"
+	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
+)
+
+// Environment is what the parts of a host reach the outside through. Tests give in-memory stand-ins.
+type Environment struct {
+	Self    host.ID
+	Store   platform.Store
+	Hosts   platform.Hosts
+	Dialer  peer.Dialer
+	Engines engine.Directory
+	Metrics *metrics.Registry
+	Log     logr.Logger
+
+	Timing membership.Timing
+	// TrustPeriod as in config.Options.
+	TrustPeriod time.Duration
+	Placement   placement.Options
+	Request     request.Settings
+}
+
+// Parts are the parts of one host, connected to each other. They keep their state over restarts by the supervisors.
+type Parts struct {
+	Self    host.ID
+	Log     logr.Logger
+	Metrics *metrics.Registry
+	hosts   platform.Hosts
+
+	Events    *events.Bus
+	Members   *membership.Service
+	Config    *config.Service
+	Quota     *quota.Service
+	Placement *placement.Service
+	Claims    *claim.Coordinator
+	Charges   *charge.Ledger
+	Router    *request.Router
+}
+
+// New builds and connects the parts. Nothing runs before the services of Control and Work do.
+func New(e Environment) (*Parts, error) {
+	p := &Parts{Self: e.Self, Log: e.Log, Metrics: e.Metrics, hosts: e.Hosts}
+	p.Events = events.New(e.Metrics, e.Log)
+	members, err := membership.New(p.membershipOptions(e))
+	if err != nil {
+		return nil, fmt.Errorf("membership: %w", err)
+	}
+	p.Members = members
+	p.Config = config.New(config.Options{
+		Store: e.Store, Viewer: members, Dialer: e.Dialer, ExtraPeers: p.listedHosts,
+		EpochKey: membership.EpochKey, DecodeEpoch: membership.DecodeEpochNumber,
+		TrustPeriod: e.TrustPeriod, OnInstall: p.installed, Log: e.Log.WithName("config"), Metrics: e.Metrics,
+	})
+	p.Quota = quota.New(quota.Options{
+		Viewer: members, Spread: members, Dialer: e.Dialer, Config: p.Config, Metrics: e.Metrics, Log: e.Log.WithName("quota"),
+	})
+	p.Placement = placement.New(placement.Deps{
+		Viewer: members, Dialer: e.Dialer, Config: p.Config, Engines: e.Engines, Metrics: e.Metrics, Log: e.Log.WithName("placement"),
+	}, e.Placement)
+	p.Claims = claim.New(claim.Config{}, e.Store, e.Dialer, members, e.Metrics, e.Log)
+	p.Charges = charge.New(charge.Config{}, e.Store, e.Dialer, members, e.Metrics, e.Log)
+	p.Router = request.New(request.Deps{
+		Config: p.Config, Limiter: p.Quota, Placer: p.Placement, Claims: p.Claims, Charges: p.Charges,
+		Engines: e.Engines, Metrics: e.Metrics, Log: e.Log.WithName("request"), Self: e.Self,
+	}, e.Request)
+	return p, nil
+}
+
+// membershipOptions connects membership and configuration through closures, since each needs the other.
+func (p *Parts) membershipOptions(e Environment) membership.Options {
+	return membership.Options{
+		Self: e.Self, Timing: e.Timing, Store: e.Store, Hosts: e.Hosts, Dialer: e.Dialer,
+		Log: e.Log.WithName("membership"), Metrics: e.Metrics,
+		Generation: func() uint64 { return p.Config.Generation() },
+		FreshnessAge: func() (time.Duration, bool) {
+			age := p.Config.FreshnessAge(time.Now())
+			return age, age >= 0
+		},
+		OnPeerReport: func(r membership.PeerReport) { p.Config.HintGeneration(r.From, r.Generation) },
+	}
+}
+
+// Register adds the services for other hosts.
+func (p *Parts) Register(r grpc.ServiceRegistrar) {
+	p.Members.Register(r)
+	p.Config.Register(r)
+	p.Placement.Register(r)
+	peerv1.RegisterQuotaServer(r, p.Quota)
+	peerv1.RegisterClaimsServer(r, p.Claims)
+	peerv1.RegisterChargesServer(r, p.Charges)
+}
+
+// Control returns the services that agree on membership and configuration.
+func (p *Parts) Control() []suture.Service { return []suture.Service{p.Members, p.Config} }
+
+// Work returns the services behind requests.
+func (p *Parts) Work() []suture.Service {
+	return []suture.Service{p.Quota, p.Placement, p.Claims, p.Charges}
+}
+
+// Ready reports why this host should get no traffic, or nil.
+func (p *Parts) Ready() error {
+	switch {
+	case !p.Config.Ready():
+		return &NotReadyError{Reason: "no configuration"}
+	case !p.Members.Epoch().Contains(p.Self):
+		return &NotReadyError{Reason: "not in the epoch"}
+	}
+	return nil
+}
+
+// HandBack gives up what other hosts can use at once, after the last request has finished. A failure costs time
+// and no promise: grants run out, and the epoch excludes this host once it has stopped.
+func (p *Parts) HandBack(ctx context.Context) {
+	for _, step := range []struct {
+		name string
+		run  func(context.Context) error
+	}{
+		{"quota", p.Quota.Drain},
+		{"claims", p.Claims.Flush},
+		{"charges", p.Charges.Flush},
+		{"membership", p.Members.Leave},
+	} {
+		if err := step.run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+			p.Metrics.Inc("hand_back_failures_total")
+			p.Log.Error(err, "hand-back failed", "part", step.name)
+		}
+	}
+}
+
+// Close ends what the services leave behind.
+func (p *Parts) Close() {
+	p.Router.Close()
+	_ = p.Events.Close()
+}
+
+// installed refuses queued requests whose key the new configuration no longer has.
+func (p *Parts) installed(_, snap *config.Snapshot) {
+	p.Log.Info("configuration installed", "generation", snap.Generation)
+	p.Metrics.Set("config_generation", int64(snap.Generation)) //nolint:gosec // Generations stay far below 2^63.
+	p.Router.ConfigChanged(snap)
+	if err := events.Publish(p.Events, events.SnapshotInstalled{Generation: snap.Generation}); err != nil {
+		p.Log.Error(err, "event not published")
+	}
+}
+
+// listedHostsTimeout bounds the read of the platform's host list, which is only a hint.
+const listedHostsTimeout = time.Second
+
+// listedHosts returns the hosts of the platform's list, for a daemon that starts without an epoch.
+func (p *Parts) listedHosts() []host.ID {
+	ctx, cancel := context.WithTimeout(context.Background(), listedHostsTimeout)
+	defer cancel()
+	entries, err := p.hosts.ListHosts(ctx)
+	if err != nil {
+		return nil
+	}
+	ids := make([]host.ID, 0, len(entries))
+	for _, e := range entries {
+		if e.State == platform.HostLive && e.Name != p.Self.Name {
+			ids = append(ids, host.ID{Name: e.Name, Addr: e.Addr, Zone: e.Zone})
+		}
+	}
+	return ids
+}
