Test repeated and missing events and withdrawal without the hook

Cause: mutations of the offset check and of the check after placement passed the tests. Change: the fake engine repeats and leaves out events; withdrawal is tested with the hook alone and without it.

--- a/internal/request/fixture_test.go
+++ b/internal/request/fixture_test.go
@@ -210,14 +210,23 @@
 	return best, sync.OnceFunc(func() { f.mu.Lock(); defer f.mu.Unlock(); f.openSlots-- })
 }
 
+// wait keeps requests in the queue while the fixture's block is open.
+func (f *fixture) wait(ctx context.Context) error {
+	if f.block == nil {
+		return nil
+	}
+	select {
+	case <-f.block:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Place implements placement.Placer.
 func (f *fixture) Place(ctx context.Context, snap *config.Snapshot, r placement.Request) (*placement.Placement, error) {
-	if f.block != nil {
-		select {
-		case <-f.block:
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
+	if err := f.wait(ctx); err != nil {
+		return nil, err
 	}
 	if f.placeErr != nil {
 		return nil, f.placeErr
@@ -248,9 +257,9 @@
 }
 
 // PlaceService implements placement.Placer.
-func (f *fixture) PlaceService(_ context.Context, snap *config.Snapshot, pool string, exclude []string) (*rules.Server, func(), error) {
-	if f.block != nil {
-		<-f.block
+func (f *fixture) PlaceService(ctx context.Context, snap *config.Snapshot, pool string, exclude []string) (*rules.Server, func(), error) {
+	if err := f.wait(ctx); err != nil {
+		return nil, nil, err
 	}
 	s, release := f.slot(snap.Pool(pool), exclude, rules.RoleService)
 	if s == nil {
--- a/internal/request/recover_test.go
+++ b/internal/request/recover_test.go
@@ -63,6 +63,8 @@
 		"lost before tokens": {faults: faults{"d1": {LoseStreams: 1}}, prefills: 1, decodes: 1, retried: "resume"},
 		"lost at the end":    {faults: faults{"d1": {LoseStreams: 1, LoseAfter: outputTokens}}, prefills: 1, decodes: 1},
 		"resume failed":      {faults: faults{"d1": {LoseStreams: 1, LoseAfter: 5, FailResumes: 1}}, prefills: 2, decodes: 2, retried: "engine_lost"},
+		"events repeated":    {faults: faults{"d1": {LoseStreams: 1, LoseAfter: 5, RepeatTokens: 3}}, prefills: 1, decodes: 1, retried: "resume"},
+		"event left out":     {faults: faults{"d1": {SkipEvents: 1, SkipAt: 4}}, prefills: 1, decodes: 1, retried: "resume"},
 		"silent stream":      {faults: faults{"d1": {SlowFactor: 1e6}}, prefills: 2, decodes: 2, retried: "engine_lost"},
 		"abort lost":         {faults: faults{"d1": {StallTransfers: 1, FailAborts: 7}}, prefills: 1, decodes: 2, retried: "import_stalled"},
 		"engine crash":       {crash: "d1", prefills: 2, decodes: 2, retried: "engine_lost"},
--- a/internal/request/refusals_test.go
+++ b/internal/request/refusals_test.go
@@ -155,21 +155,33 @@
 // Guards against a withdrawn key whose queued request still runs, and against one that cuts running work.
 func TestKeyWithdrawn(t *testing.T) {
 	for _, path := range []string{pathCompletions, "/booking/reserve"} {
-		t.Run("queued"+path, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newFixture(t)
-				defer f.Close()
-				f.block = make(chan struct{})
-				time.AfterFunc(time.Second, func() { f.install(config.NewSnapshot(4, rulesOf())) })
-				time.AfterFunc(2*time.Second, func() { close(f.block) })
-				in := f.input(path, completion("m", true))
-				r := f.run(t.Context(), in)
-				f.Expect(r.err.Code).To(Equal(outcome.CodeKeyWithdrawn))
-				f.Expect(r.err.Status).To(Equal(http.StatusUnauthorized))
-				f.Expect(r.err.Outcome).To(Equal(outcome.NotRun))
-				f.verify(in, r)
+		for _, hook := range []bool{true, false} {
+			t.Run(fmt.Sprintf("queued%s/hook=%t", path, hook), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFixture(t)
+					defer f.Close()
+					f.block = make(chan struct{})
+					without := config.NewSnapshot(4, rulesOf())
+					time.AfterFunc(time.Second, func() {
+						if hook {
+							// The queue does not move, so only the hook can end the wait.
+							f.install(without)
+							return
+						}
+						f.mu.Lock()
+						f.snap = without
+						f.mu.Unlock()
+						close(f.block)
+					})
+					in := f.input(path, completion("m", true))
+					r := f.run(t.Context(), in)
+					f.Expect(r.err.Code).To(Equal(outcome.CodeKeyWithdrawn))
+					f.Expect(r.err.Status).To(Equal(http.StatusUnauthorized))
+					f.Expect(r.err.Outcome).To(Equal(outcome.NotRun))
+					f.verify(in, r)
+				})
 			})
-		})
+		}
 	}
 	t.Run("running", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
--- a/test/standin/engine/config.go
+++ b/test/standin/engine/config.go
@@ -123,6 +123,11 @@
 	LoseAfter   int64
 	// FailResumes is how many resume calls fail.
 	FailResumes int
+	// RepeatTokens makes resumed streams begin that many tokens before the offset that was asked for.
+	RepeatTokens int64
+	// SkipEvents is how many streams leave out the event at token SkipAt.
+	SkipEvents int
+	SkipAt     int64
 	// FailAborts is how many abort calls fail with status 500 and have no effect.
 	FailAborts int
 	// LateAnswers delays the answer of each prefill and decode call after its work is done.
--- a/test/standin/engine/decode.go
+++ b/test/standin/engine/decode.go
@@ -142,6 +142,9 @@
 	if a == nil || fail {
 		return nil, &engine.FailedError{Server: c.cfg.Name, Status: notFoundStatus, Cause: errUnknownAttempt}
 	}
+	c.mu.Lock()
+	offset = max(0, offset-c.faults.RepeatTokens)
+	c.mu.Unlock()
 	return c.newStream(ctx, a, offset), nil
 }
 
@@ -155,13 +158,18 @@
 	offset int64
 	// loseAt is the token count after which the stream breaks, or -1.
 	loseAt int64
+	// skipAt is the token whose event is left out, or -1.
+	skipAt int64
 }
 
 func (c *Core) newStream(ctx context.Context, a *attempt, offset int64) *stream {
 	ctx, stop := context.WithCancel(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := &stream{ctx: ctx, stop: stop, core: c, a: a, offset: offset, loseAt: -1}
+	s := &stream{ctx: ctx, stop: stop, core: c, a: a, offset: offset, loseAt: -1, skipAt: -1}
+	if take(&c.faults.SkipEvents) {
+		s.skipAt = c.faults.SkipAt
+	}
 	if take(&c.faults.LoseStreams) {
 		s.loseAt = offset + c.faults.LoseAfter
 	}
@@ -195,6 +203,12 @@
 	if s.next < len(s.a.produced) {
 		ch := s.a.produced[s.next]
 		s.next++
+		if ch.Tokens > 0 && ch.Offset == s.skipAt && s.next < len(s.a.produced) {
+			ch = s.a.produced[s.next]
+			s.next++
+		} else if ch.Tokens > 0 && ch.Offset == s.skipAt {
+			return engine.Chunk{}, false, s.a.changed, nil
+		}
 		s.offset = ch.Offset + ch.Tokens
 		return ch, true, nil, nil
 	}
