Add the caller API

Cause: callers need the OpenAI API and routed services over HTTP, with answers that say whether a request ran. Change: internal/api with limits on headers, bodies, idle and stream time, typed errors, request ids, Retry-After, and X-Should-Retry: false unless the outcome is not-run, since OpenAI clients repeat failed calls by themselves.

--- /dev/null
+++ b/internal/api/api.go
@@ -0,0 +1,293 @@
+// Package api serves callers: the OpenAI HTTP API, routed plain services, and health checks. Refusals and
+// failures are typed answers that say whether the request ran.
+package api
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/base32"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/go-logr/logr"
+
+	"github.com/boragecourse/boragecourse/internal/metrics"
+	"github.com/boragecourse/boragecourse/internal/outcome"
+	"github.com/boragecourse/boragecourse/internal/request"
+)
+
+// Limits that are not settings.
+const (
+	// headerTimeout bounds the time for a request's headers, so that idle senders do not add up.
+	headerTimeout = 10 * time.Second
+	// writeTimeout is the longest time that one write waits for a slow caller.
+	writeTimeout = 30 * time.Second
+	// headerSlack is how far net/http reads past the header limit, so that the refusal can be a typed answer.
+	headerSlack = 2
+	idBytes     = 15
+)
+
+// Options of a Handler. Zero limits take the defaults.
+type Options struct {
+	Router  *request.Router
+	Metrics *metrics.Registry
+	Log     logr.Logger
+	// Ready returns nil while the host should get requests. Nil means that it always should.
+	Ready func() error
+	// MaxBodyBytes bounds request bodies. Default 8 MiB.
+	MaxBodyBytes int64
+	// MaxHeaderBytes bounds request headers. Default 64 KiB.
+	MaxHeaderBytes int
+	// BodyTimeout is the longest time to read a body. Default 30 s.
+	BodyTimeout time.Duration
+	// IdleTimeout is how long a connection without a request stays open. Default 2 min.
+	IdleTimeout time.Duration
+	// StreamTimeout is the longest time of one request. Default 30 min.
+	StreamTimeout time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.MaxBodyBytes, 8<<20)
+	setDefault(&o.MaxHeaderBytes, 64<<10)
+	setDefault(&o.BodyTimeout, 30*time.Second)
+	setDefault(&o.IdleTimeout, 2*time.Minute)
+	setDefault(&o.StreamTimeout, 30*time.Minute)
+	if o.Ready == nil {
+		o.Ready = func() error { return nil }
+	}
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+type handler struct {
+	Options
+}
+
+// Handler returns the caller API.
+func Handler(o Options) http.Handler {
+	h := &handler{o.withDefaults()}
+	r := chi.NewRouter()
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { text(w, http.StatusOK, "ok") })
+	r.Get("/readyz", h.ready)
+	r.Get("/v1/models", h.wrap(h.models))
+	r.Get("/v1/models/{model}", h.wrap(h.model))
+	for _, path := range []string{"/v1/completions", "/v1/chat/completions"} {
+		r.Post(path, h.wrap(h.serve))
+	}
+	r.NotFound(h.wrap(h.serve))
+	r.MethodNotAllowed(h.wrap(func(x *exchange) {
+		x.refuse(outcome.Refuse(http.StatusMethodNotAllowed, outcome.CodeUnknownRoute, "method not allowed"))
+	}))
+	return r
+}
+
+// Server returns an HTTP server for the caller API with its limits.
+func Server(o Options) *http.Server {
+	o = o.withDefaults()
+	return &http.Server{
+		Handler:           Handler(o),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       o.IdleTimeout,
+		MaxHeaderBytes:    headerSlack * o.MaxHeaderBytes,
+	}
+}
+
+func (h *handler) ready(w http.ResponseWriter, _ *http.Request) {
+	err := h.Ready()
+	switch {
+	case err != nil:
+		text(w, http.StatusServiceUnavailable, err.Error())
+	case h.Router.Draining():
+		text(w, http.StatusServiceUnavailable, "draining")
+	default:
+		text(w, http.StatusOK, "ready")
+	}
+}
+
+func text(w http.ResponseWriter, status int, message string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	newSink(w).start(status)
+	_, _ = w.Write([]byte(message + "\n"))
+}
+
+// exchange is one request of a caller and its answer.
+type exchange struct {
+	*handler
+	r  *http.Request
+	in *request.Input
+	*sink
+}
+
+// wrap prepares an exchange and turns a panic into an answer.
+func (h *handler) wrap(serve func(*exchange)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		x := &exchange{handler: h, r: r, sink: newSink(w)}
+		x.in = &request.Input{
+			ID: newID(), Method: r.Method, URL: r.URL, Header: r.Header, Arrived: time.Now(),
+			IdempotencyKey: r.Header.Get("Idempotency-Key"),
+		}
+		w.Header().Set("X-Request-Id", x.in.ID)
+		defer x.recover()
+		if size := headerSize(r); size > h.MaxHeaderBytes {
+			x.refuse(outcome.Refuse(http.StatusRequestHeaderFieldsTooLarge, outcome.CodeHeadersTooLarge,
+				"headers of %d bytes exceed the limit of %d", size, h.MaxHeaderBytes))
+			return
+		}
+		key, err := bearer(r.Header)
+		if err != nil {
+			x.refuse(err)
+			return
+		}
+		x.in.Key = key
+		serve(x)
+	}
+}
+
+func (x *exchange) recover() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if err, ok := v.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(v)
+	}
+	x.Metrics.Inc("panics", metrics.L("where", "request"))
+	x.Log.Error(&PanicError{v}, "panic in a request", "request", x.in.ID, "stack", string(debug.Stack()))
+	x.fail(x.in.ID, &outcome.Error{
+		Outcome: outcome.Unknown, Code: outcome.CodeInternal, Status: http.StatusInternalServerError,
+		Message: "internal failure",
+	})
+}
+
+// refuse answers a request that the router never saw.
+func (x *exchange) refuse(e *outcome.Error) {
+	x.Router.Refused(x.in.ID, x.r.URL.Path, e)
+	x.fail(x.in.ID, e)
+}
+
+// serve runs a request on backend servers.
+func (x *exchange) serve() {
+	if err := x.Router.Check(x.in); err != nil {
+		x.fail(x.in.ID, outcome.From(err))
+		return
+	}
+	body, refusal := x.body()
+	if refusal != nil {
+		x.refuse(refusal)
+		return
+	}
+	x.in.Body = body
+	ctx, cancel := context.WithTimeoutCause(x.r.Context(), x.StreamTimeout, errRequestTime)
+	defer cancel()
+	if err := x.Router.Do(ctx, x.in, x.sink); err != nil {
+		x.fail(x.in.ID, outcome.From(err))
+	}
+}
+
+func (h *handler) serve(x *exchange) { x.serve() }
+
+// newID returns a random request id. It holds no dot, which separates the number of the try in attempt ids.
+func newID() string {
+	var b [idBytes]byte
+	_, _ = rand.Read(b[:])
+	return strings.ToLower(base32.StdEncoding.EncodeToString(b[:]))
+}
+
+func headerSize(r *http.Request) int {
+	size := len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return size
+}
+
+// bearer takes the key out of the headers. Other schemes count as no key.
+func bearer(h http.Header) (string, *outcome.Error) {
+	values := h.Values("Authorization")
+	h.Del("Authorization")
+	if len(values) > 1 {
+		return "", outcome.Refuse(http.StatusBadRequest, outcome.CodeMalformedRequest, "more than one Authorization header")
+	}
+	if len(values) == 0 {
+		return "", nil
+	}
+	scheme, key, _ := strings.Cut(values[0], " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return "", nil
+	}
+	return strings.TrimSpace(key), nil
+}
+
+// models lists the models that the caller may use.
+func (h *handler) models(x *exchange) {
+	names, err := h.Router.Models(x.in)
+	if err != nil {
+		x.fail(x.in.ID, outcome.From(err))
+		return
+	}
+	list := modelList{Object: "list", Data: []modelObject{}}
+	for _, name := range names {
+		list.Data = append(list.Data, newModel(name))
+	}
+	x.json(http.StatusOK, list)
+}
+
+func (h *handler) model(x *exchange) {
+	names, err := h.Router.Models(x.in)
+	if err != nil {
+		x.fail(x.in.ID, outcome.From(err))
+		return
+	}
+	wanted := chi.URLParam(x.r, "model")
+	for _, name := range names {
+		if name == wanted {
+			x.json(http.StatusOK, newModel(name))
+			return
+		}
+	}
+	x.refuse(outcome.Refuse(http.StatusNotFound, outcome.CodeUnknownModel, "no such model"))
+}
+
+type modelList struct {
+	Object string        `json:"object"`
+	Data   []modelObject `json:"data"`
+}
+
+type modelObject struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func newModel(name string) modelObject {
+	return modelObject{ID: name, Object: "model", OwnedBy: "boragecourse"}
+}
+
+func (x *exchange) json(status int, v any) {
+	data, _ := json.Marshal(v)
+	x.w.Header().Set("Content-Type", "application/json")
+	x.start(status)
+	_, _ = x.w.Write(data)
+}
+
+// isTimeout reports an ended read or write deadline.
+func isTimeout(err error) bool {
+	var n net.Error
+	return errors.Is(err, os.ErrDeadlineExceeded) || (errors.As(err, &n) && n.Timeout())
+}
--- /dev/null
+++ b/internal/api/body.go
@@ -0,0 +1,49 @@
+package api
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/boragecourse/boragecourse/internal/outcome"
+)
+
+// statusClientClosed is the customary status for a caller that went away; no caller sees it.
+const statusClientClosed = 499
+
+// body reads the request body within its limits of size and time.
+func (x *exchange) body() ([]byte, *outcome.Error) {
+	if x.r.ContentLength > x.MaxBodyBytes {
+		return nil, x.tooLarge()
+	}
+	rc := http.NewResponseController(x.w)
+	// Recorders in tests have no deadlines; connections always do.
+	_ = rc.SetReadDeadline(time.Now().Add(x.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, x.MaxBodyBytes))
+	_ = rc.SetReadDeadline(time.Time{})
+	if err == nil {
+		return body, nil
+	}
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, x.tooLarge()
+	case isTimeout(err):
+		e := outcome.Refuse(http.StatusRequestTimeout, outcome.CodeMalformedRequest, "the body did not arrive in time")
+		e.Cause = err
+		return nil, e
+	case x.r.Context().Err() != nil, errors.Is(err, io.ErrUnexpectedEOF):
+		e := outcome.Refuse(statusClientClosed, outcome.CodeCanceled, "the request was canceled")
+		e.Cause = err
+		return nil, e
+	}
+	e := outcome.Refuse(http.StatusBadRequest, outcome.CodeMalformedRequest, "the body cannot be read")
+	e.Cause = err
+	return nil, e
+}
+
+func (x *exchange) tooLarge() *outcome.Error {
+	return outcome.Refuse(http.StatusRequestEntityTooLarge, outcome.CodeBodyTooLarge,
+		"the body exceeds the limit of %d bytes", x.MaxBodyBytes)
+}
--- /dev/null
+++ b/internal/api/sink.go
@@ -0,0 +1,169 @@
+package api
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/boragecourse/boragecourse/internal/outcome"
+	"github.com/boragecourse/boragecourse/internal/request"
+)
+
+// copyBuffer is the size of the parts in which service answers are passed on, in bytes.
+const copyBuffer = 32 << 10
+
+// sink writes one answer. A caller who does not read within writeTimeout is cut off.
+type sink struct {
+	w  http.ResponseWriter
+	rc *http.ResponseController
+	// started is set with the status line; streaming once events are sent.
+	started, streaming bool
+}
+
+var _ request.Sink = (*sink)(nil)
+
+func newSink(w http.ResponseWriter) *sink {
+	return &sink{w: w, rc: http.NewResponseController(w)}
+}
+
+func (s *sink) start(status int) {
+	s.started = true
+	s.extend()
+	s.w.WriteHeader(status)
+}
+
+// extend gives the caller another writeTimeout.
+func (s *sink) extend() {
+	_ = s.rc.SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
+// Event implements request.Sink.
+func (s *sink) Event(data []byte) error {
+	if !s.started {
+		s.streaming = true
+		s.w.Header().Set("Content-Type", "text/event-stream")
+		s.w.Header().Set("Cache-Control", "no-cache")
+		s.start(http.StatusOK)
+	} else {
+		s.extend()
+	}
+	return s.event("", data)
+}
+
+func (s *sink) event(name string, data []byte) error {
+	if name != "" {
+		name = "event: " + name + "\n"
+	}
+	if _, err := fmt.Fprintf(s.w, "%sdata: %s\n\n", name, data); err != nil {
+		return err
+	}
+	return s.flush()
+}
+
+func (s *sink) flush() error {
+	if err := s.rc.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return err
+	}
+	return nil
+}
+
+// Done implements request.Sink.
+func (s *sink) Done() error { return s.Event([]byte("[DONE]")) }
+
+// Answer implements request.Sink.
+func (s *sink) Answer(status int, header http.Header, body io.Reader) error {
+	for name, values := range header {
+		s.w.Header()[name] = values
+	}
+	s.start(status)
+	buffer := make([]byte, copyBuffer)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			s.extend()
+			if _, err := s.w.Write(buffer[:n]); err != nil {
+				return err
+			}
+			if err := s.flush(); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// errorBody is the body of every refusal and failure.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message   string          `json:"message"`
+	Type      string          `json:"type"`
+	Code      outcome.Code    `json:"code"`
+	Outcome   outcome.Outcome `json:"outcome"`
+	RequestID string          `json:"request_id"`
+}
+
+// fail answers with a refusal or failure: as a whole answer, as the last event of a stream, or, within another
+// answer, by cutting the connection, which is the only way left to say that it is not whole.
+func (s *sink) fail(requestID string, e *outcome.Error) {
+	data, _ := json.Marshal(errorBody{errorDetail{
+		Message: e.Message, Type: errorType(e.Status), Code: e.Code, Outcome: e.Outcome, RequestID: requestID,
+	}})
+	switch {
+	case s.streaming:
+		s.extend()
+		_ = s.event("error", data)
+	case s.started:
+		panic(http.ErrAbortHandler)
+	default:
+		h := s.w.Header()
+		h.Set("Content-Type", "application/json")
+		h.Set(request.HeaderOutcome, string(e.Outcome))
+		if e.Outcome != outcome.NotRun {
+			// OpenAI clients repeat failed calls by themselves unless told otherwise.
+			h.Set("X-Should-Retry", "false")
+		}
+		if wait := retryAfter(e); wait != "" {
+			h.Set("Retry-After", wait)
+		}
+		s.start(e.Status)
+		_, _ = s.w.Write(data)
+	}
+}
+
+// retryAfter is in whole seconds, rounded up. Every 429 and 503 has one.
+func retryAfter(e *outcome.Error) string {
+	seconds := int(math.Ceil(e.RetryAfter.Seconds()))
+	if seconds == 0 && (e.Status == http.StatusTooManyRequests || e.Status == http.StatusServiceUnavailable) {
+		seconds = 1
+	}
+	if seconds == 0 {
+		return ""
+	}
+	return strconv.Itoa(seconds)
+}
+
+// errorType is the OpenAI API's type of an error with that status.
+func errorType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status >= http.StatusInternalServerError:
+		return "server_error"
+	}
+	return "invalid_request_error"
+}
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -127,5 +129,8 @@
 	if context.Cause(ctx) == errWithdrawn { //nolint:errorlint // The cause is this very value.
 		return keyWithdrawn()
 	}
-	return x.fail(statusClientClosed, outcome.CodeCanceled, "request was canceled", context.Cause(ctx))
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return x.fail(http.StatusGatewayTimeout, outcome.CodeCanceled, "the time limit of a request has passed", ctx.Err())
+	}
+	return x.fail(statusClientClosed, outcome.CodeCanceled, "the request was canceled", context.Cause(ctx))
 }
