--- a/internal/charge/copies.go
+++ b/internal/charge/copies.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sort"
+	"time"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -12,12 +13,18 @@
 	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
 )
 
+// silentTime after which the holder writes the copies of a host that is in the epoch but sends nothing. The host may
+// have forgotten this holder, because it was out of the epoch for a while.
+const silentTime = time.Minute
+
 // copySet holds the copies of one incarnation of another host.
 type copySet struct {
 	id host.ID
 	// through is the highest confirmed sequence number; copies up to it are not taken any more.
 	through uint64
 	batches map[uint64][]byte
+	// heard is when the host last sent a batch or a confirmation.
+	heard time.Time
 }
 
 // Replicate implements the Charges grpc service. It answers codes.ResourceExhausted when the memory for copies is
@@ -57,13 +64,14 @@
 	return &peerv1.ConfirmResponse{}, nil
 }
 
-// copySet returns the host's set, made on first use; the lock is held.
+// copySet returns the set of a host that has just sent a message, made on first use; the lock is held.
 func (l *Ledger) copySet(id host.ID) *copySet {
 	set := l.copies[runOf(id)]
 	if set == nil {
 		set = &copySet{id: id, batches: map[uint64][]byte{}}
 		l.copies[runOf(id)] = set
 	}
+	set.heard = time.Now()
 	return set
 }
 
@@ -72,11 +80,12 @@
 	delete(set.batches, sequence)
 }
 
-// writeOrphans writes the copies of hosts that are not in the epoch. Writing the copies of a host that is still
+// writeOrphans writes the copies of hosts that are not in the epoch or have been silent. Writing the copies of a host that is still
 // running is harmless: it would write the same values under the same keys.
 func (l *Ledger) writeOrphans(ctx context.Context) {
 	epoch := l.viewer.Epoch()
-	l.writeCopies(ctx, func(id host.ID) bool { return !epoch.Contains(id) })
+	now := time.Now()
+	l.writeCopies(ctx, func(s *copySet) bool { return !epoch.Contains(s.id) || now.Sub(s.heard) > silentTime })
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for r, set := range l.copies {
@@ -87,7 +96,7 @@
 }
 
 // writeCopies writes and drops the copies of the selected hosts.
-func (l *Ledger) writeCopies(ctx context.Context, selected func(host.ID) bool) {
+func (l *Ledger) writeCopies(ctx context.Context, selected func(*copySet) bool) {
 	for range roundTransactions {
 		set, sequences, items := l.nextCopies(selected)
 		if len(items) == 0 {
@@ -107,11 +116,11 @@
 }
 
 // nextCopies returns the batches of one transaction, all of one host.
-func (l *Ledger) nextCopies(selected func(host.ID) bool) (*copySet, []uint64, []item) {
+func (l *Ledger) nextCopies(selected func(*copySet) bool) (*copySet, []uint64, []item) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for r, set := range l.copies {
-		if len(set.batches) == 0 || !selected(set.id) {
+		if len(set.batches) == 0 || !selected(set) {
 			continue
 		}
 		var sequences []uint64
--- a/internal/charge/ledger.go
+++ b/internal/charge/ledger.go
@@ -258,7 +258,7 @@
 		l.replicate(ctx)
 		l.writeOwn(ctx, allTransactions)
 		l.confirm(ctx)
-		l.writeCopies(ctx, func(host.ID) bool { return true })
+		l.writeCopies(ctx, func(*copySet) bool { return true })
 		records, copies := l.Pending()
 		if records == 0 && copies == 0 {
 			return nil
