--- a/internal/charge/ledger.go
+++ b/internal/charge/ledger.go
@@ -205,12 +205,10 @@
 // Serve replicates and writes until ctx ends. It is a suture service.
 func (l *Ledger) Serve(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error {
-		return every(ctx, func() time.Duration { return l.cfg.CloseInterval }, func() {
-			l.closeBatch()
-			l.replicate(ctx)
-		})
-	})
+	closing := func() time.Duration { return l.cfg.CloseInterval }
+	// Closing does not wait for replication, which may meet timeouts.
+	group.Go(func() error { return every(ctx, closing, l.closeBatch) })
+	group.Go(func() error { return every(ctx, closing, func() { l.replicate(ctx) }) })
 	group.Go(func() error {
 		return every(ctx, l.writeInterval, func() {
 			l.writeOwn(ctx, roundTransactions)
--- a/internal/charge/replicate.go
+++ b/internal/charge/replicate.go
@@ -17,6 +17,9 @@
 // membership, so that a dead host has left the epoch by then.
 const suspectTime = 5 * time.Second
 
+// maxFailures ends a round of replication, so that a cut does not hold up the next round for one timeout per batch.
+const maxFailures = 2
+
 // holder is what this host knows of a host that keeps copies.
 type holder struct {
 	// sent is the highest sequence number that was sent, whether or not it was acknowledged.
@@ -28,6 +31,7 @@
 // replicate sends each unwritten batch without a live holder to one.
 func (l *Ledger) replicate(ctx context.Context) {
 	epoch := l.viewer.Epoch()
+	failures := 0
 	for _, b := range l.withoutHolder(epoch) {
 		to, ok := l.chooseHolder(epoch)
 		if !ok {
@@ -40,8 +44,9 @@
 			l.mu.Lock()
 			l.suspects[to] = time.Now().Add(suspectTime)
 			l.mu.Unlock()
+			failures++
 		}
-		if ctx.Err() != nil {
+		if failures == maxFailures || ctx.Err() != nil {
 			return
 		}
 	}
@@ -75,11 +80,15 @@
 
 // withoutHolder returns the unwritten batches that no host of the epoch has a copy of.
 func (l *Ledger) withoutHolder(epoch membership.Epoch) []*batch {
+	members := make(map[run]bool, len(epoch.Hosts))
+	for _, h := range epoch.Hosts {
+		members[runOf(h)] = true
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var found []*batch
 	for _, b := range l.unwritten {
-		if !epoch.Contains(b.holder) {
+		if !members[runOf(b.holder)] {
 			found = append(found, b)
 		}
 	}
--- a/internal/claim/batch.go
+++ b/internal/claim/batch.go
@@ -19,6 +19,8 @@
 	maxBatchBytes = 512 << 10
 	// maxInFlight transactions of one host. Writes that wait meanwhile form the next batch.
 	maxInFlight = 2
+	// burst transactions may follow each other at once before the write budget spaces them out.
+	burst = 5
 	// firstRepeat is the pause before a write with a lost answer is repeated; it doubles with each repetition.
 	firstRepeat = 10 * time.Millisecond
 )
@@ -49,6 +51,8 @@
 	// timeout bounds one transaction together with its repetitions.
 	timeout  time.Duration
 	maxQueue int
+	// interval is this host's share of the fleet's write budget, as the time between two transactions.
+	interval func() time.Duration
 	metrics  *metrics.Registry
 
 	mu        sync.Mutex
@@ -56,6 +60,8 @@
 	scheduled bool
 	inFlight  int
 	busy      map[string]bool
+	// budgetUsedUntil is when the transactions so far would have been due at an even pace.
+	budgetUsedUntil time.Time
 }
 
 // submit queues a write. The result channel is buffered, so nobody has to read it.
@@ -70,17 +76,18 @@
 		return w.result
 	}
 	b.queue = append(b.queue, w)
-	b.schedule(b.delay)
+	b.schedule()
 	return w.result
 }
 
 // schedule starts the timer of the next transaction; the lock is held.
-func (b *batcher) schedule(delay time.Duration) {
+func (b *batcher) schedule() {
 	if b.scheduled || b.inFlight >= maxInFlight || len(b.queue) == 0 {
 		return
 	}
 	b.scheduled = true
-	time.AfterFunc(delay, b.flush)
+	free := b.budgetUsedUntil.Add(-(burst - 1) * b.interval())
+	time.AfterFunc(max(b.delay, time.Until(free)), b.flush)
 }
 
 func (b *batcher) flush() {
@@ -92,7 +99,12 @@
 		return
 	}
 	b.inFlight++
-	b.schedule(b.delay)
+	now := time.Now()
+	if b.budgetUsedUntil.Before(now) {
+		b.budgetUsedUntil = now
+	}
+	b.budgetUsedUntil = b.budgetUsedUntil.Add(b.interval())
+	b.schedule()
 	b.mu.Unlock()
 
 	b.run(batch)
@@ -103,7 +115,7 @@
 	for _, w := range batch {
 		delete(b.busy, w.key)
 	}
-	b.schedule(b.delay)
+	b.schedule()
 }
 
 // take removes the next batch from the queue; a transaction must not hold a key twice, and a key that is in
--- a/internal/claim/coordinator.go
+++ b/internal/claim/coordinator.go
@@ -19,6 +19,9 @@
 	// BatchDelay is how long a claim waits for others to share its store transaction. Default 3 ms: about the
 	// latency of one store call, so grouping adds less than half to the latency of a claim.
 	BatchDelay time.Duration
+	// WritesPerSecond is the fleet's budget of store writes for claims. Default 200, a part of the store's several
+	// hundred. The hosts of the epoch share it evenly; a host beyond its share puts more claims into each write.
+	WritesPerSecond float64
 	// StoreTimeout bounds one store transaction together with the repetitions after a lost answer. Default 2 s.
 	StoreTimeout time.Duration
 	// AskTimeout bounds the question to the claiming host. Default 2 s.
@@ -49,6 +52,7 @@
 
 func (c Config) withDefaults() Config {
 	setDefault(&c.BatchDelay, 3*time.Millisecond)
+	setDefault(&c.WritesPerSecond, 200)
 	setDefault(&c.StoreTimeout, 2*time.Second)
 	setDefault(&c.AskTimeout, 2*time.Second)
 	setDefault(&c.DispatchGrace, 250*time.Millisecond)
@@ -103,12 +107,18 @@
 		cfg: cfg, store: store, dialer: dialer, viewer: viewer, metrics: m, log: log.WithName("claim"),
 		writes: &batcher{
 			store: store, delay: cfg.BatchDelay, timeout: cfg.StoreTimeout, maxQueue: cfg.MaxOpen,
-			metrics: m, busy: map[string]bool{},
+			interval: func() time.Duration { return perHost(viewer, cfg.WritesPerSecond) }, metrics: m, busy: map[string]bool{},
 		},
 		open: map[string]*entry{}, unrecorded: map[*entry]bool{},
 	}
 }
 
+// perHost divides a fleet-wide rate among the hosts of the epoch and returns the interval of one host.
+func perHost(viewer membership.Viewer, perSecond float64) time.Duration {
+	hosts := max(1, len(viewer.Epoch().Hosts))
+	return time.Duration(float64(hosts) / perSecond * float64(time.Second))
+}
+
 // entry is an attempt of this host that is not final.
 type entry struct {
 	c    *Coordinator
--- a/internal/claim/sweep.go
+++ b/internal/claim/sweep.go
@@ -49,10 +49,8 @@
 	}
 }
 
-// sweepInterval divides the fleet's read budget among the hosts of the epoch.
 func (c *Coordinator) sweepInterval() time.Duration {
-	hosts := max(1, len(c.viewer.Epoch().Hosts))
-	return time.Duration(float64(hosts) / c.cfg.SweepReadsPerSecond * float64(time.Second))
+	return perHost(c.viewer, c.cfg.SweepReadsPerSecond)
 }
 
 // sweepNext sweeps the next shard that this host owns.
