Bench placement against baselines on both fleets

Change: test/bench with an engine model, a minimal life cycle behind an interface and the fault cases; test/baseline with round robin, least reported load and colocated choice; make bench.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,9 @@
 LINT = $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 PROTOS = $(wildcard proto/peer/v1/*.proto proto/etcd/*/*.proto)
 
-.PHONY: build test fmt lint proto
+BENCH_JSON ?= bench-placement.json
+
+.PHONY: build test fmt lint proto bench
 
 build: ## Build every package.
 	$(GO) build ./...
@@ -19,3 +21,6 @@
 
 proto: ## Regenerate the committed protobuf code; needs protoc and the two Go plugins.
 	protoc -I . --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative $(PROTOS)
+
+bench: ## Measure placement against the baselines; prints a table and writes BENCH_JSON.
+	$(GO) test ./test/bench -count=1 -run 'TestPlacementBench$$' -v -placement.full -placement.json=$(abspath $(BENCH_JSON))
--- /dev/null
+++ b/test/bench/bench_test.go
@@ -0,0 +1,67 @@
+package bench
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+)
+
+var (
+	full     = flag.Bool("placement.full", false, "run the whole placement bench and print its table")
+	jsonPath = flag.String("placement.json", "", "file for the rows of the whole bench as JSON")
+	seeds    = flag.Int("placement.seeds", 3, "number of seeds of the whole bench")
+	trace    = flag.Bool("placement.trace", false, "print the reasons and shares of each run of the reserving policy")
+)
+
+// runAll runs cases side by side, each in its own bubble.
+func runAll(t *testing.T, cases []Case) []Row {
+	out := make([]Outcome, len(cases))
+	limit := make(chan struct{}, 4)
+	t.Run("cases", func(t *testing.T) {
+		var wg sync.WaitGroup
+		for i, c := range cases {
+			limit <- struct{}{}
+			wg.Go(func() {
+				defer func() { <-limit }()
+				synctest.Test(t, func(*testing.T) { out[i] = Run(c) })
+			})
+		}
+		wg.Wait()
+	})
+	if *trace {
+		for _, o := range out {
+			if o.Policy == Reserving {
+				t.Logf("%s %.1f %s seed %d shares %.2f reasons %v metrics %s", o.Fleet, o.Load, o.Fault, o.Seed, o.Shares, o.Reasons, o.Metrics)
+			}
+		}
+	}
+	return Summarize(out)
+}
+
+// Prints the whole comparison; see make bench. It is a measurement and has no verdict.
+func TestPlacementBench(t *testing.T) {
+	if !*full {
+		t.Skip("run by make bench")
+	}
+	faults := []Fault{NoFault, ServerLost, DaemonLost, ZoneCut}
+	rows := runAll(t, Matrix([]float64{0.7, 1.0, 1.5}, faults, *seeds))
+	var text strings.Builder
+	if err := Table(&text, rows); err != nil {
+		t.Fatal(err)
+	}
+	t.Log("\n" + text.String())
+	if *jsonPath == "" {
+		return
+	}
+	file, err := os.Create(*jsonPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	if err := JSON(file, rows); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/test/bench/life.go
@@ -0,0 +1,201 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/boragecourse/boragecourse/internal/config"
+	"github.com/boragecourse/boragecourse/internal/engine"
+	"github.com/boragecourse/boragecourse/internal/host"
+	"github.com/boragecourse/boragecourse/internal/placement"
+	"github.com/boragecourse/boragecourse/internal/rules"
+)
+
+// Result is what became of a job.
+type Result struct {
+	Job *Job
+	// Refused is set when the caller got a refusal that says not-run, Lost when it got another failure.
+	Refused, Lost bool
+	// First is the time from arrival to the first token, Finished when the answer was complete.
+	First    time.Duration
+	Finished time.Time
+	// Late counts gaps between tokens above the target.
+	Late, Tokens int64
+	Tries        int
+	Reason       string
+}
+
+// Good reports whether the answer was complete within the targets. The first-token target holds for the latency
+// class; the gap target allows 5 of 100 gaps.
+func (r *Result) Good() bool {
+	return !r.Finished.IsZero() && r.Late*20 <= r.Tokens && (r.Job.Class == rules.ClassWait || r.First <= firstTokenTarget)
+}
+
+// Lifecycle runs one job to its end. It places, prefills, transfers, decodes and releases.
+type Lifecycle interface {
+	Run(ctx context.Context, j *Job) Result
+}
+
+// driver is the least life cycle, with the order of steps of the daemon.
+type driver struct {
+	self    host.ID
+	snap    *config.Snapshot
+	placer  placement.Placer
+	engines engine.Directory
+}
+
+const (
+	latencyTries = 3
+	waitTries    = 10
+	waitPause    = 500 * time.Millisecond
+	importTries  = 2
+)
+
+// refusedError stands for an attempt that never ran.
+type refusedError struct{ cause error }
+
+func (e *refusedError) Error() string { return "refused: " + e.cause.Error() }
+
+// Run implements Lifecycle.
+func (d *driver) Run(ctx context.Context, j *Job) Result {
+	res := Result{Job: j}
+	req := j.request()
+	if j.Class == rules.ClassLatency {
+		var stop func()
+		ctx, stop = untilFirst(ctx, j)
+		defer stop()
+	}
+	tries := latencyTries
+	if j.Class == rules.ClassWait {
+		tries = waitTries
+	}
+	for res.Tries < tries {
+		res.Tries++
+		err := d.try(ctx, j, &req, &res)
+		if err == nil {
+			return res
+		}
+		var refused *refusedError
+		res.Refused, res.Reason = errors.As(err, &refused), err.Error()
+		if ctx.Err() != nil {
+			break
+		}
+		if res.Refused && isPlacerRefusal(refused.cause) {
+			return res
+		}
+		if j.Class == rules.ClassWait {
+			select {
+			case <-time.After(waitPause):
+			case <-ctx.Done():
+			}
+		}
+	}
+	res.Lost = !res.Refused
+	return res
+}
+
+func isPlacerRefusal(err error) bool {
+	var deadline *placement.DeadlineError
+	var full *placement.QueueFullError
+	return errors.As(err, &deadline) || errors.As(err, &full)
+}
+
+type firstKey struct{}
+
+// untilFirst ends the context when no first token came within the caller's patience.
+func untilFirst(ctx context.Context, j *Job) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(patience-time.Since(j.Arrived), cancel)
+	stop := func() { timer.Stop(); cancel() }
+	return context.WithValue(ctx, firstKey{}, timer), stop
+}
+
+// try runs one attempt.
+func (d *driver) try(ctx context.Context, j *Job, req *placement.Request, res *Result) error {
+	p, err := d.placer.Place(ctx, d.snap, *req)
+	if err != nil {
+		return &refusedError{err}
+	}
+	defer func() { p.ReleasePrefill(); p.ReleaseDecode() }()
+	call := engine.Call{
+		Attempt: engine.Attempt{ID: fmt.Sprintf("%d.%d", j.ID, res.Tries), Host: d.self.Name, Incarnation: d.self.Incarnation},
+		Body:    []byte(strconv.Itoa(j.ID)), Stream: true,
+	}
+	if p.Prefill == p.Decode {
+		s, err := d.engines.Server(p.Decode.Name, p.Decode.Addr).Decode(ctx, call, nil)
+		if err != nil {
+			return d.failed(req, p.Decode, placement.StageDecode, err)
+		}
+		return d.read(ctx, s, p.Decode, req, res)
+	}
+	began := time.Now()
+	kv, err := d.engines.Server(p.Prefill.Name, p.Prefill.Addr).Prefill(ctx, call)
+	if err != nil {
+		return d.failed(req, p.Prefill, placement.StagePrefill, err)
+	}
+	p.ReleasePrefill()
+	d.placer.Observe(placement.Observation{
+		Server: p.Prefill.Name, Stage: placement.StagePrefill, Tokens: j.Prompt - p.CachedTokens, Duration: time.Since(began),
+	})
+	for try := 0; ; try++ {
+		began = time.Now()
+		s, err := d.engines.Server(p.Decode.Name, p.Decode.Addr).Decode(ctx, call, &kv)
+		if err == nil {
+			d.placer.Observe(placement.Observation{Server: p.Decode.Name, Stage: placement.StageTransfer, Tokens: j.Prompt, Duration: time.Since(began)})
+			return d.read(ctx, s, p.Decode, req, res)
+		}
+		var imp *engine.ImportError
+		if ctx.Err() != nil || (errors.As(err, &imp) && imp.Gone) || try == importTries {
+			return d.failed(req, p.Decode, placement.StageTransfer, err)
+		}
+		_ = d.failed(req, p.Decode, placement.StageDecode, err)
+		p.ReleaseDecode()
+		next, perr := d.placer.PlaceDecode(ctx, d.snap, *req, p.Prefill)
+		if perr != nil {
+			return perr
+		}
+		p = next
+	}
+}
+
+// failed reports a failure to the placer and excludes a server that failed by itself.
+func (d *driver) failed(req *placement.Request, s *rules.Server, stage placement.Stage, err error) error {
+	var imp *engine.ImportError
+	var refused *engine.RefusedError
+	if errors.Is(err, context.Canceled) {
+		return err
+	}
+	if errors.As(err, &refused) {
+		return &refusedError{err}
+	}
+	d.placer.Observe(placement.Observation{Server: s.Name, Stage: stage, Failed: true})
+	if !errors.As(err, &imp) {
+		req.Exclude = append(req.Exclude, s.Name)
+	}
+	return err
+}
+
+// read takes the stream to its end.
+func (d *driver) read(ctx context.Context, s engine.Stream, server *rules.Server, req *placement.Request, res *Result) error {
+	defer s.Close()
+	if _, err := s.Next(); err != nil {
+		return d.failed(req, server, placement.StageDecode, err)
+	}
+	if res.First == 0 {
+		res.First = time.Since(res.Job.Arrived)
+	}
+	if timer, ok := ctx.Value(firstKey{}).(*time.Timer); ok {
+		timer.Stop()
+	}
+	began := time.Now()
+	if _, err := s.Next(); err != nil {
+		return d.failed(req, server, placement.StageDecode, err)
+	}
+	d.placer.Observe(placement.Observation{Server: server.Name, Stage: placement.StageDecode, Tokens: res.Job.Output - 1, Duration: time.Since(began)})
+	t := s.(*stream).t
+	res.Finished, res.Late, res.Tokens = time.Now(), t.late, t.tokens
+	return nil
+}
--- /dev/null
+++ b/test/bench/run.go
@@ -0,0 +1,442 @@
+package bench
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/boragecourse/boragecourse/internal/config"
+	"github.com/boragecourse/boragecourse/internal/host"
+	"github.com/boragecourse/boragecourse/internal/membership"
+	"github.com/boragecourse/boragecourse/internal/metrics"
+	"github.com/boragecourse/boragecourse/internal/placement"
+	"github.com/boragecourse/boragecourse/internal/rules"
+	"github.com/boragecourse/boragecourse/test/baseline"
+	"github.com/boragecourse/boragecourse/test/standin/memnet"
+)
+
+// Fault is what goes wrong in a run.
+type Fault string
+
+// Faults.
+const (
+	NoFault    Fault = "none"
+	ServerLost Fault = "server-lost"
+	DaemonLost Fault = "daemon-lost"
+	ZoneCut    Fault = "zone-cut"
+)
+
+// Reserving is the policy of internal/placement; the other policies are baselines.
+const Reserving baseline.Policy = "reserving"
+
+// Case is one run.
+type Case struct {
+	Fleet  Fleet
+	Policy baseline.Policy
+	Load   float64
+	Fault  Fault
+	Seed   uint64
+}
+
+// Outcome holds the measures of one run.
+type Outcome struct {
+	Fleet  string
+	Policy baseline.Policy
+	Load   float64
+	Fault  Fault
+	Seed   uint64
+	// Goodput is in requests per second within both targets, Bound the analytic upper bound of it.
+	Goodput, Bound float64
+	// Interactive is the goodput of the latency class alone.
+	Interactive float64
+	// Wasted is the part of prefill time whose result no decode took.
+	Wasted float64
+	// Worst is the smallest share of its entitlement that a workspace got.
+	Worst float64
+	// Offered, Refused and Lost count requests; Wrongful counts refusals of workspaces within their rate.
+	Offered, Refused, Lost, Wrongful int
+	// FirstP95 is the 95th percentile of the latency class's time to the first token, in milliseconds.
+	FirstP95 float64
+	// ControlBytes is the mean of bytes between hosts per host and second, reservations included.
+	ControlBytes float64
+	Shares       []float64
+	// Reasons and Metrics help to trace a missed target.
+	Reasons map[string]int
+	Metrics string
+}
+
+// viewer is a membership view that the run sets.
+type viewer struct {
+	mu    *sync.Mutex
+	epoch *membership.Epoch
+	self  host.ID
+}
+
+// Self implements membership.Viewer.
+func (v viewer) Self() host.ID { return v.self }
+
+// Epoch implements membership.Viewer.
+func (v viewer) Epoch() membership.Epoch {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return *v.epoch
+}
+
+// CanAdmit implements membership.Viewer.
+func (v viewer) CanAdmit(time.Time) error { return nil }
+
+// Reachable implements membership.Viewer.
+func (v viewer) Reachable(host.ID) bool { return true }
+
+// reader gives the snapshot of the run.
+type reader struct{ snap *config.Snapshot }
+
+// Current implements config.Reader.
+func (r reader) Current() *config.Snapshot { return r.snap }
+
+// KeyedRequestsAllowed implements config.Reader.
+func (r reader) KeyedRequestsAllowed(string) error { return nil }
+
+// run is the state of one case.
+type run struct {
+	c       Case
+	w       *World
+	net     *memnet.Network
+	snap    *config.Snapshot
+	random  *rand.Rand
+	start   time.Time
+	mu      sync.Mutex
+	epoch   membership.Epoch
+	hosts   []*runHost
+	results []Result
+	offered []int
+	buckets []float64
+	filled  time.Time
+	wg      sync.WaitGroup
+	metrics *metrics.Registry
+}
+
+type runHost struct {
+	id     host.ID
+	life   Lifecycle
+	cancel context.CancelFunc
+	ctx    context.Context
+	gone   bool
+}
+
+// Run runs one case. It must be called in a testing/synctest bubble.
+func Run(c Case) Outcome {
+	snap := c.Fleet.snapshot(c.Policy == baseline.Colocated)
+	r := &run{
+		c: c, w: newWorld(&c.Fleet, snap.Servers()), net: memnet.New(), snap: snap, start: time.Now(), metrics: metrics.New(),
+		random: rand.New(rand.NewPCG(c.Seed, 7)), epoch: membership.Epoch{Number: 1, Hosts: c.Fleet.Hosts},
+		offered: make([]int, len(Shares)), buckets: make([]float64, len(Shares)), filled: time.Now(),
+	}
+	zone := map[string]string{}
+	for _, h := range c.Fleet.Hosts {
+		zone[h.Addr] = h.Zone
+	}
+	r.net.SetDelay(func(from, to string) time.Duration {
+		if zone[from] == zone[to] {
+			return 100 * time.Microsecond
+		}
+		return c.Fleet.Latency
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go r.w.reporting(ctx)
+	for _, h := range c.Fleet.Hosts {
+		r.addHost(ctx, h)
+	}
+	go r.fault(ctx)
+	r.arrivals(ctx)
+	cancel()
+	r.wg.Wait()
+	o := r.outcome()
+	time.Sleep(settle)
+	return o
+}
+
+func (r *run) addHost(ctx context.Context, id host.ID) {
+	h := &runHost{id: id}
+	h.ctx, h.cancel = context.WithCancel(ctx)
+	engines := directory{r.w, id.Zone}
+	var placer placement.Placer
+	if r.c.Policy == Reserving {
+		node := r.net.Node(id.Addr)
+		s := placement.New(placement.Deps{
+			Viewer: viewer{&r.mu, &r.epoch, id}, Dialer: node, Config: reader{r.snap}, Engines: engines, Log: logr.Discard(), Metrics: r.metrics,
+		}, placement.Options{})
+		s.Register(node)
+		go func() { _ = s.Serve(h.ctx) }()
+		placer = s
+	} else {
+		b := baseline.New(r.c.Policy, engines)
+		go func() {
+			for h.ctx.Err() == nil {
+				b.Poll(h.ctx, r.snap)
+				time.Sleep(reportLag)
+			}
+		}()
+		placer = b
+	}
+	h.life = &driver{self: id, snap: r.snap, placer: placer, engines: engines}
+	r.hosts = append(r.hosts, h)
+}
+
+// fault injects the case's fault.
+func (r *run) fault(ctx context.Context) {
+	wait := func(d time.Duration) bool {
+		select {
+		case <-time.After(d):
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	if !wait(faultAt) {
+		return
+	}
+	switch r.c.Fault {
+	case ServerLost:
+		r.w.engines[r.c.Fleet.LostServer].kill()
+	case DaemonLost:
+		for _, h := range r.hosts {
+			if h.id.Name == r.c.Fleet.LostHost {
+				r.net.Node(h.id.Addr).SetDown(true)
+				h.cancel()
+				if wait(redirect) {
+					h.gone = true
+				}
+			}
+		}
+		if wait(epochDelay - redirect) {
+			r.mu.Lock()
+			left := slices.DeleteFunc(slices.Clone(r.epoch.Hosts), func(h host.ID) bool { return h.Name == r.c.Fleet.LostHost })
+			r.epoch = membership.Epoch{Number: 2, Hosts: left}
+			r.mu.Unlock()
+		}
+	case ZoneCut:
+		r.w.mu.Lock()
+		r.w.cutZone = r.c.Fleet.CutZone
+		r.w.mu.Unlock()
+		for _, a := range r.hosts {
+			for _, b := range r.hosts {
+				if a.id.Zone != b.id.Zone && a.id.Zone == r.c.Fleet.CutZone {
+					r.net.CutBoth(a.id.Addr, b.id.Addr)
+				}
+			}
+		}
+	case NoFault:
+	}
+}
+
+// arrivals starts jobs as a Poisson process until the run ends.
+func (r *run) arrivals(ctx context.Context) {
+	capacity := r.c.Fleet.Capacity(len(r.c.Fleet.Prefill), len(r.c.Fleet.Decode))
+	rates := demand(capacity, r.c.Load)
+	var total float64
+	for _, x := range rates {
+		total += x
+	}
+	for id := 0; ; id++ {
+		time.Sleep(time.Duration(r.random.ExpFloat64() / total * float64(time.Second)))
+		if time.Since(r.start) >= runLength {
+			return
+		}
+		workspace, x := 0, r.random.Float64()*total
+		for x > rates[workspace] && workspace < len(rates)-1 {
+			x -= rates[workspace]
+			workspace++
+		}
+		j := r.c.Fleet.newJob(r.random, workspace)
+		j.ID, j.Arrived, j.Host, j.InRate = id, time.Now(), r.random.IntN(len(r.hosts)), r.inRate(workspace, capacity)
+		h := r.hosts[j.Host]
+		for h.gone {
+			j.Host = (j.Host + 1) % len(r.hosts)
+			h = r.hosts[j.Host]
+		}
+		r.w.mu.Lock()
+		r.w.jobs[id] = j
+		r.w.mu.Unlock()
+		if time.Since(r.start) >= warmUp {
+			r.offered[workspace]++
+		}
+		r.wg.Go(func() {
+			res := h.life.Run(h.ctx, j)
+			if ctx.Err() == nil {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.results = append(r.results, res)
+			}
+		})
+	}
+}
+
+// settle is longer than every timeout, so that all goroutines of a run have ended after it.
+const settle = 5 * time.Second
+
+// burstSeconds is the burst of a workspace in seconds of its rate.
+const burstSeconds = 4
+
+// inRate takes one request from the workspace's bucket.
+func (r *run) inRate(workspace int, capacity float64) bool {
+	passed := time.Since(r.filled).Seconds()
+	r.filled = time.Now()
+	for i, s := range Shares {
+		r.buckets[i] = min(burstSeconds*s*capacity, r.buckets[i]+passed*s*capacity)
+	}
+	if time.Since(r.start) < burstSeconds*time.Second {
+		return true
+	}
+	if r.buckets[workspace] < 1 {
+		return false
+	}
+	r.buckets[workspace]--
+	return true
+}
+
+// outcome computes the measures over the time after the warm-up.
+func (r *run) outcome() Outcome {
+	c, window := r.c, (runLength - warmUp).Seconds()
+	o := Outcome{Fleet: c.Fleet.Name, Policy: c.Policy, Load: c.Load, Fault: c.Fault, Seed: c.Seed, Reasons: map[string]int{}}
+	good := make([]float64, len(Shares))
+	var firsts []float64
+	for _, res := range r.results {
+		if res.Good() && res.Finished.Sub(r.start) >= warmUp {
+			good[res.Job.Workspace]++
+			if res.Job.Class == rules.ClassLatency {
+				o.Interactive += 1 / window
+			}
+		}
+		if res.Job.Arrived.Sub(r.start) >= warmUp {
+			o.count(res)
+			if res.First > 0 && res.Job.Class == rules.ClassLatency {
+				firsts = append(firsts, float64(res.First)/float64(time.Millisecond))
+			}
+		}
+	}
+	entitled := r.entitlement()
+	o.Worst = math.Inf(1)
+	for i, n := range good {
+		o.Goodput += n / window
+		o.Bound += entitled[i]
+		o.Offered += r.offered[i]
+		share := n / window / entitled[i]
+		o.Shares = append(o.Shares, share)
+		o.Worst = min(o.Worst, share)
+	}
+	if r.w.prefill > 0 {
+		o.Wasted = max(0, 1-float64(r.w.used+r.pendingPrefill())/float64(r.w.prefill))
+	}
+	if slices.Sort(firsts); len(firsts) > 0 {
+		o.FirstP95 = firsts[len(firsts)*95/100]
+	}
+	var text strings.Builder
+	_, _ = r.metrics.WriteTo(&text)
+	o.Metrics = text.String()
+	_, bytes := r.net.Traffic()
+	o.ControlBytes = float64(bytes) / float64(len(r.hosts)) / runLength.Seconds()
+	return o
+}
+
+// count adds a request that was refused or lost.
+func (o *Outcome) count(res Result) {
+	if res.Refused {
+		o.Refused++
+		if res.Job.InRate {
+			o.Wrongful++
+		}
+	}
+	if res.Lost {
+		o.Lost++
+	}
+	if res.Refused || res.Lost {
+		o.Reasons[short(res.Reason)]++
+	}
+}
+
+// pendingPrefill is the prefill time whose KV cache still waited for its decode when the run ended.
+func (r *run) pendingPrefill() time.Duration {
+	var sum time.Duration
+	for _, x := range r.w.exports {
+		if x.expires.After(r.start.Add(runLength)) {
+			sum += x.cost
+		}
+	}
+	return sum
+}
+
+// short keeps the part of a message that is the same for all requests.
+func short(s string) string { return s[:min(len(s), 28)] }
+
+// entitlement is the max-min share of each workspace in requests per second, averaged over the time before and
+// after the fault. In a cut the two sides share their own servers among a part of the demand each.
+func (r *run) entitlement() []float64 {
+	f := &r.c.Fleet
+	window := runLength - warmUp
+	before := float64(faultAt-warmUp) / float64(window)
+	out := make([]float64, len(Shares))
+	addSide := func(weight, part float64, prefill, decode int) {
+		measured := make([]float64, len(Shares))
+		for i, n := range r.offered {
+			measured[i] = float64(n) / window.Seconds() * part
+		}
+		for i, x := range waterfill(measured, f.Capacity(prefill, decode)) {
+			out[i] += weight * x
+		}
+	}
+	prefill, decode := len(f.Prefill), len(f.Decode)
+	switch r.c.Fault {
+	case ServerLost:
+		addSide(before, 1, prefill, decode)
+		addSide(1-before, 1, prefill, decode-1)
+	case ZoneCut:
+		addSide(before, 1, prefill, decode)
+		in := func(zones []string) int {
+			n := 0
+			for _, z := range zones {
+				if z == f.CutZone {
+					n++
+				}
+			}
+			return n
+		}
+		part := 1 / float64(len(f.Hosts))
+		addSide(1-before, part, in(f.Prefill), in(f.Decode))
+		addSide(1-before, 1-part, prefill-in(f.Prefill), decode-in(f.Decode))
+	case NoFault, DaemonLost:
+		addSide(1, 1, prefill, decode)
+	}
+	return out
+}
+
+// waterfill divides a capacity by max-min fairness with Shares as weights.
+func waterfill(want []float64, capacity float64) []float64 {
+	out := make([]float64, len(want))
+	open := make([]int, len(want))
+	for i := range open {
+		open[i] = i
+	}
+	slices.SortFunc(open, func(a, b int) int {
+		if want[a]/Shares[a] < want[b]/Shares[b] {
+			return -1
+		}
+		return 1
+	})
+	weights := 0.0
+	for _, s := range Shares {
+		weights += s
+	}
+	for _, i := range open {
+		out[i] = min(want[i], capacity*Shares[i]/weights)
+		capacity -= out[i]
+		weights -= Shares[i]
+	}
+	return out
+}
