Predict waits by class, so that a queue of patient asks does not refuse the latency class

Cause: the predicted wait of a server counted the wait-class queue, which goes after the latency class; a trace at 1.5 times capacity shows nearly all latency requests refused with a prediction above 1 s. Change: loads carry the predicted waits of both classes.

--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -55,17 +55,18 @@
 	over := l.shares.Over(now, a.Workspace)
 	rank := b.rank(now, l)
 	mine := rank(a)
-	ahead := 0
+	ahead, work := 0, time.Duration(0)
 	for _, w := range l.waiting {
 		if mine.compare(rank(w)) >= 0 {
 			ahead++
+			work += w.Duration
 		}
 	}
 	if ahead == 0 && l.grantable(now, a, over) {
 		l.grant(now, a)
 		return Answer{ID: a.ID, Granted: true}, nil
 	}
-	wait := l.wait(now, ahead)
+	wait := l.wait(now, ahead, work)
 	if len(l.waiting) >= b.opt.ServerQueueLimit {
 		return Answer{ID: a.ID, QueueFull: true, RetryAfter: wait}, nil
 	}
@@ -132,16 +133,17 @@
 		}
 		rank := b.rank(now, l)
 		slices.SortStableFunc(l.waiting, func(x, y Ask) int { return rank(x).compare(rank(y)) })
-		kept := l.waiting[:0]
+		kept, work := l.waiting[:0], time.Duration(0)
 		for _, a := range l.waiting {
 			switch {
 			case b.Down || !a.Deadline.After(now):
-				out = append(out, Answer{ID: a.ID, RetryAfter: max(l.wait(now, len(kept)), time.Millisecond)})
+				out = append(out, Answer{ID: a.ID, RetryAfter: max(l.wait(now, len(kept), work), time.Millisecond)})
 			case l.grantable(now, a, l.shares.Over(now, a.Workspace)):
 				l.grant(now, a)
 				out = append(out, Answer{ID: a.ID, Granted: true})
 			default:
 				kept = append(kept, a)
+				work += a.Duration
 			}
 		}
 		l.waiting = kept
@@ -173,9 +175,12 @@
 
 // Load is what a chooser needs to know of a server.
 type Load struct {
-	Slots, Busy, Waiting  int
-	SlotWait, PrefillWait time.Duration
-	Down                  bool
+	Slots, Busy, Waiting int
+	// SlotWait and PrefillWait are the predicted waits of a new ask of the latency class, SlotQueue and PrefillQueue
+	// those of a patient one, which goes behind it.
+	SlotWait, PrefillWait   time.Duration
+	SlotQueue, PrefillQueue time.Duration
+	Down                    bool
 }
 
 // Load returns the present load.
@@ -183,10 +188,13 @@
 	load := Load{Down: b.Down}
 	if l := b.lanes[StageDecode]; l != nil {
 		load.Slots, load.Busy, load.Waiting = l.slots, len(l.grants)+l.foreign, len(l.waiting)
-		load.SlotWait = l.slotWait(now, len(l.waiting)+1)
+		n, _ := l.queued(false)
+		load.SlotWait, load.SlotQueue = l.slotWait(now, n+1), l.slotWait(now, len(l.waiting)+1)
 	}
 	if l := b.lanes[StagePrefill]; l != nil {
-		load.PrefillWait = l.wait(now, len(l.waiting))
+		_, short := l.queued(false)
+		_, long := l.queued(true)
+		load.PrefillWait, load.PrefillQueue = l.wait(now, 0, short), l.wait(now, 0, long)
 	}
 	return load
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -44,6 +44,7 @@
 	blocks   []uint64
 	exclude  []string
 	zone     int
+	patient  bool
 	noPre    []*serverView
 	noDecode []*serverView
 	// fixed is the prefill server that holds the KV cache already.
@@ -70,7 +71,7 @@
 	}
 	for _, s := range m.both {
 		if q.takesPrefill(s) && q.takesDecode(s) {
-			v.consider(&best, v.prefillCandidate(s, q), decodeCandidate(s), q)
+			v.consider(&best, v.prefillCandidate(s, q), decodeCandidate(s, q), q)
 		}
 	}
 	return best
@@ -86,7 +87,7 @@
 	}
 	for _, s := range m.decode {
 		if q.takesDecode(s) {
-			bestDecode(dec, s)
+			bestDecode(dec, s, q)
 		}
 	}
 	if q.fixed != nil {
@@ -125,14 +126,14 @@
 	}
 	return candidate{
 		server: s, zone: s.zone, cached: cached, ok: true,
-		ready: s.prefillWait(q.now) + s.costs.Prefill(uncached(q.tokens, cached)),
+		ready: s.prefillWait(q.now, q.patient) + s.costs.Prefill(uncached(q.tokens, cached)),
 	}
 }
 
 func (v *view) bestPrefill(pre []candidate, s *serverView, q *query) {
 	best := &pre[s.zone]
 	// The cache can save at most the whole prompt, so a server that is too far behind needs no look-up.
-	if best.ok && s.prefillWait(q.now) >= best.ready {
+	if best.ok && s.prefillWait(q.now, q.patient) >= best.ready {
 		return
 	}
 	if c := v.prefillCandidate(s, q); !best.ok || c.ready < best.ready {
@@ -140,14 +141,14 @@
 	}
 }
 
-func decodeCandidate(s *serverView) candidate {
-	wait, load := s.slotWait()
+func decodeCandidate(s *serverView, q *query) candidate {
+	wait, load := s.slotWait(q.patient)
 	return candidate{server: s, zone: s.zone, ready: wait, load: load, ok: true}
 }
 
-func bestDecode(dec []candidate, s *serverView) {
+func bestDecode(dec []candidate, s *serverView, q *query) {
 	best := &dec[s.zone]
-	c := decodeCandidate(s)
+	c := decodeCandidate(s, q)
 	if !best.ok || c.ready < best.ready || (c.ready == best.ready && c.load < best.load) {
 		*best = c
 	}
--- a/internal/placement/grpc.go
+++ b/internal/placement/grpc.go
@@ -70,14 +70,17 @@
 	return &peerv1.ServerLoad{
 		Server: server, Slots: clampUint(int64(l.Slots)), Busy: clampUint(int64(l.Busy)), Waiting: clampUint(int64(l.Waiting)),
 		SlotWaitMicros: clampUint(l.SlotWait.Microseconds()), PrefillWaitMicros: clampUint(l.PrefillWait.Microseconds()), Down: l.Down,
+		SlotQueueMicros: clampUint(l.SlotQueue.Microseconds()), PrefillQueueMicros: clampUint(l.PrefillQueue.Microseconds()),
 	}
 }
 
 func fromProto(l *peerv1.ServerLoad) Load {
 	return Load{
 		Slots: int(l.GetSlots()), Busy: int(l.GetBusy()), Waiting: int(l.GetWaiting()), Down: l.GetDown(),
-		SlotWait:    time.Duration(l.GetSlotWaitMicros()) * time.Microsecond,
-		PrefillWait: time.Duration(l.GetPrefillWaitMicros()) * time.Microsecond,
+		SlotWait:     time.Duration(l.GetSlotWaitMicros()) * time.Microsecond,
+		PrefillWait:  time.Duration(l.GetPrefillWaitMicros()) * time.Microsecond,
+		SlotQueue:    time.Duration(l.GetSlotQueueMicros()) * time.Microsecond,
+		PrefillQueue: time.Duration(l.GetPrefillQueueMicros()) * time.Microsecond,
 	}
 }
 
--- a/internal/placement/lane.go
+++ b/internal/placement/lane.go
@@ -143,16 +143,23 @@
 	return ends[(missing-1)%len(ends)] + rounds*ends[len(ends)-1]
 }
 
-// wait predicts the wait of a new ask that has n waiting asks before it.
-func (l *lane) wait(now time.Time, ahead int) time.Duration {
+// wait predicts the wait of a new ask behind the given number of waiting asks and their durations.
+func (l *lane) wait(now time.Time, ahead int, work time.Duration) time.Duration {
 	if l.stage == StageDecode {
 		return l.slotWait(now, ahead+1)
 	}
-	sum := l.backlog(now)
-	for _, a := range l.waiting[:min(ahead, len(l.waiting))] {
-		sum += a.Duration
+	return l.backlog(now) + work
+}
+
+// queued returns the number and the durations of waiting asks, all of them or those of the latency class.
+func (l *lane) queued(all bool) (n int, work time.Duration) {
+	for _, a := range l.waiting {
+		if all || !a.Patient {
+			n++
+			work += a.Duration
+		}
 	}
-	return sum
+	return n, work
 }
 
 // grantable reports whether the ask can be granted now.
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -131,7 +131,7 @@
 }
 
 func (s *Service) attempt(ctx context.Context, snap *config.Snapshot, r Request, fixed *rules.Server) (*Placement, error) {
-	a := &attempt{s: s, snap: snap, r: r, q: query{tokens: r.PromptTokens, blocks: r.PrefixBlocks, exclude: r.Exclude}}
+	a := &attempt{s: s, snap: snap, r: r, q: query{tokens: r.PromptTokens, blocks: r.PrefixBlocks, exclude: r.Exclude, patient: r.Class == rules.ClassWait && fixed == nil}}
 	if r.Class != rules.ClassWait && fixed == nil {
 		a.last = r.Arrived.Add(s.opt.FirstToken)
 	}
@@ -197,7 +197,7 @@
 
 // try asks for the decode slot, then for the prefill. It reports whether another pair may be tried.
 func (a *attempt) try(ctx context.Context, p pair) (*Placement, bool) {
-	s, patient := a.s, a.r.Class == rules.ClassWait && a.q.fixed == nil
+	s, patient := a.s, a.q.patient
 	now := a.q.now
 	if a.decode == nil {
 		deadline := now.Add(s.opt.WaitRound)
@@ -279,11 +279,11 @@
 		return nil
 	}
 	prefillLoad := func(r *rules.Server) float64 {
-		wait := s.view.servers[r.Name].prefillWait(now) + time.Duration(s.own.get(r.Name, StagePrefill))*fallbackPrefill
+		wait := s.view.servers[r.Name].prefillWait(now, false) + time.Duration(s.own.get(r.Name, StagePrefill))*fallbackPrefill
 		return float64(wait) / float64(s.opt.FirstToken)
 	}
 	decodeLoad := func(r *rules.Server) float64 {
-		_, load := s.view.servers[r.Name].slotWait()
+		_, load := s.view.servers[r.Name].slotWait(false)
 		return load + s.ownLoad(StageDecode)(r)
 	}
 	prefill := fixed
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -35,8 +35,11 @@
 func (s *serverView) down(now time.Time) bool { return s.load.Down || s.downUntil.After(now) }
 
 // prefillWait predicts the wait for the prefill engine; a backlog shrinks as time passes.
-func (s *serverView) prefillWait(now time.Time) time.Duration {
+func (s *serverView) prefillWait(now time.Time, patient bool) time.Duration {
 	wait := s.load.PrefillWait + s.ownPrefill
+	if patient {
+		wait = s.load.PrefillQueue + s.ownPrefill
+	}
 	if wait <= 0 {
 		return 0
 	}
@@ -44,16 +47,20 @@
 }
 
 // slotWait predicts the wait for a decode slot and the share of slots in use.
-func (s *serverView) slotWait() (time.Duration, float64) {
+func (s *serverView) slotWait(patient bool) (time.Duration, float64) {
 	slots := s.load.Slots
 	if slots == 0 {
 		slots = max(s.rule.Slots, 1)
 	}
 	busy := s.load.Busy + s.ownBusy
-	if busy < slots && s.load.Waiting == 0 {
+	wait := s.load.SlotWait
+	if patient {
+		wait = s.load.SlotQueue
+	}
+	if busy < slots && wait == 0 {
 		return 0, float64(max(0, busy)) / float64(slots)
 	}
-	return max(s.load.SlotWait, time.Millisecond), 1
+	return max(wait, time.Millisecond), 1
 }
 
 // setLoad takes a newer load from the home host.
