Weigh cost samples by size and confirm foreign load twice

Cause: short prompts that waited behind a long one gave costs per token up to ten times too high, and one report that raced with a release added a whole prefill to the backlog; a trace shows late predictions of the prefill stage. Change: the weight of a sample falls with the square of its size; foreign work counts after two reports in a row. Also counters for late predictions and denied reservations by stage.

--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -17,8 +17,9 @@
 	// book predicts separately, so a faster sample says more about the cost than a slower one.
 	fasterWeight = 0.3
 	slowerWeight = 0.05
-	// minCostTokens is the least number of tokens that a sample needs; short ones measure mostly the fixed part.
-	minCostTokens = 64
+	// fullSampleTokens is the size of a sample with full weight. Short samples measure mostly waits and fixed costs,
+	// so their weight falls with the square of their size.
+	fullSampleTokens = 4096
 )
 
 // Costs are the learned costs of one server, in nanoseconds per token.
@@ -34,7 +35,7 @@
 	}
 }
 
-// Learn updates the costs by an observation. Failed ones and, for prefill and transfer, short ones say nothing.
+// Learn updates the costs by an observation. Failed ones say nothing.
 func (c *Costs) Learn(o Observation) {
 	if o.Failed || o.Tokens <= 0 || o.Duration <= 0 {
 		return
@@ -52,15 +53,16 @@
 }
 
 func learn(cost *float64, o Observation, base time.Duration) {
-	if o.Tokens < minCostTokens || o.Duration <= base {
+	if o.Duration <= base {
 		return
 	}
+	size := min(1, float64(o.Tokens)/fullSampleTokens)
 	sample := float64(o.Duration-base) / float64(o.Tokens)
 	weight := slowerWeight
 	if sample < *cost {
 		weight = fasterWeight
 	}
-	*cost += weight * (sample - *cost)
+	*cost += weight * size * size * (sample - *cost)
 }
 
 // Prefill predicts the prefill time of uncached tokens.
--- a/internal/placement/lane.go
+++ b/internal/placement/lane.go
@@ -74,8 +74,9 @@
 	grants  map[ReservationID]*grant
 	order   []ReservationID
 	waiting []Ask
-	foreign int
-	ratio   float64
+	// foreign is the engine's work that no reservation explains, unconfirmed what the last report alone says of it.
+	foreign, unconfirmed int
+	ratio                float64
 	// headSince is when the first prefill in order began; releases counts grants given back, for load reports.
 	headSince   time.Time
 	released    []time.Time
@@ -225,5 +226,7 @@
 			known++
 		}
 	}
-	l.foreign = max(0, count-known)
+	extra := max(0, count-known)
+	// A request that starts or ends while the report travels looks like foreign work once, but not twice.
+	l.foreign, l.unconfirmed = min(extra, l.unconfirmed), extra
 }
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -191,6 +191,11 @@
 		return false
 	}
 	over := a.q.now.Add(p.first).Sub(a.last)
+	stage := StagePrefill
+	if p.decode.ready > p.prefill.ready {
+		stage = StageDecode
+	}
+	a.s.metrics.Inc(metricLate, metrics.L("stage", string(stage)))
 	a.refusal = &DeadlineError{Predicted: a.q.now.Sub(a.r.Arrived) + p.first, RetryAfter: over}
 	return true
 }
@@ -212,7 +217,7 @@
 			Duration: p.hold,
 		}, nil)
 		if res == nil {
-			a.note(rep)
+			a.note(rep, StageDecode)
 			a.q.noDecode = append(a.q.noDecode, p.decode.server)
 			return nil, !patient || !rep.asked()
 		}
@@ -230,7 +235,7 @@
 		Tokens: a.r.PromptTokens, Start: now, Deadline: deadline, Duration: p.need,
 	}, a.r.PrefixBlocks)
 	if res == nil {
-		a.note(rep)
+		a.note(rep, StagePrefill)
 		a.q.noPre = append(a.q.noPre, p.prefill.server)
 		return nil, true
 	}
@@ -238,7 +243,8 @@
 }
 
 // note keeps the reason of a refusal for the caller.
-func (a *attempt) note(r reply) {
+func (a *attempt) note(r reply, stage Stage) {
+	a.s.metrics.Inc(metricDenied, metrics.L("stage", string(stage)), metrics.L("class", string(a.r.Class)))
 	switch {
 	case r.queueFull:
 		a.refusal = &QueueFullError{Waiting: a.s.opt.ServerQueueLimit, RetryAfter: r.retryAfter}
--- a/test/bench/bench_test.go
+++ b/test/bench/bench_test.go
@@ -13,6 +13,7 @@
 	full     = flag.Bool("placement.full", false, "run the whole placement bench and print its table")
 	jsonPath = flag.String("placement.json", "", "file for the rows of the whole bench as JSON")
 	seeds    = flag.Int("placement.seeds", 3, "number of seeds of the whole bench")
+	one      = flag.Float64("placement.load", 0, "run only this load, without faults")
 	trace    = flag.Bool("placement.trace", false, "print the reasons and shares of each run of the reserving policy")
 )
 
@@ -46,8 +47,11 @@
 	if !*full {
 		t.Skip("run by make bench")
 	}
-	faults := []Fault{NoFault, ServerLost, DaemonLost, ZoneCut}
-	rows := runAll(t, Matrix([]float64{0.7, 1.0, 1.5}, faults, *seeds))
+	faults, load := []Fault{NoFault, ServerLost, DaemonLost, ZoneCut}, []float64{0.7, 1.0, 1.5}
+	if *one > 0 {
+		faults, load = []Fault{NoFault}, []float64{*one}
+	}
+	rows := runAll(t, Matrix(load, faults, *seeds))
 	var text strings.Builder
 	if err := Table(&text, rows); err != nil {
 		t.Fatal(err)
