--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -131,7 +131,7 @@
 }
 
 func (s *Service) attempt(ctx context.Context, snap *config.Snapshot, r Request, fixed *rules.Server) (*Placement, error) {
-	a := &attempt{s: s, snap: snap, r: r, q: query{tokens: r.PromptTokens, blocks: r.PrefixBlocks, exclude: r.Exclude}}
+	a := &attempt{s: s, snap: snap, r: r, q: query{tokens: r.PromptTokens, blocks: r.PrefixBlocks, exclude: r.Exclude, patient: r.Class == rules.ClassWait && fixed == nil}}
 	if r.Class != rules.ClassWait && fixed == nil {
 		a.last = r.Arrived.Add(s.opt.FirstToken)
 	}
@@ -191,13 +191,18 @@
 		return false
 	}
 	over := a.q.now.Add(p.first).Sub(a.last)
+	stage := StagePrefill
+	if p.decode.ready > p.prefill.ready {
+		stage = StageDecode
+	}
+	a.s.metrics.Inc(metricLate, metrics.L("stage", string(stage)))
 	a.refusal = &DeadlineError{Predicted: a.q.now.Sub(a.r.Arrived) + p.first, RetryAfter: over}
 	return true
 }
 
 // try asks for the decode slot, then for the prefill. It reports whether another pair may be tried.
 func (a *attempt) try(ctx context.Context, p pair) (*Placement, bool) {
-	s, patient := a.s, a.r.Class == rules.ClassWait && a.q.fixed == nil
+	s, patient := a.s, a.q.patient
 	now := a.q.now
 	if a.decode == nil {
 		deadline := now.Add(s.opt.WaitRound)
@@ -212,7 +217,7 @@
 			Duration: p.hold,
 		}, nil)
 		if res == nil {
-			a.note(rep)
+			a.note(rep, StageDecode)
 			a.q.noDecode = append(a.q.noDecode, p.decode.server)
 			return nil, !patient || !rep.asked()
 		}
@@ -230,7 +235,7 @@
 		Tokens: a.r.PromptTokens, Start: now, Deadline: deadline, Duration: p.need,
 	}, a.r.PrefixBlocks)
 	if res == nil {
-		a.note(rep)
+		a.note(rep, StagePrefill)
 		a.q.noPre = append(a.q.noPre, p.prefill.server)
 		return nil, true
 	}
@@ -238,7 +243,8 @@
 }
 
 // note keeps the reason of a refusal for the caller.
-func (a *attempt) note(r reply) {
+func (a *attempt) note(r reply, stage Stage) {
+	a.s.metrics.Inc(metricDenied, metrics.L("stage", string(stage)), metrics.L("class", string(a.r.Class)))
 	switch {
 	case r.queueFull:
 		a.refusal = &QueueFullError{Waiting: a.s.opt.ServerQueueLimit, RetryAfter: r.retryAfter}
@@ -279,11 +285,11 @@
 		return nil
 	}
 	prefillLoad := func(r *rules.Server) float64 {
-		wait := s.view.servers[r.Name].prefillWait(now) + time.Duration(s.own.get(r.Name, StagePrefill))*fallbackPrefill
+		wait := s.view.servers[r.Name].prefillWait(now, false) + time.Duration(s.own.get(r.Name, StagePrefill))*fallbackPrefill
 		return float64(wait) / float64(s.opt.FirstToken)
 	}
 	decodeLoad := func(r *rules.Server) float64 {
-		_, load := s.view.servers[r.Name].slotWait()
+		_, load := s.view.servers[r.Name].slotWait(false)
 		return load + s.ownLoad(StageDecode)(r)
 	}
 	prefill := fixed
