Run the whole path: the daemon, its supervisors, drain and operator API

Cause: the parts were merged and nothing ran them together. The demo waits for an epoch with all hosts and for the first tokens, since buckets of a new fleet start empty.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -39,6 +39,8 @@
 	Router  *request.Router
 	Metrics *metrics.Registry
 	Log     logr.Logger
+	// NewID returns a new request id. Nil means a random one.
+	NewID func() string
 	// Ready returns nil while the host should get requests. Nil means that it always should.
 	Ready func() error
 	// MaxBodyBytes bounds request bodies. Default 8 MiB.
@@ -59,6 +61,9 @@
 	setDefault(&o.BodyTimeout, 30*time.Second)
 	setDefault(&o.IdleTimeout, 2*time.Minute)
 	setDefault(&o.StreamTimeout, 30*time.Minute)
+	if o.NewID == nil {
+		o.NewID = newID
+	}
 	if o.Ready == nil {
 		o.Ready = func() error { return nil }
 	}
@@ -136,7 +141,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		x := &exchange{handler: h, r: r, sink: newSink(w)}
 		x.in = &request.Input{
-			ID: newID(), Method: r.Method, URL: r.URL, Header: r.Header, Arrived: time.Now(),
+			ID: h.NewID(), Method: r.Method, URL: r.URL, Header: r.Header, Arrived: time.Now(),
 			IdempotencyKey: r.Header.Get("Idempotency-Key"),
 		}
 		w.Header().Set("X-Request-Id", x.in.ID)
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,111 @@
+// Package daemon runs the parts of a host: listeners, supervisors, the operator API and the drain.
+package daemon
+
+import (
+	"fmt"
+	"net"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/grpc"
+
+	"github.com/boragecourse/boragecourse/internal/assembly"
+	"github.com/boragecourse/boragecourse/internal/engine/openai"
+	"github.com/boragecourse/boragecourse/internal/host"
+	"github.com/boragecourse/boragecourse/internal/membership"
+	"github.com/boragecourse/boragecourse/internal/metrics"
+	"github.com/boragecourse/boragecourse/internal/peer"
+	"github.com/boragecourse/boragecourse/internal/placement"
+	"github.com/boragecourse/boragecourse/internal/platform"
+	"github.com/boragecourse/boragecourse/internal/platform/etcd"
+	"github.com/boragecourse/boragecourse/internal/request"
+	"github.com/boragecourse/boragecourse/internal/settings"
+)
+
+// Daemon is one host's process: its parts, its listeners and its connections.
+type Daemon struct {
+	*assembly.Parts
+	settings settings.Daemon
+
+	store   *etcd.Store
+	pool    *peer.Pool
+	engines *openai.Directory
+
+	peers     *grpc.Server
+	listeners listeners
+	drainer   drainer
+}
+
+// listeners are open before any part runs, so that a wrong address fails the start.
+type listeners struct {
+	callers, peers, operators net.Listener
+}
+
+// New checks the settings, opens the listeners and builds the parts. Nothing runs before Run. Errors are
+// *settings.Error and *ListenError, and those of the store's adapter.
+func New(s settings.Daemon, log logr.Logger) (*Daemon, error) {
+	if err := s.Check(); err != nil {
+		return nil, fmt.Errorf("check settings: %w", err)
+	}
+	store, err := etcd.New(etcd.Options{Endpoints: s.Store})
+	if err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	d := &Daemon{settings: s, store: store, drainer: drainer{begin: make(chan string, 1)}}
+	d.pool = peer.NewPool(s.PeerSecret, nil)
+	reg := metrics.New()
+	d.engines = openai.NewDirectory(openai.Settings{}, reg)
+	d.Parts, err = assembly.New(assembly.Environment{
+		Self:  host.ID{Name: s.Name, Addr: s.AdvertisePeers, Zone: s.Zone, Incarnation: host.NewIncarnation()},
+		Store: store, Hosts: platform.NewHostList(store), Dialer: d.pool, Engines: d.engines, Metrics: reg, Log: log,
+		Timing: timing(s), TrustPeriod: s.TrustPeriod,
+		Placement: placement.Options{FirstToken: s.FirstTokenTarget},
+		Request:   request.Settings{DefaultMaxOutput: s.DefaultMaxOutput},
+	})
+	if err != nil {
+		return nil, err
+	}
+	d.peers = peer.NewServer(s.PeerSecret, nil)
+	d.Register(d.peers)
+	return d, d.listen()
+}
+
+func timing(s settings.Daemon) membership.Timing {
+	t := membership.DefaultTiming()
+	t.Heartbeat, t.LeaseTTL, t.Isolation = s.HeartbeatInterval, s.LeaseTTL, s.IsolationLimit
+	return t
+}
+
+func (d *Daemon) listen() error {
+	for _, l := range []struct {
+		into *net.Listener
+		addr string
+	}{
+		{&d.listeners.callers, d.settings.ListenCallers},
+		{&d.listeners.peers, d.settings.ListenPeers},
+		{&d.listeners.operators, d.settings.ListenOperators},
+	} {
+		opened, err := net.Listen("tcp", l.addr)
+		if err != nil {
+			d.closeListeners()
+			return &ListenError{Addr: l.addr, Cause: err}
+		}
+		*l.into = opened
+	}
+	return nil
+}
+
+func (d *Daemon) closeListeners() {
+	for _, l := range []net.Listener{d.listeners.callers, d.listeners.peers, d.listeners.operators} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// ready reports why this host should get no traffic, or nil.
+func (d *Daemon) ready() error {
+	if d.drainer.started() {
+		return &assembly.NotReadyError{Reason: "draining"}
+	}
+	return d.Ready()
+}
--- a/internal/placement/poll.go
+++ b/internal/placement/poll.go
@@ -152,6 +152,10 @@
 		return
 	}
 	for _, h := range held {
+		// Work without a host was not started by any daemon; other clients may share the engine.
+		if h.Host == "" {
+			continue
+		}
 		reason := s.deadReason(OwnerID{Host: h.Host, Incarnation: h.Incarnation})
 		if reason == "" {
 			continue
--- a/test/benchpath/main.go
+++ b/test/benchpath/main.go
@@ -18,8 +18,10 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/boragecourse/boragecourse/internal/engine/openai"
 	"github.com/boragecourse/boragecourse/test/loopback"
 )
 
@@ -30,6 +32,8 @@
 	runTimeout = 2 * time.Minute
 	// warmUp streams open the connections before anything is measured.
 	warmUp = 32
+	// spacing between arrivals. The streams last for 3 s, so all are open together after the last arrival.
+	spacing = 5 * time.Millisecond
 	// rounds of each path alternate, so that both meet the same state of the machine.
 	rounds = 5
 	// maxAddedMillis and maxStreamBytes are the targets of the design page.
@@ -47,6 +51,9 @@
 	}
 }
 
+// attempts numbers direct calls.
+var attempts atomic.Int64
+
 // fleet is one engine, one daemon and the store.
 type fleet struct {
 	procs                                    *loopback.Processes
@@ -69,6 +76,12 @@
 	http.DefaultTransport.(*http.Transport).MaxIdleConnsPerHost = streams
 	var direct, routed []time.Duration
 	var perStream int64
+	if err := loopback.Await(ctx, "tokens", func() error {
+		_, err := stream(ctx, f.callers, 0, func() {})
+		return err
+	}); err != nil {
+		return err
+	}
 	measure(ctx, f.engine, warmUp, nil)
 	measure(ctx, f.callers, warmUp, nil)
 	for range rounds {
@@ -114,7 +127,7 @@
 	starts := [][]string{
 		{"platform", "standin-platform", "--listen=" + f.store},
 		{"engine", "standin-engine", "--listen=" + f.engine, "--name=keeper-1", "--role=both", "--slots=2000", "--pieces=100000",
-			"--prefill-token=100us", "--output-token=20ms", "--natural-tokens=40"},
+			"--prefill-token=1us", "--output-token=20ms", "--natural-tokens=150"},
 		{"daemon", "boragecoursed", "--name=entry-1", "--zone=piran-a", "--store=" + f.store, "--listen-callers=" + f.callers,
 			"--listen-peers=" + f.peers, "--listen-operators=" + f.operators, "--peer-secret=0123456789abcdef",
 			"--operator-credential-sha256=" + hex.EncodeToString(sum[:])},
@@ -149,7 +162,7 @@
 `, hex.EncodeToString(sum[:]), f.engine, model, model)
 }
 
-// measure opens the streams at once and returns the times to their first tokens. opened runs once, when every
+// measure opens the streams one after the other and returns the times to their first tokens. opened runs once, when every
 // stream has its first token.
 func measure(ctx context.Context, addr string, streams int, opened func()) []time.Duration {
 	var mu sync.Mutex
@@ -157,6 +170,7 @@
 	var first, all sync.WaitGroup
 	first.Add(streams)
 	for i := range streams {
+		time.Sleep(spacing)
 		all.Go(func() {
 			d, err := stream(ctx, addr, i, first.Done)
 			if err != nil {
@@ -186,7 +200,7 @@
 		}
 	}
 	defer report()
-	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":40,"messages":[{"role":"user","content":"%d %s"}]}`,
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":150,"messages":[{"role":"user","content":"%d %s"}]}`,
 		model, n, strings.Repeat("tide ", 40))
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
@@ -194,6 +208,8 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Authorization", "Bearer "+key)
+	// The engine needs attempt ids of its own for direct calls; the router sets its own.
+	req.Header.Set(openai.HeaderAttempt, fmt.Sprintf("direct-%d", attempts.Add(1)))
 	start := time.Now()
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -101,6 +101,9 @@
 }
 
 func (d *demo) apply() error {
+	if err := loopback.Await(d.ctx, "an epoch with all hosts", d.epochHasAllHosts); err != nil {
+		return err
+	}
 	path := filepath.Join(d.procs.Logs, "fleet.rules")
 	if err := os.WriteFile(path, []byte(d.rulesText()), 0o600); err != nil {
 		return fmt.Errorf("write rules: %w", err)
@@ -120,8 +123,46 @@
 		}
 	}
 	out, err := d.tool("status")
+	if err != nil {
+		return err
+	}
 	fmt.Print(out)
-	return err
+	return d.awaitTokens()
+}
+
+// epochHasAllHosts reports whether every daemon is in the epoch of every other.
+func (d *demo) epochHasAllHosts() error {
+	out, err := d.tool("--output=json", "status")
+	if err != nil {
+		return err
+	}
+	var answers []struct{ Status *operatorapi.Status }
+	if err := json.Unmarshal([]byte(out), &answers); err != nil {
+		return fmt.Errorf("read status: %w", err)
+	}
+	for _, a := range answers {
+		if a.Status == nil || len(a.Status.Hosts) != len(d.hosts) {
+			return broken("a host does not see all hosts in the epoch")
+		}
+	}
+	return nil
+}
+
+// awaitTokens waits until each daemon admits requests. The buckets of a new fleet start empty and stay so until
+// no earlier grant can be in use.
+func (d *demo) awaitTokens() error {
+	for _, h := range d.hosts {
+		if err := loopback.Await(d.ctx, "tokens on "+h.name, func() error {
+			a := chat(d.ctx, h, "first request on "+h.name, d.key("inspectors"), "Ready?", 4, false)
+			if !a.whole {
+				return broken("%s: %s", a.label, a.code)
+			}
+			return nil
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (d *demo) key(name string) string {
--- a/test/demo/requests.go
+++ b/test/demo/requests.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -83,6 +84,10 @@
 }
 
 func errorCode(err error) string {
+	var apiErr *openai.Error
+	if errors.As(err, &apiErr) && apiErr.Code != "" {
+		return apiErr.Code
+	}
 	var body struct{ Code string }
 	raw := err.Error()
 	if i := strings.Index(raw, "{"); i >= 0 && json.NewDecoder(strings.NewReader(raw[i:])).Decode(&body) == nil && body.Code != "" {
