Replicate charges right after closing and tighten the tests

Replication ran up to one interval after closing, which the case of a dying holder showed as a flake. Change: the bound counts elapsed time and burst; closing a batch wakes the replication; tests now check that no key is written twice, that orphans are written before the time of silence, that copies are confirmed, that late copies are dropped, that a trace reads one page, that the write budget holds, and that a short pause keeps the claim.

--- a/internal/charge/figures_test.go
+++ b/internal/charge/figures_test.go
@@ -15,7 +15,7 @@
 )
 
 // Guards against store writes that grow with the number of charges, and against copies that take more than the
-// budget for traffic between hosts leaves for them. Logs the figures of docs/notes/charges.md.
+// budget for traffic between hosts leaves for them or are not confirmed. Logs the figures of docs/notes/charges.md.
 func TestFiguresOfBatching(t *testing.T) {
 	const seconds = 10
 	for _, perSecond := range []int{1, 10, 75, 1000} {
@@ -28,6 +28,10 @@
 			_, writes := f.store.Calls()
 			messages, sent := f.net.Traffic()
 			g.Expect(f.stored(g)).To(Equal(f.expected))
+			for _, h := range f.hosts {
+				_, copies := h.ledger.Pending()
+				g.Expect(copies).To(BeZero(), "copies that were never confirmed on %s", h.id.Name)
+			}
 			g.Expect(writes).To(BeNumerically("<=", seconds+3))
 			t.Logf("%4d records/s: %.2f store writes/s, %.1f peer messages/s, %.0f peer bytes/s before compression",
 				perSecond, float64(writes)/seconds, float64(messages)/seconds, float64(sent)/seconds)
--- a/internal/charge/fleet_test.go
+++ b/internal/charge/fleet_test.go
@@ -152,6 +152,18 @@
 	return counts
 }
 
+// mostWrites is the greatest number of times that a batch's key was written.
+func (f *fleet) mostWrites(g Gomega) int {
+	counts, most := map[string]int{}, 0
+	b := <-f.store.Client().Watch(f.ctx, keyPrefix, 0)
+	g.Expect(b.Err).NotTo(HaveOccurred())
+	for _, e := range b.Events {
+		counts[e.Key]++
+		most = max(most, counts[e.Key])
+	}
+	return most
+}
+
 // busy adds records on all hosts for a while.
 func (f *fleet) busy(d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
--- a/internal/charge/ledger.go
+++ b/internal/charge/ledger.go
@@ -93,6 +93,8 @@
 	suspects       map[host.ID]time.Time
 	copies         map[run]*copySet
 	copyBytes      int
+	// closed wakes the replication after a batch is closed.
+	closed chan struct{}
 }
 
 // batch is a closed batch. Its content never changes, so whoever writes it writes the same.
@@ -115,6 +117,7 @@
 		cfg: cfg.withDefaults(), store: store, dialer: dialer, viewer: viewer, metrics: m,
 		log: log.WithName("charge"), next: 1,
 		holders: map[host.ID]*holder{}, suspects: map[host.ID]time.Time{}, copies: map[run]*copySet{},
+		closed: make(chan struct{}, 1),
 	}
 }
 
@@ -185,6 +188,10 @@
 	l.unwrittenBytes += len(value)
 	l.openRecords, l.openBytes = nil, 0
 	l.next++
+	select {
+	case l.closed <- struct{}{}:
+	default:
+	}
 }
 
 // Pending returns the records of this host that are not known to be in the store, and the copies of batches held
@@ -207,29 +214,32 @@
 	group, ctx := errgroup.WithContext(ctx)
 	closing := func() time.Duration { return l.cfg.CloseInterval }
 	// Closing does not wait for replication, which may meet timeouts.
-	group.Go(func() error { return every(ctx, closing, l.closeBatch) })
-	group.Go(func() error { return every(ctx, closing, func() { l.replicate(ctx) }) })
+	group.Go(func() error { return every(ctx, closing, nil, l.closeBatch) })
+	group.Go(func() error { return every(ctx, closing, l.closed, func() { l.replicate(ctx) }) })
 	group.Go(func() error {
-		return every(ctx, l.writeInterval, func() {
+		return every(ctx, l.writeInterval, nil, func() {
 			l.writeOwn(ctx, roundTransactions)
 			l.confirm(ctx)
 			l.setGauges()
 		})
 	})
 	group.Go(func() error {
-		return every(ctx, func() time.Duration { return l.cfg.EpochInterval }, func() { l.writeOrphans(ctx) })
+		return every(ctx, func() time.Duration { return l.cfg.EpochInterval }, nil, func() { l.writeOrphans(ctx) })
 	})
 	return group.Wait()
 }
 
-// every calls f after each interval until ctx ends.
-func every(ctx context.Context, interval func() time.Duration, f func()) error {
+// every calls f after each interval, and earlier when wake receives, until ctx ends.
+func every(ctx context.Context, interval func() time.Duration, wake <-chan struct{}, f func()) error {
 	for {
 		timer := time.NewTimer(interval())
 		select {
 		case <-ctx.Done():
 			timer.Stop()
 			return ctx.Err()
+		case <-wake:
+			timer.Stop()
+			f()
 		case <-timer.C:
 			f()
 		}
--- a/internal/charge/ledger_test.go
+++ b/internal/charge/ledger_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/boragecourse/boragecourse/internal/metrics"
 	"github.com/boragecourse/boragecourse/internal/platform"
+	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
 )
 
 // Guards against records that are lost or written twice. Each case ends with every record in the store once and no
@@ -66,6 +67,9 @@
 			f.hosts[0].kill()
 			f.exclude(f.hosts[0].id)
 			f.storeDown(false)
+			// The epoch shows that the host is gone, so nobody waits for the time of silence.
+			time.Sleep(5 * time.Second)
+			g.Expect(f.stored(g)).To(Equal(f.expected))
 		},
 		"confirmations are lost": func(_ Gomega, f *fleet) {
 			f.busy(time.Second)
@@ -82,6 +86,7 @@
 				fault(g, f)
 				time.Sleep(2 * time.Minute)
 				g.Expect(f.stored(g)).To(Equal(f.expected))
+				g.Expect(f.mostWrites(g)).To(Equal(1))
 				for _, h := range f.hosts {
 					g.Expect(h.m.Count("charge_conflicts_total")).To(BeZero())
 					if _, copies := h.ledger.Pending(); !h.dead {
@@ -152,6 +157,7 @@
 		time.Sleep(300 * time.Millisecond)
 		g.Expect(trace(0, first).Rule.Who).To(Equal("ana"))
 		f.busy(30 * time.Second)
+		recent := f.add(0, 1)
 		want := record(long)
 		f.hosts[0].ledger.Add(want)
 		time.Sleep(5 * time.Second)
@@ -160,6 +166,9 @@
 		g.Expect(trace(3, first).RequestID).To(Equal(first))
 		after, _ := f.store.Calls()
 		g.Expect(after - reads).To(BeNumerically("<=", 12))
+		g.Expect(trace(3, recent).RequestID).To(Equal(recent))
+		last, _ := f.store.Calls()
+		g.Expect(last - after).To(Equal(int64(1)))
 
 		var missing *NotFoundError
 		_, err := f.hosts[3].ledger.Trace(f.ctx, f.hosts[0].ledger.NewRequestID())
@@ -221,6 +230,22 @@
 	})
 }
 
+// Guards against a copy that arrives after its confirmation and is then kept for ever.
+func TestLateCopyIsNotKept(t *testing.T) {
+	bubble(t, Config{}, func(g Gomega, f *fleet) {
+		l, from := f.hosts[2].ledger, f.hosts[0].id.Proto()
+		_, err := l.Confirm(f.ctx, &peerv1.ConfirmRequest{Host: from, WrittenThrough: 5})
+		g.Expect(err).NotTo(HaveOccurred())
+		for sequence := range uint64(7) {
+			batch := &peerv1.ChargeBatch{Host: from, Sequence: sequence + 1}
+			_, err := l.Replicate(f.ctx, &peerv1.ReplicateRequest{Batch: batch})
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		_, copies := l.Pending()
+		g.Expect(copies).To(Equal(2))
+	})
+}
+
 // Guards against a drain that leaves records behind, and against one that says nothing when it has to.
 func TestFlushOnDrain(t *testing.T) {
 	bubble(t, Config{}, func(g Gomega, f *fleet) {
@@ -251,9 +276,10 @@
 		f.busy(2 * time.Minute)
 		f.storeDown(false)
 		_, before = f.store.Calls()
-		time.Sleep(5 * time.Second)
+		time.Sleep(1100 * time.Millisecond)
 		_, after = f.store.Calls()
-		g.Expect(after - before).To(BeNumerically("<=", 4*5*roundTransactions))
+		// Four hosts, at most two rounds in this time, four transactions a round.
+		g.Expect(after - before).To(BeNumerically("<=", 4*2*4))
 		time.Sleep(time.Minute)
 		f.expected["bad\uFFFD"]++
 		g.Expect(f.stored(g)).To(Equal(f.expected))
--- a/internal/claim/coordinator_test.go
+++ b/internal/claim/coordinator_test.go
@@ -129,7 +129,12 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		f.mustClaim(g, 1, "asked", "c")
 		as[*GivenUpError](g, asked.Dispatching(), outcome.NotRun)
-		_, _, err = f.claim(0, "asked", "d")
+
+		// A short pause costs nobody the attempt.
+		quick, _, err := f.claim(0, "quick", "d")
+		g.Expect(err).NotTo(HaveOccurred())
+		time.AfterFunc(100*time.Millisecond, func() { g.Expect(quick.Dispatching()).To(Succeed()) })
+		_, _, err = f.claim(1, "quick", "e")
 		as[*InProgressError](g, err, outcome.Unknown)
 	})
 }
--- a/internal/claim/figures_test.go
+++ b/internal/claim/figures_test.go
@@ -29,6 +29,7 @@
 			var wg sync.WaitGroup
 			var mu sync.Mutex
 			var latency time.Duration
+			began := time.Now()
 			for i := range seconds * perSecond {
 				wg.Go(func() {
 					start := time.Now()
@@ -48,7 +49,8 @@
 			_, writes := f.store.Calls()
 			t.Logf("%d hosts, %4d calls/s: %.0f store writes/s, mean latency of a claim %v", hosts, perSecond,
 				float64(writes)/seconds, (latency / time.Duration(seconds*perSecond)).Round(10*time.Microsecond))
-			g.Expect(float64(writes) / seconds).To(BeNumerically("<=", min(2*float64(perSecond), 200)+10))
+			paced := 200*time.Since(began).Seconds() + float64(burst*hosts)
+			g.Expect(float64(writes)).To(BeNumerically("<=", min(float64(2*perSecond*seconds), paced)))
 		})
 	}
 }
