Check confirmations and acknowledgements against their claims

An acknowledgement now also looks at the previous epoch, and needs every host where the previous epoch was not seen. Faults in the service tests are set while no goroutine is active.

--- a/internal/config/chunk_test.go
+++ b/internal/config/chunk_test.go
@@ -102,9 +102,9 @@
 	b := newBlobs()
 	var corrupt *CorruptError
 	for _, err := range []error{
-		b.add(hashOf("x"), "y"),
+		b.add(hashOf("# x\n"), "# y\n"),
 		b.add(hashOf("no rule\n"), "no rule\n"),
-		b.addIndex(hashOf("x"), "y"),
+		b.addIndex(hashOf("x"), indexHeader),
 		b.addIndex(hashOf("x"), "x"),
 		b.addIndex(hashOf(indexHeader+"x"), indexHeader+"x"),
 	} {
--- a/internal/config/cluster_test.go
+++ b/internal/config/cluster_test.go
@@ -108,9 +108,10 @@
 	}
 }
 
-// start runs a daemon on a host, as a new incarnation when there was one before.
-func (c *cluster) start(name string) *node {
-	n := &node{c: c, store: c.store.Client(), done: make(chan struct{})}
+// start runs a daemon on a host, as a new incarnation when there was one before. Faults that must hold from its
+// first call on are set by before.
+func (c *cluster) start(name string, before ...func(*node)) *node {
+	n := &node{c: c, store: c.store.Client()}
 	n.id = host.ID{Name: name, Addr: "10.0.0." + name + ":7", Zone: name[:1], Incarnation: 1}
 	if old := c.nodes[name]; old != nil {
 		n.id.Incarnation = old.id.Incarnation + 1
@@ -126,13 +127,21 @@
 		OnInstall:   func(_, s *config.Snapshot) { n.installs = append(n.installs, s.Generation) },
 	})
 	n.svc.Register(c.net.Node(n.id.Addr))
+	for _, f := range before {
+		f(n)
+	}
+	n.run()
+	return n
+}
+
+func (n *node) run() {
 	var ctx context.Context
-	ctx, n.stop = context.WithCancel(c.t.Context())
+	ctx, n.stop = context.WithCancel(n.c.t.Context())
+	n.done = make(chan struct{})
 	go func() {
 		defer close(n.done)
 		_ = n.svc.Serve(ctx)
 	}()
-	return n
 }
 
 func (n *node) kill() {
@@ -160,8 +169,10 @@
 	c.Expect(err).NotTo(HaveOccurred())
 }
 
-// partition cuts the links between two groups of hosts.
+// partition cuts the links between two groups of hosts. Like the other faults it waits until no goroutine is
+// active, so that the order of a test's faults and the hosts' calls is the same in each run.
 func (c *cluster) partition(a, b []string) {
+	synctest.Wait()
 	for _, x := range a {
 		for _, y := range b {
 			p, q := c.nodes[x].id.Addr, c.nodes[y].id.Addr
@@ -174,6 +185,7 @@
 }
 
 func (c *cluster) heal() {
+	synctest.Wait()
 	c.net.HealAll()
 	c.mu.Lock()
 	clear(c.cut)
@@ -182,6 +194,7 @@
 
 // outage cuts the named hosts from the store, or ends that.
 func (c *cluster) outage(down bool, names ...string) {
+	synctest.Wait()
 	for _, name := range names {
 		c.nodes[name].store.SetDown(down)
 	}
--- a/internal/config/machine.go
+++ b/internal/config/machine.go
@@ -156,10 +156,10 @@
 	}
 }
 
-// install reports that a head is in use. It returns false when the head is not newer than the installed one.
-func (m *machine) install(h Head) bool {
+// install reports that a head is in use. A head that is not newer than the installed one changes nothing.
+func (m *machine) install(h Head) {
 	if h.Generation <= m.installed.Generation {
-		return false
+		return
 	}
 	m.installed = h
 	m.announced(h)
@@ -171,7 +171,6 @@
 		m.state(m.pendingStore, true)
 		m.pendingStore = statement{}
 	}
-	return true
 }
 
 // bootstrapWait is how long a new daemon without an answer from the store collects replies of its peers before it
@@ -212,20 +211,28 @@
 // acknowledged reports whether a change counts as in force by majority: a majority of the epoch holds it, and no
 // majority of the epoch before could still confirm itself without it. Hosts that left an epoch provably stopped.
 // The change was committed under the given epoch, so an older view does not count.
+//
+// Epochs before the previous one need no check as long as a new epoch is proposed only once a majority of the hosts
+// of the epoch before the present one know the present one: a majority of those older hosts then contains one that
+// tells the others of the newer epoch. A host that did not see the previous epoch needs every host to hold the
+// change.
 func (m *machine) acknowledged(committedUnder uint64, holds holders) bool {
 	if m.epoch.Number < committedUnder {
 		return false
 	}
-	n := 0
+	lacking := 0
 	for _, h := range m.epoch.Hosts {
-		if holds(h) {
-			n++
+		if !holds(h) {
+			lacking++
 		}
 	}
-	if n < majority(len(m.epoch.Hosts)) {
+	if len(m.epoch.Hosts)-lacking < majority(len(m.epoch.Hosts)) {
 		return false
 	}
-	lacking := 0
+	if m.epoch.Number > 1 && m.previous.Number != m.epoch.Number-1 {
+		return lacking == 0
+	}
+	lacking = 0
 	for _, h := range m.previous.Hosts {
 		if m.epoch.Contains(h) && !holds(h) {
 			lacking++
--- a/internal/config/push.go
+++ b/internal/config/push.go
@@ -141,13 +141,13 @@
 		st := HostStatus{Host: id, Installed: p.answers[id.String()], InForce: holds(id)}
 		if id.Name == s.m.self.Name {
 			st.Installed, st.Reachable = s.m.installed.Generation, true
+			r.InForce = r.InForce && st.InForce
 		} else {
 			failed, tried := p.failed[id.Name]
 			st.Reachable = tried && !failed || s.o.Viewer.Reachable(id)
 			// Until the first push ends, it is not known whether the host is out of reach.
 			r.InForce = r.InForce && (st.InForce || tried && !st.Reachable)
 		}
-		r.InForce = r.InForce && (st.InForce || !st.Reachable)
 		r.Hosts = append(r.Hosts, st)
 	}
 	return r
--- a/internal/config/service_test.go
+++ b/internal/config/service_test.go
@@ -222,9 +222,11 @@
 		time.Sleep(config.DefaultTrustPeriod)
 		// d1 and e1 join without ever reading the store's head and hear only c1.
 		for _, name := range []string{"d1", "e1"} {
-			c.start(name).store.SetDown(true)
+			c.start(name, func(n *node) {
+				n.store.SetDown(true)
+				c.partition([]string{name}, []string{"a1", "b1"})
+			})
 		}
-		c.partition([]string{"d1", "e1"}, []string{"a1", "b1"})
 		c.newEpoch("a1", "b1", "c1", "d1", "e1")
 		for range 100 {
 			time.Sleep(97 * time.Millisecond)
@@ -300,12 +302,18 @@
 // Guards against a missed head after a gap in the watch, and against a head that the store lost.
 func TestWatchGapAndStoreLoss(t *testing.T) {
 	bubble(t, []string{"a1", "b1"}, func(c *cluster) {
-		c.apply("a1", 0, "k1")
+		time.Sleep(2 * time.Second)
+		c.Expect(c.nodes["a1"].svc.KeyedRequestsAllowed("s")).NotTo(Succeed(), "there is no configuration")
 		c.partition([]string{"a1"}, []string{"b1"})
+		time.Sleep(2100 * time.Millisecond)
+		go func() { c.apply("a1", 0, "k1") }()
+		time.Sleep(20 * time.Millisecond)
+		c.Expect(c.nodes["b1"].svc.Generation()).To(Equal(uint64(1)), "by the watch alone")
+		time.Sleep(10 * time.Second)
 		c.store.BreakWatches()
 		c.apply("a1", 1, "k2")
 		time.Sleep(time.Second)
-		c.Expect(c.nodes["b1"].svc.Generation()).To(Equal(uint64(2)))
+		c.Expect(c.nodes["b1"].svc.Generation()).To(Equal(uint64(2)), "after a gap in the watch")
 
 		kv, _, err := c.admin.Get(c.t.Context(), config.HeadKey)
 		c.Expect(err).NotTo(HaveOccurred())
@@ -341,3 +349,89 @@
 		c.Expect(text).To(Equal(file("k", "dx")))
 	})
 }
+
+// Guards against an acknowledgement that counts the hosts of an epoch that ended before the commit.
+func TestCommitUnderANewerEpoch(t *testing.T) {
+	bubble(t, []string{"a1", "b1", "c1"}, func(c *cluster) {
+		c.apply("a1", 0, "k1")
+		a := c.nodes["a1"]
+		stale := c.epoch
+		a.epoch = &stale
+		a.store.SetDelay(10 * time.Millisecond)
+		go func() {
+			// After the epoch is read and before the commit.
+			time.Sleep(25 * time.Millisecond)
+			c.newEpoch("a1", "b1", "c1")
+		}()
+		r := c.apply("a1", 1, "k2")
+		c.Expect(r.InForce).To(BeFalse())
+		c.mu.Lock()
+		a.epoch = nil
+		c.mu.Unlock()
+		c.Expect(a.svc.Distribution(c.t.Context()).InForce).To(BeTrue())
+		// Another daemon cannot tell which epoch counts while the store is down.
+		c.Expect(c.nodes["b1"].svc.Distribution(c.t.Context()).InForce).To(BeTrue())
+		c.outage(true, "b1")
+		c.Expect(c.nodes["b1"].svc.Distribution(c.t.Context()).InForce).To(BeFalse())
+	})
+}
+
+// Guards against "in force" while a host that others can reach does not answer the push.
+func TestReachableHostMustInstall(t *testing.T) {
+	bubble(t, []string{"a1", "b1", "c1"}, func(c *cluster) {
+		c.net.Node(c.nodes["c1"].id.Addr).SetDown(true)
+		r := c.apply("a1", 0, "k1")
+		c.Expect(r.InForce).To(BeFalse())
+		c.Expect(r.Hosts[2].Reachable).To(BeTrue())
+		c.Expect(inForce(r)).To(Equal([]string{"a1", "b1"}))
+
+		// Membership lost contact, but a slow answer is still on its way.
+		c.start("c1")
+		c.newEpoch("a1", "b1", "c1")
+		time.Sleep(2 * time.Second)
+		c.partition([]string{"a1"}, []string{"c1"})
+		c.net.HealAll()
+		c.net.SetDelay(func(_, to string) time.Duration {
+			if to == c.nodes["c1"].id.Addr {
+				return 100 * time.Millisecond
+			}
+			return time.Millisecond
+		})
+		r = c.apply("a1", 1, "k2")
+		c.Expect(r.InForce).To(BeTrue())
+		c.Expect(inForce(r)).To(Equal([]string{"a1", "b1", "c1"}))
+	})
+}
+
+// Guards against a restart of the service inside the daemon that loses the snapshot or stops following the head.
+func TestServeAgainKeepsTheSnapshot(t *testing.T) {
+	bubble(t, []string{"a1", "b1"}, func(c *cluster) {
+		c.apply("a1", 0, "k1")
+		b := c.nodes["b1"]
+		b.stop()
+		<-b.done
+		c.Expect(b.svc.Generation()).To(Equal(uint64(1)))
+		b.run()
+		c.apply("a1", 1, "k2")
+		c.Expect(b.installs).To(Equal([]uint64{1, 2}))
+	})
+}
+
+// Guards against a heartbeat's hint of a newer generation that waits for the next poll.
+func TestHintAsksAtOnce(t *testing.T) {
+	bubble(t, []string{"a1", "b1", "c1"}, func(c *cluster) {
+		c.apply("a1", 0, "k1")
+		time.Sleep(2100 * time.Millisecond)
+		c.outage(true, "b1")
+		c.partition([]string{"a1"}, []string{"b1"})
+		go func() { _, _ = c.nodes["a1"].svc.Apply(c.t.Context(), 1, file("k2")) }()
+		time.Sleep(20 * time.Millisecond)
+		b := c.nodes["b1"].svc
+		b.HintGeneration(c.nodes["c1"].id, 1)
+		time.Sleep(20 * time.Millisecond)
+		c.Expect(b.Generation()).To(Equal(uint64(1)))
+		b.HintGeneration(c.nodes["c1"].id, 2)
+		time.Sleep(20 * time.Millisecond)
+		c.Expect(b.Generation()).To(Equal(uint64(2)))
+	})
+}
