Keep two slots for the latency class and choose the prefill server after the wait

Change: two kept slots, counted in the predicted wait; patient prefills are granted behind 5 ms of backlog while the latency class is active; the prefill server is chosen again after a wait for the slot.

--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -189,7 +189,7 @@
 	if l := b.lanes[StageDecode]; l != nil {
 		load.Slots, load.Busy, load.Waiting = l.slots, len(l.grants)+l.foreign, len(l.waiting)
 		n, _ := l.queued(false)
-		load.SlotWait, load.SlotQueue = l.slotWait(now, n+1), l.slotWait(now, len(l.waiting)+1)
+		load.SlotWait, load.SlotQueue = l.slotWait(now, n+1), l.slotWait(now, len(l.waiting)+1+l.kept(now))
 	}
 	if l := b.lanes[StagePrefill]; l != nil {
 		_, short := l.queued(false)
--- a/internal/placement/lane.go
+++ b/internal/placement/lane.go
@@ -166,14 +166,17 @@
 // grantable reports whether the ask can be granted now.
 func (l *lane) grantable(now time.Time, a Ask, over bool) bool {
 	if l.stage == StagePrefill {
+		if a.Patient && l.kept(now) > 0 {
+			return l.backlog(now) <= l.opt.PrefillAhead/8
+		}
 		return l.backlog(now) <= l.opt.PrefillAhead
 	}
 	need := 1
 	if over {
 		need += l.opt.FairReserve
 	}
-	if a.Patient && now.Sub(l.lastLatency) < latencySeen {
-		need += l.opt.WaitReserve
+	if a.Patient {
+		need += l.kept(now)
 	}
 	start := a.Start
 	if start.Before(now) {
@@ -182,6 +185,14 @@
 	return l.free(now, start) >= need
 }
 
+// kept is the number of slots that are kept back from patient asks: none while only they come.
+func (l *lane) kept(now time.Time) int {
+	if now.Sub(l.lastLatency) >= latencySeen {
+		return 0
+	}
+	return l.opt.WaitReserve
+}
+
 func (l *lane) grant(now time.Time, a Ask) {
 	if len(l.order) == 0 {
 		l.headSince = now
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -69,7 +69,7 @@
 	duration(&o.PollInterval, 250*time.Millisecond)
 	duration(&o.DownFor, 2*time.Second)
 	number(&o.FairReserve, 2)
-	number(&o.WaitReserve, 1)
+	number(&o.WaitReserve, 2)
 	number(&o.QueueLimit, 2000)
 	number(&o.ServerQueueLimit, 256)
 	return o
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -13,7 +13,9 @@
 
 const (
 	// maxTries bounds the pairs that one attempt asks for.
-	maxTries = 4
+	maxTries = 5
+	// staleChoice is the wait for a decode slot after which the prefill server is chosen again.
+	staleChoice = 10 * time.Millisecond
 	// retryPause is how long a wait-class request pauses after an attempt that could not wait at a home host.
 	retryPause = 100 * time.Millisecond
 	// patientPrefill is how long a wait-class request with a decode slot waits for a prefill server. The slot is
@@ -222,6 +224,9 @@
 			return nil, !patient || !rep.asked()
 		}
 		a.decode, a.q.keep = res, p.decode.server
+		if a.q.fixed == nil && time.Since(now) > staleChoice {
+			return nil, true
+		}
 	}
 	if a.q.fixed != nil {
 		return a.placement(p, nil, 0), false
