Ask another server when a home host predicts a longer wait than the view

Cause: a trace by class at capacity shows most refusals of the latency class labeled late at the prefill stage after a wait of up to 200 ms at a decode server that was full while others had free slots; loads of other home hosts are up to a second old. Change: a latency-class ask waits at most 20 ms longer than predicted; the refusal brings the present load and the request chooses again.

--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/boragecourse/boragecourse/internal/config"
@@ -13,7 +14,11 @@
 
 const (
 	// maxTries bounds the pairs that one attempt asks for.
-	maxTries = 5
+	maxTries = 6
+	// askSlack is how much longer than predicted a latency-class request waits at a home host. Beyond it the home
+	// host refuses with its present load, and the request chooses again with it: loads of other home hosts are up
+	// to seconds old, and a queue at one server is no use while another is free.
+	askSlack = 20 * time.Millisecond
 	// staleChoice is the wait for a decode slot after which the prefill server is chosen again.
 	staleChoice = 10 * time.Millisecond
 	// retryPause is how long a wait-class request pauses after an attempt that could not wait at a home host.
@@ -128,6 +133,8 @@
 	q       query
 	decode  *reservation
 	refusal error
+	// refused are the servers that refused once and may be asked again.
+	refused []*serverView
 	// last is when the first token must come; the zero time means no deadline.
 	last time.Time
 }
@@ -209,7 +216,7 @@
 	if a.decode == nil {
 		deadline := now.Add(s.opt.WaitRound)
 		if !a.last.IsZero() {
-			deadline = a.last.Add(-p.transfer - p.step)
+			deadline = earlier(a.last.Add(-p.transfer-p.step), now.Add(p.decode.ready+askSlack))
 		} else if !patient {
 			deadline = now.Add(s.opt.KVLife / 2)
 		}
@@ -220,7 +227,9 @@
 		}, nil)
 		if res == nil {
 			a.note(rep, StageDecode)
-			a.q.noDecode = append(a.q.noDecode, p.decode.server)
+			if a.seenBefore(p.decode.server, rep.load.SlotWait > p.decode.ready) {
+				a.q.noDecode = append(a.q.noDecode, p.decode.server)
+			}
 			return nil, !patient || !rep.asked()
 		}
 		a.decode, a.q.keep = res, p.decode.server
@@ -233,7 +242,7 @@
 	}
 	deadline := time.Now().Add(patientPrefill)
 	if !a.last.IsZero() {
-		deadline = a.last.Add(-p.transfer - p.step - p.need)
+		deadline = earlier(a.last.Add(-p.transfer-p.step-p.need), time.Now().Add(p.prefill.ready-p.need+askSlack))
 	}
 	res, rep := s.reserve(ctx, p.prefill.server, Ask{
 		Workspace: a.r.Workspace, Weight: a.r.Weight, Stage: StagePrefill, Priority: a.r.Priority, Patient: patient,
@@ -241,12 +250,31 @@
 	}, a.r.PrefixBlocks)
 	if res == nil {
 		a.note(rep, StagePrefill)
-		a.q.noPre = append(a.q.noPre, p.prefill.server)
+		if a.seenBefore(p.prefill.server, rep.load.PrefillWait > p.prefill.ready-p.need) {
+			a.q.noPre = append(a.q.noPre, p.prefill.server)
+		}
 		return nil, true
 	}
 	return a.placement(p, res, rep.cached), false
 }
 
+// seenBefore reports whether a refused server should not be asked again: unless the refusal told of a longer wait than
+// predicted, which the next choice takes into account, and it was the first one.
+func (a *attempt) seenBefore(s *serverView, longer bool) bool {
+	if longer && !slices.Contains(a.refused, s) {
+		a.refused = append(a.refused, s)
+		return false
+	}
+	return true
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // note keeps the reason of a refusal for the caller.
 func (a *attempt) note(r reply, stage Stage) {
 	a.s.metrics.Inc(metricDenied, metrics.L("stage", string(stage)), metrics.L("class", string(a.r.Class)))
--- a/test/bench/bench_test.go
+++ b/test/bench/bench_test.go
@@ -35,7 +35,7 @@
 	if *trace {
 		for _, o := range out {
 			if o.Policy == Reserving {
-				t.Logf("%s %.1f %s seed %d shares %.2f reasons %v metrics %s", o.Fleet, o.Load, o.Fault, o.Seed, o.Shares, o.Reasons, o.Metrics)
+				t.Logf("%s %.1f %s seed %d shares %.2f classes %v reasons %v metrics %s", o.Fleet, o.Load, o.Fault, o.Seed, o.Shares, o.ByClass, o.Reasons, o.Metrics)
 			}
 		}
 	}
--- a/test/bench/run.go
+++ b/test/bench/run.go
@@ -66,6 +66,8 @@
 	// ControlBytes is the mean of bytes between hosts per host and second, reservations included.
 	ControlBytes float64
 	Shares       []float64
+	// ByClass counts, by workspace, the good and the measured requests of the latency class and of the wait class.
+	ByClass [][4]int
 	// Reasons and Metrics help to trace a missed target.
 	Reasons map[string]int
 	Metrics string
@@ -306,6 +308,7 @@
 	c, window := r.c, (runLength - warmUp).Seconds()
 	o := Outcome{Fleet: c.Fleet.Name, Policy: c.Policy, Load: c.Load, Fault: c.Fault, Seed: c.Seed, Reasons: map[string]int{}}
 	good := make([]float64, len(Shares))
+	o.ByClass = make([][4]int, len(Shares))
 	var firsts []float64
 	for _, res := range r.results {
 		if res.Good() && res.Finished.Sub(r.start) >= warmUp {
@@ -316,6 +319,14 @@
 		}
 		if res.Job.Arrived.Sub(r.start) >= warmUp {
 			o.count(res)
+			class := 0
+			if res.Job.Class == rules.ClassWait {
+				class = 2
+			}
+			o.ByClass[res.Job.Workspace][class+1]++
+			if res.Good() {
+				o.ByClass[res.Job.Workspace][class]++
+			}
 			if res.First > 0 && res.Job.Class == rules.ClassLatency {
 				firsts = append(firsts, float64(res.First)/float64(time.Millisecond))
 			}
