Measure the worst-served workspace in tokens

Cause: rates count tokens; the share in requests says nothing about a workspace whose short requests were preferred. Change: the bench reports the worst share in tokens and, beside it, in requests.

--- a/test/bench/report.go
+++ b/test/bench/report.go
@@ -41,13 +41,15 @@
 	// Interactive is the goodput of the latency class alone.
 	Interactive float64
 	// Ratio is the goodput over the best baseline's, zero for baselines.
-	Ratio    float64
-	Wasted   float64
-	Worst    float64
-	Refused  float64
-	Lost     float64
-	Wrongful float64
-	FirstP95 float64
+	Ratio  float64
+	Wasted float64
+	Worst  float64
+	// WorstRequests is in requests, Worst in tokens.
+	WorstRequests float64
+	Refused       float64
+	Lost          float64
+	Wrongful      float64
+	FirstP95      float64
 	// ControlBytes is per host and second, reservations included.
 	ControlBytes float64
 }
@@ -62,7 +64,7 @@
 		if !ok {
 			i = len(rows)
 			byKey[key] = i
-			rows = append(rows, Row{Fleet: o.Fleet, Policy: string(o.Policy), Load: o.Load, Fault: o.Fault, Worst: o.Worst})
+			rows = append(rows, Row{Fleet: o.Fleet, Policy: string(o.Policy), Load: o.Load, Fault: o.Fault, Worst: o.Worst, WorstRequests: o.WorstRequests})
 		}
 		r := &rows[i]
 		r.Seeds++
@@ -77,7 +79,7 @@
 		mean(&r.Wrongful, float64(o.Wrongful))
 		mean(&r.FirstP95, o.FirstP95)
 		mean(&r.ControlBytes, o.ControlBytes)
-		r.Worst = min(r.Worst, o.Worst)
+		r.Worst, r.WorstRequests = min(r.Worst, o.Worst), min(r.WorstRequests, o.WorstRequests)
 	}
 	for i := range rows {
 		if rows[i].Policy == string(Reserving) {
@@ -102,10 +104,10 @@
 // Table prints the rows.
 func Table(w io.Writer, rows []Row) error {
 	t := tabwriter.NewWriter(w, 0, 0, 1, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "fleet\tload\tfault\tpolicy\tgoodput/s\tbound/s\tvs best\tinteractive/s\twasted %\tworst share\twrongful\trefused\tlost\tp95 ms\tB/s\t")
+	fmt.Fprintln(t, "fleet\tload\tfault\tpolicy\tgoodput/s\tbound/s\tvs best\tinteractive/s\twasted %\tworst tokens\tworst requests\twrongful\trefused\tlost\tp95 ms\tB/s\t")
 	for _, r := range rows {
-		fmt.Fprintf(t, "%s\t%.1f\t%s\t%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.1f\t%.1f\t%.1f\t%.0f\t%.0f\t\n", r.Fleet, r.Load, r.Fault, r.Policy,
-			r.Goodput, r.Bound, r.Ratio, r.Interactive, 100*r.Wasted, r.Worst, r.Wrongful, r.Refused, r.Lost, r.FirstP95, r.ControlBytes)
+		fmt.Fprintf(t, "%s\t%.1f\t%s\t%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.1f\t%.1f\t%.1f\t%.0f\t%.0f\t\n", r.Fleet, r.Load, r.Fault, r.Policy,
+			r.Goodput, r.Bound, r.Ratio, r.Interactive, 100*r.Wasted, r.Worst, r.WorstRequests, r.Wrongful, r.Refused, r.Lost, r.FirstP95, r.ControlBytes)
 	}
 	return t.Flush()
 }
--- a/test/bench/run.go
+++ b/test/bench/run.go
@@ -57,8 +57,9 @@
 	Interactive float64
 	// Wasted is the part of prefill time whose result no decode took.
 	Wasted float64
-	// Worst is the smallest share of its entitlement that a workspace got.
-	Worst float64
+	// Worst is the smallest share of its entitlement that a workspace got, in tokens of prompts and answers, since
+	// rates count tokens. WorstRequests is the same in requests.
+	Worst, WorstRequests float64
 	// Offered, Refused and Lost count requests; Wrongful counts refusals of workspaces within their rate.
 	Offered, Refused, Lost, Wrongful int
 	// FirstP95 is the 95th percentile of the latency class's time to the first token, in milliseconds.
@@ -118,6 +119,8 @@
 	hosts   []*runHost
 	results []Result
 	offered []int
+	// tokens are the offered tokens of each workspace.
+	tokens  []float64
 	buckets []float64
 	filled  time.Time
 	wg      sync.WaitGroup
@@ -138,7 +141,7 @@
 	r := &run{
 		c: c, w: newWorld(&c.Fleet, snap.Servers()), net: memnet.New(), snap: snap, start: time.Now(), metrics: metrics.New(),
 		random: rand.New(rand.NewPCG(c.Seed, 7)), epoch: membership.Epoch{Number: 1, Hosts: c.Fleet.Hosts},
-		offered: make([]int, len(Shares)), buckets: make([]float64, len(Shares)), filled: time.Now(),
+		offered: make([]int, len(Shares)), tokens: make([]float64, len(Shares)), buckets: make([]float64, len(Shares)), filled: time.Now(),
 	}
 	zone := map[string]string{}
 	for _, h := range c.Fleet.Hosts {
@@ -268,6 +271,7 @@
 		r.w.mu.Unlock()
 		if time.Since(r.start) >= warmUp {
 			r.offered[workspace]++
+			r.tokens[workspace] += float64(j.Prompt + j.Output)
 		}
 		r.wg.Go(func() {
 			res := h.life.Run(h.ctx, j)
@@ -307,12 +311,13 @@
 func (r *run) outcome() Outcome {
 	c, window := r.c, (runLength - warmUp).Seconds()
 	o := Outcome{Fleet: c.Fleet.Name, Policy: c.Policy, Load: c.Load, Fault: c.Fault, Seed: c.Seed, Reasons: map[string]int{}}
-	good := make([]float64, len(Shares))
+	good, goodTokens := make([]float64, len(Shares)), make([]float64, len(Shares))
 	o.ByClass = make([][4]int, len(Shares))
 	var firsts []float64
 	for _, res := range r.results {
 		if res.Good() && res.Finished.Sub(r.start) >= warmUp {
 			good[res.Job.Workspace]++
+			goodTokens[res.Job.Workspace] += float64(res.Job.Prompt + res.Job.Output)
 			if res.Job.Class == rules.ClassLatency {
 				o.Interactive += 1 / window
 			}
@@ -332,15 +337,15 @@
 			}
 		}
 	}
-	entitled := r.entitlement()
 	o.Bound = r.bound()
-	o.Worst = math.Inf(1)
+	requests, tokens := r.entitlement()
+	o.Worst, o.WorstRequests = math.Inf(1), math.Inf(1)
 	for i, n := range good {
 		o.Goodput += n / window
 		o.Offered += r.offered[i]
-		share := n / window / entitled[i]
+		share := goodTokens[i] / window / tokens[i]
 		o.Shares = append(o.Shares, share)
-		o.Worst = min(o.Worst, share)
+		o.Worst, o.WorstRequests = min(o.Worst, share), min(o.WorstRequests, n/window/requests[i])
 	}
 	if r.w.prefill > 0 {
 		o.Wasted = max(0, 1-float64(r.w.used+r.pendingPrefill())/float64(r.w.prefill))
@@ -386,20 +391,32 @@
 // short keeps the part of a message that is the same for all requests.
 func short(s string) string { return s[:min(len(s), 28)] }
 
-// entitlement is the max-min share of each workspace in requests per second, averaged over the time before and
-// after the fault. In a cut the two sides share their own servers among a part of the demand each.
-func (r *run) entitlement() []float64 {
+// entitlement is the max-min share of each workspace in requests and in tokens per second, averaged over the time
+// before and after the fault. In a cut the two sides share their own servers among a part of the demand each.
+func (r *run) entitlement() (requests, tokens []float64) {
 	f := &r.c.Fleet
 	window := runLength - warmUp
 	before := float64(faultAt-warmUp) / float64(window)
-	out := make([]float64, len(Shares))
+	requests, tokens = make([]float64, len(Shares)), make([]float64, len(Shares))
+	// meanSize is the number of tokens of a request of the offered mix.
+	meanSize, all := 0.0, 0.0
+	for i, n := range r.offered {
+		meanSize += r.tokens[i]
+		all += float64(n)
+	}
+	meanSize /= all
 	addSide := func(weight, part float64, prefill, decode int) {
-		measured := make([]float64, len(Shares))
+		wantRequests, wantTokens := make([]float64, len(Shares)), make([]float64, len(Shares))
 		for i, n := range r.offered {
-			measured[i] = float64(n) / window.Seconds() * part
+			wantRequests[i] = float64(n) / window.Seconds() * part
+			wantTokens[i] = r.tokens[i] / window.Seconds() * part
+		}
+		capacity := f.Capacity(prefill, decode)
+		for i, x := range waterfill(wantRequests, capacity) {
+			requests[i] += weight * x
 		}
-		for i, x := range waterfill(measured, f.Capacity(prefill, decode)) {
-			out[i] += weight * x
+		for i, x := range waterfill(wantTokens, capacity*meanSize) {
+			tokens[i] += weight * x
 		}
 	}
 	prefill, decode := len(f.Prefill), len(f.Decode)
@@ -415,7 +432,7 @@
 	case NoFault, DaemonLost:
 		addSide(1, 1, prefill, decode)
 	}
-	return out
+	return requests, tokens
 }
 
 // bound is the analytic upper bound of the goodput: all slots in use all the time by the shorter answers of the latency
