Count decode slots in output tokens and give one reserve to workspaces within their share

Cause: a decode slot is held for output tokens, but the fair order counted prompts too, so a workspace above its share with short prompts took more slot time than its part. Change: the decode order counts output tokens; asks of a workspace over its share leave both reserves free.

--- a/internal/placement/lane.go
+++ b/internal/placement/lane.go
@@ -175,7 +175,7 @@
 	if over {
 		need += l.opt.FairReserve
 	}
-	if a.Patient {
+	if over || a.Patient {
 		need += l.kept(now)
 	}
 	start := a.Start
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -222,7 +222,7 @@
 		}
 		res, rep := s.reserve(ctx, p.decode.server, Ask{
 			Workspace: a.r.Workspace, Weight: a.r.Weight, Stage: StageDecode, Priority: a.r.Priority, Patient: patient,
-			Tokens: a.r.PromptTokens + a.r.MaxOutputTokens, Start: now.Add(p.prefill.ready), Deadline: deadline,
+			Tokens: a.r.MaxOutputTokens, Start: now.Add(p.prefill.ready), Deadline: deadline,
 			Duration: p.hold,
 		}, nil)
 		if res == nil {
