Make a host's part of the quota one pure state machine

Cause: the order of epoch changes, hand-overs and share changes was in the service, where an exploration without I/O cannot reach it. Change: Node holds buckets, grants, tenure and division; Service only carries its messages. Conclusion: the exploration can run the code of the daemon.

--- /dev/null
+++ b/internal/quota/node.go
@@ -0,0 +1,258 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/boragecourse/boragecourse/internal/config"
+	"github.com/boragecourse/boragecourse/internal/host"
+	"github.com/boragecourse/boragecourse/internal/membership"
+	"github.com/boragecourse/boragecourse/internal/rules"
+	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
+)
+
+// Node is one host's part of the quota: the buckets that it keeps as a home host and the grants that it holds
+// as a borrower. It is a pure state machine without I/O, goroutines or clocks: callers serialize calls, pass
+// times of one monotonic clock, call Sync before every use, and carry the messages.
+type Node struct {
+	self       host.ID
+	snapshot   *config.Snapshot
+	epoch      membership.Epoch
+	tenure     Tenure
+	divisions  Divisions
+	workspaces map[string]*workspace
+	lastGrant  uint64
+}
+
+// workspace is the state of one workspace on this host.
+type workspace struct {
+	// home is nil when this host keeps no bucket, or an untouched one.
+	home     *Home
+	borrower Borrower
+}
+
+// NewNode returns the state of a host that has just started.
+func NewNode(self host.ID) *Node {
+	return &Node{self: self, tenure: Tenure{self: self}, workspaces: map[string]*workspace{}}
+}
+
+// workspace returns the state of a workspace, made on first use.
+func (n *Node) workspace(name string) *workspace {
+	w := n.workspaces[name]
+	if w == nil {
+		w = &workspace{}
+		n.workspaces[name] = w
+	}
+	return w
+}
+
+// rule returns the workspace's rule in the installed configuration, or nil.
+func (n *Node) rule(name string) *rules.Workspace {
+	if n.snapshot == nil {
+		return nil
+	}
+	return n.snapshot.Workspace(name)
+}
+
+// share returns this zone's share of a workspace's bucket.
+func (n *Node) share(name string) Share {
+	ws := n.rule(name)
+	if ws == nil {
+		return Share{}
+	}
+	return n.divisions.Share(n.self.Zone, ws.Burst, ws.Rate)
+}
+
+// home returns the bucket of a workspace when this host may use it now, and nil otherwise.
+func (n *Node) home(now time.Time, name string) *Home {
+	standing, since := n.tenure.Of(name)
+	ready, inForce := n.divisions.Ready()
+	if standing != StandingHome || !ready {
+		return nil
+	}
+	w := n.workspace(name)
+	if w.home == nil {
+		w.home = NewHome(later(since, inForce), n.share(name))
+		w.home.Advance(now)
+	}
+	return w.home
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// Admit takes tokens from what this host holds. It returns nil without an error when that does not suffice.
+func (n *Node) Admit(now time.Time, name string, tokens int64) (*Admission, error) {
+	ws := n.rule(name)
+	switch {
+	case tokens < 0:
+		return nil, &InvalidAmountError{Tokens: tokens}
+	case ws == nil:
+		return nil, &UnavailableError{Workspace: name, Cause: &UnknownWorkspaceError{Workspace: name}}
+	case tokens > ws.Burst:
+		return nil, &ExceedsBurstError{Workspace: name, Tokens: tokens, Burst: ws.Burst}
+	}
+	a := &Admission{}
+	if tokens == 0 {
+		return a, nil
+	}
+	w, home := n.workspace(name), n.home(now, name)
+	fromGrants := min(w.borrower.Free(now), tokens)
+	if rest := tokens - fromGrants; rest > 0 {
+		if home == nil || !home.Reserve(now, rest) {
+			return nil, nil
+		}
+		a.home, a.homeTokens = home, rest
+	}
+	a.parts = w.borrower.Take(now, fromGrants)
+	w.borrower.Observe(now, tokens)
+	return a, nil
+}
+
+// Held is what this host could admit at once.
+func (n *Node) Held(now time.Time, name string) int64 {
+	held := n.workspace(name).borrower.Free(now)
+	if home := n.home(now, name); home != nil {
+		held += home.Level(now)
+	}
+	return held
+}
+
+// Admission is an admitted amount of tokens.
+type Admission struct {
+	parts []Part
+	// homeTokens were taken from this host's own bucket.
+	home       *Home
+	homeTokens int64
+}
+
+// Use marks up to tokens as used. They can no longer be returned.
+func (a *Admission) Use(tokens int64) {
+	if tokens <= 0 {
+		return
+	}
+	left := tokens - Use(a.parts, tokens)
+	if k := min(left, a.homeTokens); k > 0 {
+		a.homeTokens -= k
+		a.home.Use(k)
+	}
+}
+
+// Close returns what was not used. Repeating it has no effect.
+func (a *Admission) Close(now time.Time) {
+	Release(a.parts)
+	if a.homeTokens > 0 {
+		a.home.Refund(now, a.homeTokens)
+		a.homeTokens = 0
+	}
+}
+
+// Want is the amount to ask a lender for.
+func (n *Node) Want(now time.Time, name string, need int64) int64 {
+	return n.workspace(name).borrower.Want(now, need)
+}
+
+// Draw answers a borrower. The caller has checked the authority to admit.
+func (n *Node) Draw(now time.Time, name string, need, want int64) *peerv1.DrawResponse {
+	answer := &peerv1.DrawResponse{Epoch: n.epoch.Number, LenderIncarnation: n.self.Incarnation, RetryAfterNanos: -1}
+	home := (*Home)(nil)
+	if n.rule(name) != nil {
+		home = n.home(now, name)
+	}
+	if home == nil {
+		answer.NotHome = true
+		return answer
+	}
+	n.lastGrant++
+	g := home.Draw(now, n.lastGrant, need, want)
+	answer.GrantId, answer.Amount, answer.TermNanos = n.lastGrant, g.Amount, int64(g.Term)
+	if missing := need - g.Amount; missing > 0 {
+		answer.RetryAfterNanos = int64(wait(missing, home.share.Rate))
+	}
+	return answer
+}
+
+// Granted takes in a lender's answer to a request that was sent at the given time.
+func (n *Node) Granted(now, sent time.Time, name string, lender host.ID, answer *peerv1.DrawResponse) {
+	if answer.GetAmount() <= 0 {
+		return
+	}
+	lender.Incarnation = answer.GetLenderIncarnation()
+	n.workspace(name).borrower.Add(now, sent, Lender{Host: lender, GrantID: answer.GetGrantId()},
+		Grant{Amount: answer.GetAmount(), Term: time.Duration(answer.GetTermNanos())})
+}
+
+// Batch is what one lender is told in one message.
+type Batch struct {
+	To      host.ID
+	Entries []*peerv1.GrantSettlement
+}
+
+// Settlements gathers due settlements by lender, without the lenders in skip (by host name).
+func (n *Node) Settlements(now time.Time, skip map[string]bool) []*Batch {
+	byLender := map[string]*Batch{}
+	var batches []*Batch
+	for name, w := range n.workspaces {
+		for _, e := range w.borrower.Settlements(now, skip) {
+			b := byLender[e.Lender.Host.Name]
+			if b == nil {
+				b = &Batch{To: e.Lender.Host}
+				byLender[e.Lender.Host.Name] = b
+				batches = append(batches, b)
+			}
+			b.Entries = append(b.Entries, &peerv1.GrantSettlement{
+				Workspace: name, GrantId: e.Lender.GrantID, LenderIncarnation: e.Lender.Host.Incarnation,
+				Used: e.Used, Returned: e.Returned,
+			})
+		}
+	}
+	return batches
+}
+
+// Settled notes that a lender acknowledged a batch.
+func (n *Node) Settled(now time.Time, b *Batch) {
+	for _, e := range b.Entries {
+		if w := n.workspaces[e.GetWorkspace()]; w != nil {
+			lender := b.To
+			lender.Incarnation = e.GetLenderIncarnation()
+			w.borrower.Settled(now, Settlement{
+				Lender: Lender{Host: lender, GrantID: e.GetGrantId()}, Used: e.GetUsed(), Returned: e.GetReturned(),
+			})
+		}
+	}
+}
+
+// Settle takes a borrower's settlements.
+func (n *Node) Settle(now time.Time, entries []*peerv1.GrantSettlement) {
+	for _, e := range entries {
+		w := n.workspaces[e.GetWorkspace()]
+		if w != nil && w.home != nil && e.GetLenderIncarnation() == n.self.Incarnation {
+			w.home.Settle(now, e.GetGrantId(), e.GetUsed(), e.GetReturned())
+		}
+	}
+}
+
+// ReturnAll gives up every free amount of every grant, for a drain.
+func (n *Node) ReturnAll() {
+	for _, w := range n.workspaces {
+		w.borrower.ReturnAll()
+	}
+}
+
+// Sweep drops idle state from memory, except for workspaces in use, and returns how many are left.
+func (n *Node) Sweep(now time.Time, inUse func(name string) bool) int {
+	ready, inForce := n.divisions.Ready()
+	for name, w := range n.workspaces {
+		standing, since := n.tenure.Of(name)
+		if w.home != nil && ready && standing == StandingHome && w.home.Idle(now, later(since, inForce)) {
+			w.home = nil
+		}
+		if w.home == nil && !inUse(name) && w.borrower.Idle(now) {
+			delete(n.workspaces, name)
+		}
+	}
+	return len(n.workspaces)
+}
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -42,18 +42,15 @@
 	sweepInterval = 10 * time.Second
 )
 
-// Service implements Limiter and the Quota grpc service over the state machines of this package.
+// Service implements Limiter and the Quota grpc service: it carries the messages of a Node.
 type Service struct {
 	peerv1.UnimplementedQuotaServer
 	opt Options
 
-	mu         sync.Mutex
-	draining   bool
-	snapshot   *config.Snapshot
-	tenure     Tenure
-	divisions  Divisions
-	workspaces map[string]*workspace
-	lastGrant  uint64
+	mu       sync.Mutex
+	node     *Node
+	draining bool
+	queues   map[string]*queue
 	// asking and settling name the hosts to which a message is under way, so that there is one at a time.
 	asking, settling map[string]bool
 	lastSweep        time.Time
@@ -61,26 +58,28 @@
 	kick             chan struct{}
 }
 
-// workspace is the state of one workspace on this host.
-type workspace struct {
-	// home is nil when this host keeps no bucket, or an untouched one.
-	home     *Home
-	borrower Borrower
-	// waiting is the sum of tokens of requests that wait for a draw.
-	waiting int64
+// queue is the requests of one workspace that local tokens do not cover.
+type queue struct {
+	// tokens is the sum over the waiting requests.
+	tokens int64
 	// round is the draw that is under way; nil when there is none.
 	round *round
 }
 
+// round is one draw for all requests of a workspace that wait at its start.
+type round struct {
+	done chan struct{}
+}
+
 // New returns a service. Register it as the Quota grpc service and run Serve.
 func New(opt Options) *Service {
 	return &Service{
-		opt:        opt,
-		tenure:     Tenure{self: opt.Viewer.Self()},
-		workspaces: map[string]*workspace{},
-		asking:     map[string]bool{},
-		settling:   map[string]bool{},
-		kick:       make(chan struct{}, 1),
+		opt:      opt,
+		node:     NewNode(opt.Viewer.Self()),
+		queues:   map[string]*queue{},
+		asking:   map[string]bool{},
+		settling: map[string]bool{},
+		kick:     make(chan struct{}, 1),
 	}
 }
 
@@ -110,75 +109,29 @@
 	s.sendSettlements(ctx, now)
 	if now.Sub(s.lastSweep) >= sweepInterval {
 		s.lastSweep = now
-		s.sweep(now)
+		left := s.node.Sweep(now, func(name string) bool { return s.queues[name] != nil })
+		s.opt.Metrics.Set("quota_workspaces_in_memory", int64(left))
 	}
 }
 
-// sweep drops idle state. The caller holds the lock.
-func (s *Service) sweep(now time.Time) {
-	for name, w := range s.workspaces {
-		if w.home != nil {
-			standing, since := s.tenure.Of(name)
-			ready, inForce := s.divisions.Ready()
-			if standing == StandingHome && ready && w.home.Idle(now, later(since, inForce)) {
-				w.home = nil
-			}
-		}
-		if w.home == nil && w.waiting == 0 && w.round == nil && w.borrower.Idle(now) {
-			delete(s.workspaces, name)
+// sync brings the node up to date and starts the tick when something changed. The caller holds the lock.
+func (s *Service) sync(now time.Time) {
+	if s.node.Sync(now, s.opt.Viewer.Epoch(), s.opt.Config.Current(), s.opt.Spread.EpochKnownByMajority) {
+		select {
+		case s.kick <- struct{}{}:
+		default:
 		}
 	}
-	s.opt.Metrics.Set("quota_workspaces_in_memory", int64(len(s.workspaces)))
-}
-
-// workspace returns the state of a workspace, made on first use. The caller holds the lock.
-func (s *Service) workspace(name string) *workspace {
-	w := s.workspaces[name]
-	if w == nil {
-		w = &workspace{}
-		s.workspaces[name] = w
-	}
-	return w
-}
-
-// home returns the bucket of a workspace when this host may use it now, and nil otherwise. The caller holds
-// the lock and has called sync.
-func (s *Service) home(now time.Time, name string) *Home {
-	standing, since := s.tenure.Of(name)
-	ready, inForce := s.divisions.Ready()
-	if standing != StandingHome || !ready {
-		return nil
-	}
-	w := s.workspace(name)
-	if w.home == nil {
-		w.home = NewHome(later(since, inForce), s.share(name))
-		w.home.Advance(now)
-	}
-	return w.home
-}
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
 }
 
-// share returns this zone's share of a workspace's bucket.
-func (s *Service) share(name string) Share {
-	if s.snapshot == nil {
-		return Share{}
-	}
-	ws := s.snapshot.Workspace(name)
-	if ws == nil {
-		return Share{}
+// authorize returns nil if this host may admit or grant now. The caller holds the lock.
+func (s *Service) authorize(now time.Time, name string) error {
+	s.sync(now)
+	if s.draining {
+		return &UnavailableError{Workspace: name, Cause: &DrainingError{}}
 	}
-	return s.divisions.Share(s.opt.Viewer.Self().Zone, ws.Burst, ws.Rate)
-}
-
-func (s *Service) wake() {
-	select {
-	case s.kick <- struct{}{}:
-	default:
+	if err := s.opt.Viewer.CanAdmit(now); err != nil {
+		return &UnavailableError{Workspace: name, Cause: err}
 	}
+	return nil
 }
--- a/internal/quota/service_draw.go
+++ b/internal/quota/service_draw.go
@@ -9,41 +9,28 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/boragecourse/boragecourse/internal/host"
+	"github.com/boragecourse/boragecourse/internal/membership"
 	"github.com/boragecourse/boragecourse/internal/metrics"
 	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
 )
 
 // draw collects tokens for the waiting requests: from the zone's home host, then from the other zones' home
-// hosts in parallel. It ends the workspace's round.
-func (s *Service) draw(ctx context.Context, name string, w *workspace) {
-	defer func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		close(w.round.done)
-		w.round = nil
-	}()
-	self := s.opt.Viewer.Self()
-	epoch := s.opt.Viewer.Epoch()
-	if home, ok := epoch.Home(self.Zone, name); ok && home != self && s.opt.Viewer.Reachable(home) {
-		if need := s.need(name); need > 0 {
-			s.drawFrom(ctx, name, home, need, false)
-		}
-	}
-	var lenders []host.ID
-	for _, zone := range zonesOf(epoch.Hosts) {
-		if lender, ok := epoch.Home(zone, name); ok && zone != self.Zone && s.opt.Viewer.Reachable(lender) {
-			lenders = append(lenders, lender)
-		}
+// hosts in parallel. It ends the queue's round.
+func (s *Service) draw(ctx context.Context, name string, q *queue) {
+	defer s.endRound(name, q)
+	self, epoch := s.opt.Viewer.Self(), s.opt.Viewer.Epoch()
+	home, ok := epoch.Home(self.Zone, name)
+	if need := s.need(name, q); ok && home != self && need > 0 && s.opt.Viewer.Reachable(home) {
+		s.drawFrom(ctx, name, home, need, false)
 	}
+	lenders := s.lenders(epoch, name)
 	// The first pass spreads the need over the zones, so that it does not empty all of them for one request.
-	for pass := range 2 {
-		need := s.need(name)
+	for _, parts := range []int64{int64(len(lenders)), 1} {
+		need := s.need(name, q)
 		if need == 0 || len(lenders) == 0 {
 			return
 		}
-		if pass == 0 {
-			need = (need + int64(len(lenders)) - 1) / int64(len(lenders))
-		}
+		need = (need + parts - 1) / parts
 		var calls sync.WaitGroup
 		for _, lender := range lenders {
 			calls.Go(func() { s.drawFrom(ctx, name, lender, need, true) })
@@ -52,32 +39,45 @@
 	}
 }
 
-func zonesOf(hosts []host.ID) []string {
-	seen := map[string]bool{}
-	var zones []string
-	for _, h := range hosts {
-		if !seen[h.Zone] {
-			seen[h.Zone] = true
-			zones = append(zones, h.Zone)
+func (s *Service) endRound(name string, q *queue) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(q.round.done)
+	q.round = nil
+	s.forget(name, q)
+}
+
+// lenders returns the reachable home hosts of the other zones.
+func (s *Service) lenders(epoch membership.Epoch, name string) []host.ID {
+	seen := map[string]bool{s.opt.Viewer.Self().Zone: true}
+	var lenders []host.ID
+	for _, h := range epoch.Hosts {
+		if seen[h.Zone] {
+			continue
+		}
+		seen[h.Zone] = true
+		if lender, ok := epoch.Home(h.Zone, name); ok && s.opt.Viewer.Reachable(lender) {
+			lenders = append(lenders, lender)
 		}
 	}
-	return zones
+	return lenders
 }
 
-func (s *Service) need(name string) int64 {
+// need is what the waiting requests need beyond what this host holds.
+func (s *Service) need(name string, q *queue) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.sync(now)
-	return s.missing(now, name)
+	return max(q.tokens-s.node.Held(now, name), 0)
 }
 
 func (s *Service) drawFrom(ctx context.Context, name string, lender host.ID, need int64, loan bool) {
 	s.mu.Lock()
 	sent := time.Now()
 	request := &peerv1.DrawRequest{
-		From: s.opt.Viewer.Self().Proto(), Epoch: s.divisions.epoch.Number, Workspace: name, Need: need,
-		Want: s.workspace(name).borrower.Want(sent, need), Loan: loan,
+		From: s.opt.Viewer.Self().Proto(), Epoch: s.node.Epoch().Number, Workspace: name, Need: need,
+		Want: s.node.Want(sent, name, need), Loan: loan,
 	}
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -87,14 +87,9 @@
 		s.opt.Metrics.Inc("quota_draw_failures", metrics.L("reason", reasonOf(err)))
 		return
 	}
-	if answer.GetAmount() <= 0 {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	lender.Incarnation = answer.GetLenderIncarnation()
-	s.workspace(name).borrower.Add(time.Now(), sent, Lender{Host: lender, GrantID: answer.GetGrantId()},
-		Grant{Amount: answer.GetAmount(), Term: time.Duration(answer.GetTermNanos())})
+	s.node.Granted(time.Now(), sent, name, lender, answer)
 }
 
 // Draw implements the Quota grpc service. The authority is checked right before the grant.
@@ -102,42 +97,31 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	answer := &peerv1.DrawResponse{LenderIncarnation: s.opt.Viewer.Self().Incarnation, RetryAfterNanos: -1}
-	_, err := s.check(now, r.GetWorkspace(), r.GetNeed())
-	answer.Epoch = s.divisions.epoch.Number
-	if err != nil {
+	if err := s.authorize(now, r.GetWorkspace()); err != nil {
 		s.opt.Metrics.Inc("quota_grants_refused", metrics.L("reason", refusalReason(err)))
-		return answer, nil
-	}
-	home := s.home(now, r.GetWorkspace())
-	if home == nil {
-		answer.NotHome = true
-		s.opt.Metrics.Inc("quota_grants_refused", metrics.L("reason", "not_home"))
-		return answer, nil
+		return &peerv1.DrawResponse{Epoch: s.node.Epoch().Number, RetryAfterNanos: -1}, nil
 	}
-	s.lastGrant++
-	g := home.Draw(now, s.lastGrant, r.GetNeed(), r.GetWant())
-	answer.GrantId, answer.Amount, answer.TermNanos = s.lastGrant, g.Amount, int64(g.Term)
-	if missing := r.GetNeed() - g.Amount; missing > 0 {
-		answer.RetryAfterNanos = int64(wait(missing, home.share.Rate))
-	}
-	s.countGrant(g, r.GetLoan())
+	answer := s.node.Draw(now, r.GetWorkspace(), r.GetNeed(), r.GetWant())
+	s.countGrant(answer, r.GetLoan())
 	return answer, nil
 }
 
-func (s *Service) countGrant(g Grant, loan bool) {
-	kind := "quota_grants"
+func (s *Service) countGrant(answer *peerv1.DrawResponse, loan bool) {
+	name, term := "quota_grants", "short"
 	if loan {
-		kind = "quota_loans"
+		name = "quota_loans"
 	}
-	term := "short"
-	if g.Term > ShortTerm {
+	switch {
+	case answer.GetNotHome():
+		s.opt.Metrics.Inc("quota_grants_refused", metrics.L("reason", "not_home"))
+		return
+	case answer.GetAmount() == 0:
+		s.opt.Metrics.Inc("quota_grants_refused", metrics.L("reason", "rate"))
+		return
+	case answer.GetTermNanos() > int64(ShortTerm):
 		term = "long"
 	}
-	if g.Amount == 0 {
-		term = "none"
-	}
-	s.opt.Metrics.Inc(kind, metrics.L("term", term))
+	s.opt.Metrics.Inc(name, metrics.L("term", term))
 }
 
 // reasonOf is the label of a failed call.
--- a/internal/quota/service_reserve.go
+++ b/internal/quota/service_reserve.go
@@ -5,14 +5,8 @@
 	"time"
 
 	"github.com/boragecourse/boragecourse/internal/metrics"
-	"github.com/boragecourse/boragecourse/internal/rules"
 )
 
-// round is one draw for all requests of a workspace that wait at its start.
-type round struct {
-	done chan struct{}
-}
-
 // Reserve implements Limiter. It waits for at most two draws of at most three calls, each bounded by
 // callTimeout.
 func (s *Service) Reserve(ctx context.Context, name string, tokens int64) (Reservation, error) {
@@ -32,16 +26,15 @@
 	if r != nil || err != nil {
 		return r, err
 	}
-	w := s.workspace(name)
-	w.waiting += tokens
-	defer func() { w.waiting -= tokens }()
+	q := s.enqueue(name, tokens)
+	defer s.dequeue(name, tokens)
 	// A draw that is already under way did not count this request, so the next one is waited for as well.
-	for earlier := w.round; ; {
-		if w.round == nil {
-			w.round = &round{done: make(chan struct{})}
-			go s.draw(context.WithoutCancel(ctx), name, w)
+	for earlier := q.round; ; {
+		if q.round == nil {
+			q.round = &round{done: make(chan struct{})}
+			go s.draw(context.WithoutCancel(ctx), name, q)
 		}
-		current := w.round
+		current := q.round
 		if err := s.await(ctx, current); err != nil {
 			return nil, &UnavailableError{Workspace: name, Cause: err}
 		}
@@ -54,6 +47,29 @@
 	}
 }
 
+func (s *Service) enqueue(name string, tokens int64) *queue {
+	q := s.queues[name]
+	if q == nil {
+		q = &queue{}
+		s.queues[name] = q
+	}
+	q.tokens += tokens
+	return q
+}
+
+func (s *Service) dequeue(name string, tokens int64) {
+	q := s.queues[name]
+	q.tokens -= tokens
+	s.forget(name, q)
+}
+
+// forget drops a queue that nobody waits in.
+func (s *Service) forget(name string, q *queue) {
+	if q.tokens == 0 && q.round == nil {
+		delete(s.queues, name)
+	}
+}
+
 // await gives up the lock until the draw ends.
 func (s *Service) await(ctx context.Context, r *round) error {
 	s.mu.Unlock()
@@ -66,108 +82,46 @@
 	}
 }
 
-// admit takes the tokens from what this host holds. It returns nil without an error when that does not
-// suffice. The caller holds the lock.
+// admit checks the authority right before it takes tokens. The caller holds the lock.
 func (s *Service) admit(name string, tokens int64) (*reservation, error) {
 	now := time.Now()
-	ws, err := s.check(now, name, tokens)
-	if err != nil {
+	if err := s.authorize(now, name); err != nil {
 		return nil, err
 	}
-	if tokens > ws.Burst {
-		return nil, &ExceedsBurstError{Workspace: name, Tokens: tokens, Burst: ws.Burst}
-	}
-	r := &reservation{service: s, workspace: name}
-	if tokens == 0 {
-		return r, nil
-	}
-	w, home := s.workspace(name), s.home(now, name)
-	fromGrants := min(w.borrower.Free(now), tokens)
-	if rest := tokens - fromGrants; rest > 0 {
-		if home == nil || !home.Reserve(now, rest) {
-			return nil, nil
-		}
-		r.home, r.homeTokens = home, rest
-	}
-	r.parts = w.borrower.Take(now, fromGrants)
-	w.borrower.Observe(now, tokens)
-	return r, nil
-}
-
-// check returns the workspace's rule if this host may admit or grant now.
-func (s *Service) check(now time.Time, name string, tokens int64) (*rules.Workspace, error) {
-	s.sync(now)
-	if tokens < 0 {
-		return nil, &InvalidAmountError{Tokens: tokens}
-	}
-	if s.draining {
-		return nil, &UnavailableError{Workspace: name, Cause: &DrainingError{}}
-	}
-	if s.snapshot == nil || s.snapshot.Workspace(name) == nil {
-		return nil, &UnavailableError{Workspace: name, Cause: &UnknownWorkspaceError{Workspace: name}}
-	}
-	if err := s.opt.Viewer.CanAdmit(now); err != nil {
-		return nil, &UnavailableError{Workspace: name, Cause: err}
-	}
-	return s.snapshot.Workspace(name), nil
-}
-
-// missing is what the waiting requests need beyond what this host holds.
-func (s *Service) missing(now time.Time, name string) int64 {
-	w := s.workspace(name)
-	missing := w.waiting - w.borrower.Free(now)
-	if home := s.home(now, name); home != nil {
-		missing -= home.Level(now)
+	a, err := s.node.Admit(now, name, tokens)
+	if a == nil {
+		return nil, err
 	}
-	return max(missing, 0)
+	return &reservation{service: s, admission: a}, nil
 }
 
 // refusal says how long the refill of the whole bucket takes to cover what this host could not collect.
 func (s *Service) refusal(now time.Time, name string, tokens int64) error {
-	held := s.workspace(name).borrower.Free(now)
-	if home := s.home(now, name); home != nil {
-		held += home.Level(now)
-	}
 	e := &RefusedError{Workspace: name, Tokens: tokens, RetryAfter: time.Second}
-	if ws := s.snapshot.Workspace(name); ws != nil {
-		if d := wait(tokens-held, clamp(ws.Rate)*nano); d > 0 {
+	if ws := s.node.rule(name); ws != nil {
+		if d := wait(tokens-s.node.Held(now, name), clamp(ws.Rate)*nano); d > 0 {
 			e.RetryAfter = d
 		}
 	}
 	return e
 }
 
-// reservation implements Reservation. Its fields are guarded by the service's lock.
+// reservation implements Reservation; the service's lock guards the admission.
 type reservation struct {
 	service   *Service
-	workspace string
-	parts     []Part
-	// homeTokens were taken from this host's own bucket.
-	home       *Home
-	homeTokens int64
+	admission *Admission
 }
 
 // Use implements Reservation.
 func (r *reservation) Use(tokens int64) {
 	r.service.mu.Lock()
 	defer r.service.mu.Unlock()
-	if tokens <= 0 {
-		return
-	}
-	left := tokens - Use(r.parts, tokens)
-	if n := min(left, r.homeTokens); n > 0 {
-		r.homeTokens -= n
-		r.home.Use(n)
-	}
+	r.admission.Use(tokens)
 }
 
 // Close implements Reservation.
 func (r *reservation) Close() {
 	r.service.mu.Lock()
 	defer r.service.mu.Unlock()
-	Release(r.parts)
-	if r.homeTokens > 0 {
-		r.home.Refund(time.Now(), r.homeTokens)
-		r.homeTokens = 0
-	}
+	r.admission.Close(time.Now())
 }
