Claim keyed generations, refuse unclean paths, keep keys out of logs

Cause: routes to models may be non-repeatable too, and their idempotency keys were ignored; a path with dot segments could reach a service outside its route; a key in a refused path went to the log; the silence limit of a stream counted the time of a slow caller. Change: generations take and record claims as service calls do; each of the other three has its check.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -174,7 +174,7 @@
 
 // refuse answers a request that the router never saw.
 func (x *exchange) refuse(e *outcome.Error) {
-	x.Router.Refused(x.in.ID, x.r.URL.Path, e)
+	x.Router.Refused(x.in, e)
 	x.fail(x.in.ID, e)
 }
 
--- a/internal/request/claimed.go
+++ b/internal/request/claimed.go
@@ -32,16 +32,15 @@
 
 // takeClaim claims the call if it needs it. It reports whether the caller got the recorded answer of an earlier
 // attempt. Claims belong to a workspace, so calls on open routes have none.
-func (c *serviceCall) takeClaim(ctx context.Context) (replayed bool, err error) {
-	if c.route.Repeatable || c.in.IdempotencyKey == "" || c.workspace == nil {
+func (x *run) takeClaim(ctx context.Context) (replayed bool, err error) {
+	if x.route.Repeatable || x.in.IdempotencyKey == "" || x.workspace == nil {
 		return false, nil
 	}
-	ticket, answer, err := c.Claims.Claim(ctx, claim.Call{
-		Workspace: c.workspace.Name, IdempotencyKey: c.in.IdempotencyKey, Digest: c.digest(),
-		Attempt: c.in.ID,
+	ticket, answer, err := x.Claims.Claim(ctx, claim.Call{
+		Workspace: x.workspace.Name, IdempotencyKey: x.in.IdempotencyKey, Digest: x.digest(), Attempt: x.in.ID,
 	})
 	if err != nil {
-		if gone := c.canceled(ctx); gone != nil {
+		if gone := x.canceled(ctx); gone != nil {
 			return false, gone
 		}
 		return false, claimRefusal(err)
@@ -51,19 +50,19 @@
 		if answer.ContentType != "" {
 			header.Set("Content-Type", answer.ContentType)
 		}
-		return true, c.send(answer.Status, header, bytes.NewReader(answer.Body))
+		return true, x.sendAnswer(answer.Status, header, bytes.NewReader(answer.Body))
 	}
-	c.claim = &claimed{ticket: ticket, timeout: c.settings.RecordTimeout, log: c.Log.WithValues("request", c.in.ID)}
+	x.claim = &claimed{ticket: ticket, timeout: x.settings.RecordTimeout, log: x.Log.WithValues("request", x.in.ID)}
 	return false, nil
 }
 
 // digest identifies the call under its idempotency key.
-func (c *serviceCall) digest() [sha256.Size]byte {
+func (x *run) digest() [sha256.Size]byte {
 	d := sha256.New()
-	for _, part := range []string{c.in.Method, "\x00", c.in.URL.RequestURI(), "\x00"} {
+	for _, part := range []string{x.in.Method, "\x00", x.in.URL.RequestURI(), "\x00"} {
 		d.Write([]byte(part))
 	}
-	d.Write(c.in.Body)
+	d.Write(x.in.Body)
 	return [sha256.Size]byte(d.Sum(nil))
 }
 
@@ -114,12 +113,51 @@
 	if int64(len(body)) > c.settings.MaxRecordedAnswer {
 		return c.fail(http.StatusBadGateway, outcome.CodeServerFailed, "the answer is too large to be recorded", nil)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), c.claim.timeout)
+	c.claim.record(claim.Answer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body})
+	return c.sendAnswer(res.StatusCode, answerHeader(res), bytes.NewReader(body))
+}
+
+// record gives the answer to the claim service and waits for a limited time until the store has it.
+func (c *claimed) record(a claim.Answer) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
 	defer cancel()
-	err = c.claim.ticket.Done(ctx, claim.Answer{
-		Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body,
-	})
-	c.claim.done = true
-	c.claim.note("done", err)
-	return c.send(res.StatusCode, answerHeader(res), bytes.NewReader(body))
+	err := c.ticket.Done(ctx, a)
+	c.done = true
+	c.note("done", err)
+}
+
+// recordingSink records the answer of an engine for the claim of its call, before the end of the answer is sent.
+type recordingSink struct {
+	Sink
+	claim *claimed
+	// limit bounds events, in bytes. A longer answer is recorded as too large.
+	limit  int64
+	events bytes.Buffer
+}
+
+// Event implements Sink.
+func (s *recordingSink) Event(data []byte) error {
+	if int64(s.events.Len()) <= s.limit {
+		s.events.WriteString("data: ")
+		s.events.Write(data)
+		s.events.WriteString("\n\n")
+	}
+	return s.Sink.Event(data)
+}
+
+// Done implements Sink.
+func (s *recordingSink) Done() error {
+	s.events.WriteString("data: [DONE]\n\n")
+	s.claim.record(claim.Answer{Status: http.StatusOK, ContentType: "text/event-stream", Body: s.events.Bytes()})
+	return s.Sink.Done()
+}
+
+// Answer implements Sink.
+func (s *recordingSink) Answer(status int, header http.Header, body io.Reader) error {
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return err
+	}
+	s.claim.record(claim.Answer{Status: status, ContentType: header.Get("Content-Type"), Body: data})
+	return s.Sink.Answer(status, header, bytes.NewReader(data))
 }
--- a/internal/request/generate.go
+++ b/internal/request/generate.go
@@ -34,12 +34,28 @@
 }
 
 // generate serves a model route.
-func (x *run) generate(ctx context.Context) error {
+func (x *run) generate(ctx context.Context) (err error) {
+	waiting, leave := x.queue.enter(ctx, x.key)
+	defer leave()
+	if err := x.recheck(); err != nil {
+		return err
+	}
+	replayed, err := x.takeClaim(waiting)
+	if err != nil || replayed {
+		return err
+	}
+	if x.claim != nil {
+		x.sink = &recordingSink{Sink: x.sink, claim: x.claim, limit: x.settings.MaxRecordedAnswer}
+		defer func() { x.claim.settle(err) }()
+	}
+	// The parsed fields hold what is needed; large prompts would otherwise be kept twice.
+	x.in.Body = nil
 	g := &generation{run: x, limit: x.body.maxOutput}
-	p, err := g.admit(ctx)
+	p, err := g.admit(waiting)
 	if err != nil {
 		return err
 	}
+	leave()
 	for {
 		err := g.pass(ctx, p)
 		if err == nil {
@@ -54,13 +70,8 @@
 	}
 }
 
-// admit reserves quota and a pair of servers. The request counts as queued until it returns.
-func (g *generation) admit(ctx context.Context) (*placement.Placement, error) {
-	waiting, leave := g.queue.enter(ctx, g.key)
-	defer leave()
-	if err := g.recheck(); err != nil {
-		return nil, err
-	}
+// admit reserves quota and a pair of servers. The request counts as queued until then.
+func (g *generation) admit(waiting context.Context) (*placement.Placement, error) {
 	if err := g.reserve(waiting, g.body.estimated+g.limit); err != nil {
 		if c := g.canceled(waiting); c != nil {
 			return nil, c
@@ -78,6 +89,11 @@
 	if err == nil {
 		err = g.canceled(waiting)
 	}
+	if err == nil {
+		if derr := g.claim.dispatching(); derr != nil {
+			err = claimRefusal(derr)
+		}
+	}
 	if err != nil {
 		releaseBoth(p)
 		return nil, err
--- a/internal/request/refusals_test.go
+++ b/internal/request/refusals_test.go
@@ -51,6 +51,8 @@
 		"no output":         {body(`{"model":"m","prompt":"x","max_tokens":0}`), outcome.CodeMalformedRequest, 400, outcome.NotRun},
 		"unknown model":     {body(`{"model":"x","prompt":"x"}`), outcome.CodeUnknownModel, 404, outcome.NotRun},
 		"unknown path":      {at("/v1/other"), outcome.CodeUnknownRoute, 404, outcome.NotRun},
+		"path with dots":    {at("/booking/status/../reserve"), outcome.CodeUnknownRoute, 404, outcome.NotRun},
+		"key in the path":   {at("/booking/status/" + secret), outcome.CodeMalformedRequest, 400, outcome.NotRun},
 		"missing key":       {func(_ *fixture, in *Input) { in.Key = "" }, outcome.CodeMissingKey, 401, outcome.NotRun},
 		"wrong key":         {func(_ *fixture, in *Input) { in.Key = "x" }, outcome.CodeInvalidKey, 401, outcome.NotRun},
 		"unconfirmed":       {func(f *fixture, _ *Input) { f.stale = context.DeadlineExceeded }, outcome.CodeConfigUnconfirmed, 503, outcome.NotRun},
@@ -101,11 +103,11 @@
 		in := f.input(pathChat, `{"model":"m","messages":[{"role":"user","content":"hello lighthouse"}],"stream":true,
 			"max_completion_tokens":12,"kv_transfer_params":{"do_remote_prefill":true},"priority":-9}`)
 		in.Header.Set("User-Agent", "x "+secret)
+		x := &run{Router: f.Router, in: &Input{URL: in.URL, Body: in.Body}}
 		r := f.run(t.Context(), in)
 		f.Expect(r.err).To(BeNil())
 		f.Expect(r.text.String()).To(Equal(standin.Answer(greeted, 12)))
 		f.Expect(in.Header).To(BeEmpty())
-		x := &run{Router: f.Router, in: in}
 		f.Expect(x.parse()).To(Succeed())
 		f.Expect(string(x.call(x.newAttempt(), 12, "").Body)).NotTo(MatchRegexp("kv_transfer|priority|completion_tokens"))
 		f.verify(in, r)
--- a/internal/request/router.go
+++ b/internal/request/router.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"net/url"
+	"path"
+	"strings"
 	"sync"
 	"time"
 
@@ -48,6 +50,14 @@
 	Arrived        time.Time
 }
 
+// redact keeps the caller's key out of logs, wherever the caller put it.
+func (in *Input) redact(text string) string {
+	if in.Key == "" {
+		return text
+	}
+	return strings.ReplaceAll(text, in.Key, "[key]")
+}
+
 // Sink receives the answer. Either Answer is called once, or Event any number of times and then Done. After an
 // error of Do the caller of Do reports the failure, in the form that fits what was sent.
 type Sink interface {
@@ -92,7 +102,7 @@
 	if snap == nil {
 		return r.refused(in, errNoConfiguration())
 	}
-	if !snap.KnownPath(in.URL.Path) {
+	if !cleanPath(in.URL.Path) || !snap.KnownPath(in.URL.Path) {
 		return r.refused(in, unknownPath(in.URL.Path))
 	}
 	if _, err := r.identify(snap, in); err != nil && !openPath(snap, in.URL.Path) {
@@ -103,14 +113,15 @@
 
 // refused counts and logs a refusal that happened before Do.
 func (r *Router) refused(in *Input, e *outcome.Error) error {
-	r.Refused(in.ID, in.URL.Path, e)
+	r.Refused(in, e)
 	return e
 }
 
 // Refused counts and logs a refusal that the caller API decided on its own.
-func (r *Router) Refused(id, path string, e *outcome.Error) {
+func (r *Router) Refused(in *Input, e *outcome.Error) {
 	r.Metrics.Inc("requests_finished", metrics.L("outcome", string(e.Outcome)), metrics.L("code", string(e.Code)))
-	r.Log.Info("request finished", "request", id, "path", path, "outcome", e.Outcome, "code", e.Code, "cause", e.Error())
+	r.Log.Info("request finished", "request", in.ID, "path", in.redact(in.URL.Path), "outcome", e.Outcome,
+		"code", e.Code, "cause", in.redact(e.Error()))
 }
 
 // Do runs a request and sends its answer to the sink. It returns nil when the answer was sent whole, and an
@@ -137,6 +148,9 @@
 	if x.snap == nil {
 		return errNoConfiguration()
 	}
+	if !cleanPath(x.in.URL.Path) {
+		return unknownPath(x.in.URL.Path)
+	}
 	if isModelPath(x.in.URL.Path) {
 		if err := x.parse(); err != nil {
 			return err
@@ -155,8 +169,14 @@
 	return x.generate(ctx)
 }
 
-func isModelPath(path string) bool {
-	return path == pathCompletions || path == pathChat
+func isModelPath(p string) bool {
+	return p == pathCompletions || p == pathChat
+}
+
+// cleanPath reports whether a path has no dot segments and no empty ones. A service could read them as a path
+// outside of the route.
+func cleanPath(p string) bool {
+	return p == path.Clean(p) || p == path.Clean(p)+"/"
 }
 
 // Paths of the OpenAI API that engines serve.
@@ -242,8 +262,8 @@
 	_, err := r.identify(snap, in)
 	var models []string
 	for _, m := range snap.Models() {
-		for _, path := range []string{pathCompletions, pathChat} {
-			if route := snap.Route(path, m); route != nil && route.Model == m && (err == nil || route.Open) {
+		for _, p := range []string{pathCompletions, pathChat} {
+			if route := snap.Route(p, m); route != nil && route.Model == m && (err == nil || route.Open) {
 				models = append(models, m)
 				break
 			}
@@ -256,12 +276,12 @@
 }
 
 // openPath reports whether some route of the path needs no key.
-func openPath(snap *config.Snapshot, path string) bool {
-	if route := snap.Route(path, ""); route != nil && route.Open {
+func openPath(snap *config.Snapshot, p string) bool {
+	if route := snap.Route(p, ""); route != nil && route.Open {
 		return true
 	}
 	for _, m := range snap.Models() {
-		if route := snap.Route(path, m); route != nil && route.Open {
+		if route := snap.Route(p, m); route != nil && route.Open {
 			return true
 		}
 	}
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -31,6 +31,7 @@
 	body      *body
 
 	quota reservations
+	claim *claimed
 	tries int
 	held  []*hold
 	ran   ran
@@ -83,7 +84,7 @@
 	x.charge()
 	x.Metrics.Inc("requests_finished",
 		metrics.L("outcome", string(x.result.Outcome)), metrics.L("code", string(x.result.Code)))
-	line := []any{"request", x.in.ID, "path", x.in.URL.Path, "outcome", x.result.Outcome, "code", x.result.Code}
+	line := []any{"request", x.in.ID, "path", x.in.redact(x.in.URL.Path), "outcome", x.result.Outcome, "code", x.result.Code}
 	if x.route != nil {
 		line = append(line, "route", x.route.ID())
 	}
@@ -94,7 +95,7 @@
 	line = append(line, "prompt_tokens", x.ran.prompt, "cached_tokens", x.ran.cached, "output_tokens", x.ran.output,
 		"cost_tokens", x.ran.cost, "attempts", x.tries, "duration", time.Since(x.in.Arrived))
 	if x.result.Cause != nil {
-		line = append(line, "cause", x.result.Cause.Error())
+		line = append(line, "cause", x.in.redact(x.result.Cause.Error()))
 	}
 	x.Log.Info("request finished", line...)
 }
--- a/internal/request/service.go
+++ b/internal/request/service.go
@@ -30,7 +30,6 @@
 // serviceCall is the run of a request on a plain service.
 type serviceCall struct {
 	*run
-	claim *claimed
 	// leave ends the time in which the request counts as queued.
 	leave func()
 }
@@ -43,11 +42,11 @@
 	if err := x.recheck(); err != nil {
 		return err
 	}
-	replayed, err := c.takeClaim(waiting)
+	replayed, err := x.takeClaim(waiting)
 	if err != nil || replayed {
 		return err
 	}
-	defer func() { c.claim.settle(err) }()
+	defer func() { x.claim.settle(err) }()
 	return c.call(ctx, waiting)
 }
 
@@ -192,15 +191,15 @@
 		return &engine.FailedError{Server: server.Name, Status: res.StatusCode, Cause: err}
 	}
 	limit.Stop()
-	return c.send(res.StatusCode, answerHeader(res), io.MultiReader(bytes.NewReader(first), res.Body))
+	return c.sendAnswer(res.StatusCode, answerHeader(res), io.MultiReader(bytes.NewReader(first), res.Body))
 }
 
-func (c *serviceCall) send(status int, header http.Header, body io.Reader) error {
+func (x *run) sendAnswer(status int, header http.Header, body io.Reader) error {
 	if status >= http.StatusInternalServerError {
-		header.Set(HeaderOutcome, string(c.ran.outcome()))
+		header.Set(HeaderOutcome, string(x.ran.outcome()))
 	}
-	if err := c.sink.Answer(status, header, body); err != nil {
-		return c.fail(statusClientClosed, outcome.CodeCanceled, "the answer could not be sent", &SinkError{Cause: err})
+	if err := x.sink.Answer(status, header, body); err != nil {
+		return x.fail(statusClientClosed, outcome.CodeCanceled, "the answer could not be sent", &SinkError{Cause: err})
 	}
 	return nil
 }
--- a/internal/request/service_test.go
+++ b/internal/request/service_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -122,3 +124,45 @@
 		f.verify(again, r)
 	})
 }
+
+// Guards against a keyed generation that runs twice, or whose recorded answer differs from the first one.
+func TestKeyedGeneration(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		for _, crash := range []bool{true, false} {
+			t.Run(fmt.Sprintf("stream=%t/crash=%t", stream, crash), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFixture(t)
+					defer f.Close()
+					for _, c := range f.engines {
+						c.SetOnce(func(string) bool { return true })
+					}
+					send := func(body string) result {
+						in := f.input(pathCompletions, body)
+						in.IdempotencyKey = "k"
+						r := f.run(t.Context(), in)
+						f.verify(in, r)
+						return r
+					}
+					if crash {
+						time.AfterFunc(100*time.Millisecond, f.engines["d1"].Crash)
+						f.Expect(send(completion("once", stream)).err.Code).To(Equal(outcome.CodeStreamLost))
+						f.Expect(send(completion("once", stream)).err.Code).To(Equal(outcome.CodeClaimUnknown))
+						return
+					}
+					first := send(completion("once", stream))
+					f.expectWhole(first, stream)
+					again := send(completion("once", stream))
+					f.Expect(again.err).To(BeNil())
+					if stream {
+						f.Expect(again.header.Get("Content-Type")).To(Equal("text/event-stream"))
+						f.Expect(strings.NewReplacer("data: ", "", "\n\n", "", "[DONE]", "").Replace(again.body)).To(Equal(first.events.String()))
+					} else {
+						f.Expect(again.body).To(Equal(first.body))
+					}
+					f.Expect(send(completion("once", !stream)).err.Code).To(Equal(outcome.CodeKeyReused))
+					f.Expect(f.charges).To(HaveLen(1))
+				})
+			})
+		}
+	}
+}
--- a/internal/request/stream.go
+++ b/internal/request/stream.go
@@ -81,10 +81,12 @@
 		if err != nil {
 			return err
 		}
-		idle.Reset(g.settings.StreamIdle)
+		// The time that a slow caller needs is not the engine's.
+		idle.Stop()
 		if err := g.take(d, ch); err != nil {
 			return err
 		}
+		idle.Reset(g.settings.StreamIdle)
 	}
 }
 
