--- a/internal/request/generate.go
+++ b/internal/request/generate.go
@@ -34,12 +34,28 @@
 }
 
 // generate serves a model route.
-func (x *run) generate(ctx context.Context) error {
+func (x *run) generate(ctx context.Context) (err error) {
+	waiting, leave := x.queue.enter(ctx, x.key)
+	defer leave()
+	if err := x.recheck(); err != nil {
+		return err
+	}
+	replayed, err := x.takeClaim(waiting)
+	if err != nil || replayed {
+		return err
+	}
+	if x.claim != nil {
+		x.sink = &recordingSink{Sink: x.sink, claim: x.claim, limit: x.settings.MaxRecordedAnswer}
+		defer func() { x.claim.settle(err) }()
+	}
+	// The parsed fields hold what is needed; large prompts would otherwise be kept twice.
+	x.in.Body = nil
 	g := &generation{run: x, limit: x.body.maxOutput}
-	p, err := g.admit(ctx)
+	p, err := g.admit(waiting)
 	if err != nil {
 		return err
 	}
+	leave()
 	for {
 		err := g.pass(ctx, p)
 		if err == nil {
@@ -54,13 +70,8 @@
 	}
 }
 
-// admit reserves quota and a pair of servers. The request counts as queued until it returns.
-func (g *generation) admit(ctx context.Context) (*placement.Placement, error) {
-	waiting, leave := g.queue.enter(ctx, g.key)
-	defer leave()
-	if err := g.recheck(); err != nil {
-		return nil, err
-	}
+// admit reserves quota and a pair of servers. The request counts as queued until then.
+func (g *generation) admit(waiting context.Context) (*placement.Placement, error) {
 	if err := g.reserve(waiting, g.body.estimated+g.limit); err != nil {
 		if c := g.canceled(waiting); c != nil {
 			return nil, c
@@ -78,6 +89,11 @@
 	if err == nil {
 		err = g.canceled(waiting)
 	}
+	if err == nil {
+		if derr := g.claim.dispatching(); derr != nil {
+			err = claimRefusal(derr)
+		}
+	}
 	if err != nil {
 		releaseBoth(p)
 		return nil, err
@@ -143,11 +159,11 @@
 func (g *generation) prefill(ctx context.Context, server *rules.Server, h *hold) error {
 	a := g.newAttempt()
 	h.attempt = a.ID
-	ctx, cancel := context.WithTimeout(ctx, g.settings.PrefillTimeout)
+	pctx, cancel := context.WithTimeout(ctx, g.settings.PrefillTimeout)
 	defer cancel()
 	start := time.Now()
-	kv, err := g.Engines.Server(server.Name, server.Addr).Prefill(ctx, g.call(a, g.limit-g.ran.output, g.sent.String()))
-	g.observe(server, placement.StagePrefill, kv.Tokens-kv.Cached, start, err)
+	kv, err := g.Engines.Server(server.Name, server.Addr).Prefill(pctx, g.call(a, g.limit-g.ran.output, g.sent.String()))
+	g.observe(ctx, server, placement.StagePrefill, kv.Tokens-kv.Cached, start, err)
 	if err != nil {
 		g.callFailed(h, err)
 		return &stageError{placement.StagePrefill, server, err}
@@ -221,11 +237,14 @@
 		}
 		err = &engine.FailedError{Server: server.Name, Cause: errImportStalled}
 	}
-	tokens := int64(0)
+	stage, tokens := placement.StagePrefill, g.body.estimated+g.ran.output
 	if g.kv != nil {
-		tokens = g.kv.Tokens
+		stage, tokens = placement.StageTransfer, g.kv.Tokens
 	}
-	g.observe(server, placement.StageTransfer, tokens, start, err)
+	if err != nil && !importFailed(err) {
+		stage = placement.StageDecode
+	}
+	g.observe(ctx, server, stage, tokens, start, err)
 	if err != nil {
 		g.callFailed(h, err)
 		return &stageError{placement.StageTransfer, server, err}
@@ -241,8 +260,20 @@
 	return g.follow(ctx, &answering{server: server, attempt: a, hold: h, stream: s, cancel: cancel})
 }
 
-func (g *generation) observe(server *rules.Server, stage placement.Stage, tokens int64, start time.Time, err error) {
-	g.Placer.Observe(placement.Observation{
+// importFailed reports a failure that may be the exporting engine's or the link's.
+func importFailed(err error) bool {
+	var imported *engine.ImportError
+	return errors.As(err, &imported) || errors.Is(err, errImportStalled)
+}
+
+// observe reports a stage to the placement, which avoids servers that fail. A caller that left, a server that is
+// full, and a request that the server rejects are no failures of the server.
+func (x *run) observe(ctx context.Context, server *rules.Server, stage placement.Stage, tokens int64, start time.Time, err error) {
+	var refused *engine.RefusedError
+	if _, ok := rejected(err); err != nil && (ok || ctx.Err() != nil || errors.As(err, &refused)) {
+		return
+	}
+	x.Placer.Observe(placement.Observation{
 		Server: server.Name, Stage: stage, Tokens: tokens, Duration: time.Since(start), Failed: err != nil,
 	})
 }
