Use small buffers for streams from engines

Cause: a heap profile of 200 open streams showed 23 KB of 50 KB per stream in connection and event buffers of 4 KB each, while events are a few hundred bytes. Change: 1 KB buffers for connections to backend servers and for the first size of the event buffer; profiles behind the operator credential; benchpath -profile.

--- a/internal/engine/openai/client.go
+++ b/internal/engine/openai/client.go
@@ -25,12 +25,15 @@
 	// defaultControlTimeout bounds calls that do no model work: abort, load, events, commands.
 	defaultControlTimeout = 2 * time.Second
 	// idlePerServer keeps one connection per slot of a full engine, and some for control calls.
-	idlePerServer  = 32
-	idleTimeout    = 60 * time.Second
-	maxAnswer      = 32 << 20
-	maxErrorAnswer = 64 << 10
-	maxHeaderBytes = 64 << 10
-	maxDrain       = 4 << 10
+	idlePerServer = 32
+	idleTimeout   = 60 * time.Second
+	// connectionBuffer holds a few events. Streams are many and their events small, so larger buffers only
+	// cost memory.
+	connectionBuffer = 1 << 10
+	maxAnswer        = 32 << 20
+	maxErrorAnswer   = 64 << 10
+	maxHeaderBytes   = 64 << 10
+	maxDrain         = 4 << 10
 )
 
 // metricCrossed counts dropped answers that carry another attempt's id.
@@ -77,6 +80,8 @@
 			MaxIdleConnsPerHost:    idlePerServer,
 			IdleConnTimeout:        idleTimeout,
 			MaxResponseHeaderBytes: maxHeaderBytes,
+			ReadBufferSize:         connectionBuffer,
+			WriteBufferSize:        connectionBuffer,
 		}
 	}
 	return &Directory{
--- a/internal/engine/openai/sse.go
+++ b/internal/engine/openai/sse.go
@@ -14,7 +14,7 @@
 	maxLine = 1 << 20
 	// firstBuffer is the first size of a stream's read buffer. Most events are far smaller, and thousands of
 	// streams are open at once.
-	firstBuffer = 4 << 10
+	firstBuffer = 1 << 10
 )
 
 // sseEvent is one server-sent event.
--- a/internal/operatorapi/server.go
+++ b/internal/operatorapi/server.go
@@ -37,6 +37,7 @@
 	r.Get("/v1/charges/{id}", respond(func(req *http.Request) (any, error) {
 		return b.Charge(req.Context(), chi.URLParam(req, "id"))
 	}))
+	r.Mount("/debug", middleware.Profiler())
 	r.Post("/v1/drain", respond(func(req *http.Request) (any, error) { return struct{}{}, b.Drain(req.Context()) }))
 	return r, nil
 }
--- a/test/benchpath/main.go
+++ b/test/benchpath/main.go
@@ -44,8 +44,9 @@
 func main() {
 	bin := flag.String("bin", "bin", "folder with the built programs")
 	streams := flag.Int("streams", 200, "concurrent streams")
+	profile := flag.String("profile", "", "file for a heap profile of the daemon while all streams are open")
 	flag.Parse()
-	if err := run(*bin, *streams); err != nil {
+	if err := run(*bin, *streams, *profile); err != nil {
 		fmt.Fprintf(os.Stderr, "benchpath: %v\n", err)
 		os.Exit(1)
 	}
@@ -61,7 +62,7 @@
 	daemon                                   *loopback.Process
 }
 
-func run(bin string, streams int) error {
+func run(bin string, streams int, profile string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), runTimeout)
 	defer cancel()
 	logs := filepath.Join("out", "benchpath")
@@ -91,9 +92,37 @@
 		routed = append(routed, measure(ctx, f.callers, streams, func() { during = rss(f.daemon.PID()) })...)
 		perStream = max(perStream, (during-before)/int64(streams))
 	}
+	if profile != "" {
+		measure(ctx, f.callers, streams, func() {
+			f.saveProfile(ctx, "heap?gc=1", profile)
+			f.saveProfile(ctx, "goroutine?debug=1", profile+".goroutines")
+		})
+	}
 	return report(streams, direct, routed, perStream)
 }
 
+// saveProfile writes one of the daemon's profiles. A failure is printed, since it does not touch the measurement.
+func (f *fleet) saveProfile(ctx context.Context, name, path string) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.operators+"/debug/pprof/"+name, http.NoBody)
+	if err != nil {
+		return
+	}
+	req.Header.Set("Authorization", "Bearer "+credential)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "profile: %v\n", err)
+		return
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err == nil {
+		err = os.WriteFile(path, data, 0o600)
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "profile: %v\n", err)
+	}
+}
+
 func report(streams int, direct, routed []time.Duration, perStream int64) error {
 	if len(direct) != streams*rounds || len(routed) != streams*rounds {
 		return &missedError{fmt.Sprintf("%d direct and %d routed answers of %d", len(direct), len(routed), streams*rounds)}
