--- a/internal/charge/ledger_test.go
+++ b/internal/charge/ledger_test.go
@@ -211,10 +211,14 @@
 	})
 }
 
-// Guards against a holder whose memory grows without bound, and against batches that then have no second holder.
+// Guards against a holder whose memory grows without bound, against batches that then have no second holder,
+// and against a copy in the zone of its host while another zone has room.
 func TestFullHolderIsReplaced(t *testing.T) {
 	bubble(t, Config{MaxCopyBytes: 3000}, func(g Gomega, f *fleet) {
 		f.storeDown(true)
+		f.add(0, 1)
+		time.Sleep(300 * time.Millisecond)
+		g.Expect(holds(f.hosts[1], f.hosts[0])).To(BeFalse(), "the copy belongs into another zone")
 		for range 10 {
 			f.add(0, 3)
 			time.Sleep(300 * time.Millisecond)
