Assert that claim and charge services fit suture

Cause: the daemon supervises both, and nothing checked the interface. Change: compile-time assertions. Conclusion: no change of behavior.

--- a/internal/charge/ledger.go
+++ b/internal/charge/ledger.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/thejerf/suture/v4"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
@@ -109,6 +110,7 @@
 var (
 	_ Writer               = (*Ledger)(nil)
 	_ peerv1.ChargesServer = (*Ledger)(nil)
+	_ suture.Service       = (*Ledger)(nil)
 )
 
 // New returns a Ledger. Add works at once; Serve replicates and writes.
--- a/internal/claim/coordinator.go
+++ b/internal/claim/coordinator.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/thejerf/suture/v4"
 
 	"github.com/boragecourse/boragecourse/internal/membership"
 	"github.com/boragecourse/boragecourse/internal/metrics"
@@ -98,6 +99,7 @@
 var (
 	_ Service             = (*Coordinator)(nil)
 	_ peerv1.ClaimsServer = (*Coordinator)(nil)
+	_ suture.Service      = (*Coordinator)(nil)
 )
 
 // New returns a Coordinator. Its Claim works at once; Serve repeats unrecorded final states and sweeps.
