Pass on output that is not text, and take the engine's token counts

Cause: parts of tool calls and reasoning from engines without event ids counted as empty chunks and were dropped; engines may send several tokens in an event, so counted events are not exact; a drain waited up to ten minutes for an engine that is down. Change: every delta with output counts and is passed on; usage of an answer without recovery is the charge; a drain waits 5 s for releases.

--- a/internal/engine/openai/stream.go
+++ b/internal/engine/openai/stream.go
@@ -30,14 +30,22 @@
 // chunkJSON is the part of an OpenAI stream event that the router needs.
 type chunkJSON struct {
 	Choices []struct {
-		Text  string `json:"text"`
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-		FinishReason string `json:"finish_reason"`
+		Text         string                     `json:"text"`
+		Delta        map[string]json.RawMessage `json:"delta"`
+		FinishReason string                     `json:"finish_reason"`
 	} `json:"choices"`
 }
 
+// DeltaOutput returns the text of a chat delta, and whether it holds any output: text, a part of a tool call, reasoning.
+func DeltaOutput(delta map[string]json.RawMessage) (text string, some bool) {
+	_ = json.Unmarshal(delta["content"], &text)
+	for name, v := range delta {
+		empty := bytes.Equal(v, []byte("null")) || bytes.Equal(v, []byte(`""`)) || bytes.Equal(v, []byte("[]"))
+		some = some || (name != "role" && !empty)
+	}
+	return text, some
+}
+
 // Next implements engine.Stream.
 func (s *stream) Next() (engine.Chunk, error) {
 	if s.done {
@@ -66,9 +74,11 @@
 		return engine.Chunk{}, s.lost(err)
 	}
 	ch := engine.Chunk{Offset: s.offset, Data: e.data}
+	some := false
 	if len(in.Choices) > 0 {
 		choice := in.Choices[0]
-		ch.Text = choice.Text + choice.Delta.Content
+		ch.Text, some = DeltaOutput(choice.Delta)
+		ch.Text += choice.Text
 		ch.FinishReason = choice.FinishReason
 	}
 	switch {
@@ -81,8 +91,8 @@
 			return engine.Chunk{}, s.lost(err)
 		}
 		ch.Tokens = after - s.offset
-	case ch.Text != "":
-		// Engines without event ids send one token in an event.
+	case some || ch.Text != "":
+		// Engines without event ids send about one token in an event; their usage has the exact count.
 		ch.Tokens = 1
 	}
 	s.offset += ch.Tokens
--- a/internal/request/router.go
+++ b/internal/request/router.go
@@ -228,8 +228,8 @@
 	return r.open
 }
 
-// Drain refuses new requests and waits for open ones and for the releases of their attempts. It returns an
-// error only when ctx ends first.
+// Drain refuses new requests, waits for open ones, and for a limited time for the releases of their attempts. It
+// returns an error only when ctx ends before the last request does.
 func (r *Router) Drain(ctx context.Context) error {
 	r.mu.Lock()
 	r.draining = true
@@ -240,7 +240,12 @@
 	case <-ctx.Done():
 		return context.Cause(ctx)
 	}
-	return r.releases.flush(ctx)
+	ctx, cancel := context.WithTimeout(ctx, r.settings.DrainReleases)
+	defer cancel()
+	if err := r.releases.flush(ctx); err != nil {
+		r.Log.Info("drain ends before all releases", "cause", err.Error())
+	}
+	return nil
 }
 
 // Close ends the background releases.
--- a/internal/request/settings.go
+++ b/internal/request/settings.go
@@ -35,6 +35,9 @@
 	RecordTimeout time.Duration
 	// ReleaseBacklog bounds the attempts per backend server that wait for release. Default 4096.
 	ReleaseBacklog int
+	// DrainReleases is how long a drain waits for releases after the last request. Default 5 s: the home hosts
+	// release what engines still hold for a host that has stopped.
+	DrainReleases time.Duration
 	// ReleaseLimit is how long the release of one attempt is repeated. Default 10 min: an engine that is away
 	// for longer comes back without memory or not at all.
 	ReleaseLimit time.Duration
@@ -55,6 +58,7 @@
 	setDefault(&s.MaxRecordedAnswer, 8<<20)
 	setDefault(&s.RecordTimeout, time.Second)
 	setDefault(&s.ReleaseBacklog, 4096)
+	setDefault(&s.DrainReleases, 5*time.Second)
 	setDefault(&s.ReleaseLimit, 10*time.Minute)
 	return s
 }
--- a/internal/request/stream.go
+++ b/internal/request/stream.go
@@ -151,11 +151,14 @@
 	return g.forward(ch.Data)
 }
 
-// takeBare handles a chunk without output: usage is kept, a role is passed on if it comes first.
+// takeBare handles a chunk without output tokens: usage is kept, and a role is passed on if it comes first. An engine
+// that spreads a token over several events has output in such chunks as well.
 func (g *generation) takeBare(ch engine.Chunk) error {
 	var in struct {
-		Choices []json.RawMessage `json:"choices"`
-		Usage   *openai.Usage     `json:"usage"`
+		Choices []struct {
+			Delta map[string]json.RawMessage `json:"delta"`
+		} `json:"choices"`
+		Usage *openai.Usage `json:"usage"`
 	}
 	if err := json.Unmarshal(ch.Data, &in); err != nil {
 		return &engine.StreamLostError{Cause: err}
@@ -164,16 +167,26 @@
 		g.takeUsage(in.Usage)
 		return nil
 	}
-	if g.began {
+	_, some := openai.DeltaOutput(in.Choices[0].Delta)
+	if g.began && !some {
 		return nil
 	}
+	g.opaque = g.opaque || some
 	return g.forward(ch.Data)
 }
 
-// takeUsage learns the prompt's length from an engine that prefilled it within the decode call. After a
-// recovery the engine's prompt holds text of the answer, so its count is not the caller's.
+// takeUsage learns the length of the answer, and of the prompt if the engine prefilled it within the decode call.
+// After a recovery the engine's prompt holds text of the answer, so its counts are not the caller's.
 func (g *generation) takeUsage(u *openai.Usage) {
-	if u == nil || g.ran.prompt > 0 || g.retries > 0 {
+	if u == nil || g.retries > 0 {
+		return
+	}
+	if u.CompletionTokens > 0 {
+		// Engines may send several tokens in an event; their own count is exact.
+		g.quota.use(max(0, u.CompletionTokens-g.ran.output))
+		g.ran.output = u.CompletionTokens
+	}
+	if g.ran.prompt > 0 {
 		return
 	}
 	g.ran.prompt = u.PromptTokens
