Count crossed answers in the tests of the API

Cause: without the check of attempt ids the tests of the API passed, since the fake's crossed answers hold the right text.

--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -205,6 +205,9 @@
 			f.Expect(models.Data).To(HaveLen(2))
 			f.verify()
 			f.Expect(f.charges).To(HaveLen(2))
+			crossed := f.metrics.Count("answers_crossed", metrics.L("server", "p")) +
+				f.metrics.Count("answers_crossed", metrics.L("server", "d"))
+			f.Expect(crossed).To(BeEquivalentTo(2*c.p.CrossAnswers + 2*c.d.CrossAnswers))
 		})
 	}
 }
