Lock the test cluster's fields against concurrent hosts

Cause: one of about twenty race-detector runs reported TestCommitUnderANewerEpoch setting a host's epoch while the host read it. Change: the fixture's epoch override, stop function and install list are accessed under its lock.

--- a/internal/config/cluster_test.go
+++ b/internal/config/cluster_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -48,13 +49,12 @@
 
 // node is one daemon. It is its own membership view.
 type node struct {
-	c     *cluster
-	id    host.ID
-	store *memstore.Client
-	svc   *config.Service
-	stop  context.CancelFunc
-	done  chan struct{}
-	// installs lists the generations that the notification hook reported.
+	c        *cluster
+	id       host.ID
+	store    *memstore.Client
+	svc      *config.Service
+	stop     context.CancelFunc
+	done     chan struct{}
 	installs []uint64
 	// epoch overrides the cluster's epoch when set.
 	epoch *membership.Epoch
@@ -71,6 +71,13 @@
 	return n.c.epoch
 }
 
+// override sets what this host knows as the epoch; nil means the present one.
+func (n *node) override(e *membership.Epoch) {
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	n.epoch = e
+}
+
 func (n *node) CanAdmit(time.Time) error { return nil }
 
 func (n *node) Reachable(id host.ID) bool {
@@ -124,7 +131,11 @@
 	n.svc = config.New(config.Options{
 		Store: n.store, Viewer: n, Dialer: c.net.Node(n.id.Addr), EpochKey: epochKey,
 		DecodeEpoch: func(b []byte) (uint64, error) { return strconv.ParseUint(string(b), 10, 64) },
-		OnInstall:   func(_, s *config.Snapshot) { n.installs = append(n.installs, s.Generation) },
+		OnInstall: func(_, s *config.Snapshot) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			n.installs = append(n.installs, s.Generation)
+		},
 	})
 	n.svc.Register(c.net.Node(n.id.Addr))
 	for _, f := range before {
@@ -135,8 +146,10 @@
 }
 
 func (n *node) run() {
-	var ctx context.Context
-	ctx, n.stop = context.WithCancel(n.c.t.Context())
+	ctx, stop := context.WithCancel(n.c.t.Context())
+	n.c.mu.Lock()
+	n.stop = stop
+	n.c.mu.Unlock()
 	n.done = make(chan struct{})
 	go func() {
 		defer close(n.done)
@@ -156,6 +169,13 @@
 	n.c.mu.Unlock()
 }
 
+// installed returns the generations that the notification hook reported.
+func (n *node) installed() []uint64 {
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	return slices.Clone(n.installs)
+}
+
 // newEpoch commits an epoch of the present incarnations of the named hosts.
 func (c *cluster) newEpoch(names ...string) {
 	c.mu.Lock()
--- a/internal/config/service_test.go
+++ b/internal/config/service_test.go
@@ -207,7 +207,7 @@
 		c.outage(false, "a1", "b1", "c1")
 		time.Sleep(2 * time.Second)
 		c.Expect(c.works("b1", "k2")).To(BeTrue())
-		c.Expect(b.installs).To(Equal([]uint64{1, 2}))
+		c.Expect(b.installed()).To(Equal([]uint64{1, 2}))
 	})
 }
 
@@ -355,8 +355,8 @@
 	bubble(t, []string{"a1", "b1", "c1"}, func(c *cluster) {
 		c.apply("a1", 0, "k1")
 		a := c.nodes["a1"]
-		stale := c.epoch
-		a.epoch = &stale
+		stale := a.Epoch()
+		a.override(&stale)
 		a.store.SetDelay(10 * time.Millisecond)
 		go func() {
 			// After the epoch is read and before the commit.
@@ -365,9 +365,7 @@
 		}()
 		r := c.apply("a1", 1, "k2")
 		c.Expect(r.InForce).To(BeFalse())
-		c.mu.Lock()
-		a.epoch = nil
-		c.mu.Unlock()
+		a.override(nil)
 		c.Expect(a.svc.Distribution(c.t.Context()).InForce).To(BeTrue())
 		// Another daemon cannot tell which epoch counts while the store is down.
 		c.Expect(c.nodes["b1"].svc.Distribution(c.t.Context()).InForce).To(BeTrue())
@@ -413,7 +411,7 @@
 		c.Expect(b.svc.Generation()).To(Equal(uint64(1)))
 		b.run()
 		c.apply("a1", 1, "k2")
-		c.Expect(b.installs).To(Equal([]uint64{1, 2}))
+		c.Expect(b.installed()).To(Equal([]uint64{1, 2}))
 	})
 }
 
