--- /dev/null
+++ b/internal/placement/book_test.go
@@ -0,0 +1,241 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/boragecourse/boragecourse/internal/engine"
+	"github.com/boragecourse/boragecourse/internal/rules"
+)
+
+var epochStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func decodeBook(slots int, o Options) *Book {
+	return NewBook(&rules.Server{Name: "d", Role: rules.RoleDecode, Slots: slots}, o, NewShared())
+}
+
+func ask(n int, workspace string, stage Stage, patient bool) Ask {
+	return Ask{
+		ID: ReservationID{Owner: OwnerID{Host: "h"}, ID: fmt.Sprint(n)}, Workspace: workspace, Weight: 100, Stage: stage,
+		Tokens: 100, Patient: patient, Start: epochStart, Deadline: epochStart.Add(time.Hour), Duration: time.Second,
+	}
+}
+
+// Guards against more grants than slots, lost waiting asks, double answers and grants that outlive their release.
+func TestBookNeverOverbooks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		const slots = 4
+		b := decodeBook(slots, Options{})
+		now, next := epochStart, 0
+		waiting, granted := map[ReservationID]bool{}, map[ReservationID]bool{}
+		settle := func(answers []Answer) {
+			for _, a := range answers {
+				g.Expect(waiting).To(HaveKey(a.ID), "answered twice or never asked")
+				delete(waiting, a.ID)
+				if a.Granted {
+					granted[a.ID] = true
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"reserve": func(t *rapid.T) {
+				next++
+				a := ask(next, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "workspace"), StageDecode, rapid.Bool().Draw(t, "patient"))
+				// Every start is now, so that no slot is granted on a prediction.
+				a.Start, a.Deadline = now, now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "wait"))*time.Millisecond)
+				answer, err := b.Reserve(now, a)
+				g.Expect(err).NotTo(HaveOccurred())
+				waiting[a.ID] = answer.Queued
+				if !answer.Queued {
+					delete(waiting, a.ID)
+				}
+				if answer.Granted {
+					granted[a.ID] = true
+				}
+			},
+			"release": func(t *rapid.T) {
+				for id := range granted {
+					g.Expect(b.Release(now, id)).To(BeTrue())
+					g.Expect(b.Release(now, id)).To(BeFalse(), "a second release has no effect")
+					delete(granted, id)
+					break
+				}
+				settle(b.Advance(now))
+			},
+			"time passes": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+				settle(b.Advance(now))
+			},
+			"": func(*rapid.T) {
+				g.Expect(len(granted)).To(BeNumerically("<=", slots))
+				g.Expect(b.lanes[StageDecode].grants).To(HaveLen(len(granted)))
+				g.Expect(b.Waiting()).To(Equal(len(waiting)))
+			},
+		})
+		settle(b.Advance(now.Add(time.Hour)))
+		g.Expect(waiting).To(BeEmpty(), "every ask is answered by its deadline")
+	})
+}
+
+// Guards against an order that ignores class, fairness, priority or deadline, and against the reserves being given away.
+func TestBookGrantsInOrder(t *testing.T) {
+	early, important := ask(6, "a", StageDecode, false), ask(7, "a", StageDecode, false)
+	early.Deadline, important.Priority = epochStart.Add(time.Minute), 5
+	heavy := ask(1, "heavy", StageDecode, false)
+	heavy.Tokens = 100000
+	for name, c := range map[string]struct {
+		waiting []Ask
+		first   string
+	}{
+		"latency class before patient": {[]Ask{ask(4, "a", StageDecode, true), ask(5, "a", StageDecode, false)}, "5"},
+		"less served workspace":        {[]Ask{ask(4, "heavy", StageDecode, false), ask(5, "a", StageDecode, false)}, "5"},
+		"priority":                     {[]Ask{ask(5, "a", StageDecode, false), important}, "7"},
+		"deadline":                     {[]Ask{ask(5, "a", StageDecode, false), early}, "6"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			b := decodeBook(1, Options{})
+			_, err := b.Reserve(epochStart, heavy)
+			g.Expect(err).NotTo(HaveOccurred())
+			for _, a := range c.waiting {
+				answer, err := b.Reserve(epochStart, a)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(answer.Queued).To(BeTrue())
+			}
+			b.Release(epochStart, heavy.ID)
+			answers := b.Advance(epochStart)
+			g.Expect(answers).To(HaveLen(1))
+			g.Expect(answers[0].ID.ID).To(Equal(c.first))
+		})
+	}
+}
+
+// Guards against a waiting queue without bound, refusals without a retry time, and work for a server that is down.
+func TestBookRefuses(t *testing.T) {
+	g := NewWithT(t)
+	b := decodeBook(1, Options{ServerQueueLimit: 1})
+	reserve := func(a Ask) Answer {
+		answer, err := b.Reserve(epochStart, a)
+		g.Expect(err).NotTo(HaveOccurred())
+		return answer
+	}
+	g.Expect(reserve(ask(1, "a", StageDecode, false)).Granted).To(BeTrue())
+	g.Expect(reserve(ask(1, "a", StageDecode, false)).Granted).To(BeTrue(), "a repeated ask is the same reservation")
+	soon := ask(2, "a", StageDecode, false)
+	soon.Deadline = epochStart.Add(time.Millisecond)
+	refused := reserve(soon)
+	g.Expect(refused.Granted || refused.Queued).To(BeFalse())
+	g.Expect(refused.RetryAfter).To(BeNumerically(">", 0))
+	g.Expect(reserve(ask(3, "a", StageDecode, true)).Queued).To(BeTrue())
+	g.Expect(reserve(ask(4, "a", StageDecode, true)).QueueFull).To(BeTrue())
+	b.Down = true
+	g.Expect(b.Advance(epochStart)).To(HaveLen(1))
+	_, err := b.Reserve(epochStart, ask(5, "a", StagePrefill, false))
+	var stage *StageError
+	g.Expect(err).To(BeAssignableToTypeOf(stage))
+}
+
+// Guards against two charges for one slot when a report crosses a grant, and against a lost book that grants slots
+// which the engine knows to be in use.
+func TestBookTakesReportsWithLag(t *testing.T) {
+	g := NewWithT(t)
+	b := decodeBook(20, Options{})
+	at := func(ms int) time.Time { return epochStart.Add(time.Duration(ms) * time.Millisecond) }
+	report := func(ms, running, age int) {
+		b.Report(at(ms), engine.LoadReport{Running: running, Slots: 20, Age: time.Duration(age) * time.Millisecond})
+	}
+	report(0, 15, 0)
+	report(250, 15, 0)
+	g.Expect(b.Load(at(250)).Busy).To(Equal(15), "load that no reservation explains")
+	for i := range 5 {
+		_, err := b.Reserve(at(300), ask(i, "a", StageDecode, false))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	report(500, 15, 250)
+	g.Expect(b.Load(at(500)).Busy).To(Equal(20), "reservations newer than the report are added")
+	report(750, 20, 0)
+	report(1000, 20, 0)
+	g.Expect(b.Load(at(1000)).Busy).To(Equal(20), "reservations within the report are not added again")
+	b.Release(at(1001), ask(0, "a", StageDecode, false).ID)
+	report(1250, 20, 250)
+	report(1500, 19, 0)
+	g.Expect(b.Load(at(1500)).Busy).To(Equal(19))
+}
+
+// Guards against a workspace with several times its share pushing others below theirs, whatever the mix of weights.
+func TestSharesHoldUnderAFlood(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		weights := map[string]int64{
+			"flood": rapid.Int64Range(1, 5).Draw(t, "flood"), "a": rapid.Int64Range(1, 5).Draw(t, "a"), "b": rapid.Int64Range(1, 5).Draw(t, "b"),
+		}
+		b, now, n := decodeBook(10, Options{}), epochStart, 0
+		served := map[string]int{}
+		var running []ReservationID
+		place := func(workspace string) {
+			n++
+			a := ask(n, workspace, StageDecode, true)
+			a.Weight, a.Start, a.Deadline = weights[workspace]*1000, now, now.Add(time.Hour)
+			if answer, _ := b.Reserve(now, a); answer.Granted {
+				served[workspace]++
+				running = append(running, a.ID)
+			}
+		}
+		owner, asked := map[string]string{}, map[string]int{}
+		for range 300 {
+			now = now.Add(100 * time.Millisecond)
+			for _, w := range []string{"flood", "flood", "flood", "a", "b"} {
+				if asked[w]-served[w] < 20 {
+					asked[w]++
+					owner[fmt.Sprint(n+1)] = w
+					place(w)
+				}
+			}
+			if len(running) > 0 {
+				b.Release(now, running[0])
+				running = running[1:]
+			}
+			for _, a := range b.Advance(now) {
+				if a.Granted {
+					served[owner[a.ID.ID]]++
+					running = append(running, a.ID)
+				}
+			}
+		}
+		sum, total := int64(0), 0
+		for w, x := range weights {
+			sum += x
+			total += served[w]
+		}
+		for w, x := range weights {
+			fair := float64(total) * float64(x) / float64(sum)
+			g.Expect(float64(served[w])).To(BeNumerically(">=", 0.8*fair), "%s of %v, weights %v", w, served, weights)
+		}
+	})
+}
+
+// Guards against short or failed samples spoiling the costs.
+func TestCostsLearn(t *testing.T) {
+	for name, c := range map[string]struct {
+		o        Observation
+		from, to time.Duration
+	}{
+		"long prefill":        {Observation{Stage: StagePrefill, Tokens: 4000, Duration: 400 * time.Millisecond}, 80 * time.Microsecond, 110 * time.Microsecond},
+		"short prefill waits": {Observation{Stage: StagePrefill, Tokens: 128, Duration: 400 * time.Millisecond}, 25 * time.Microsecond, 40 * time.Microsecond},
+		"failed":              {Observation{Stage: StagePrefill, Tokens: 4000, Duration: 400 * time.Millisecond, Failed: true}, DefaultPrefillPerToken, DefaultPrefillPerToken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			costs := DefaultCosts()
+			for range 100 {
+				costs.Learn(c.o)
+			}
+			g.Expect(costs.Prefill(1000) - stageBase).To(And(BeNumerically(">=", 1000*c.from), BeNumerically("<=", 1000*c.to)))
+		})
+	}
+}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -173,7 +173,7 @@
 
 // links holds the transfers of this host by pair of zones.
 type links struct {
-	byZones map[[2]int][]flight
+	byZones map[[2]int][]*flight
 }
 
 type flight struct {
@@ -192,11 +192,14 @@
 	return sum
 }
 
-// add records a planned transfer and forgets finished ones.
-func (l *links) add(now time.Time, from, to int, f flight) {
+// add records a planned transfer and forgets finished ones. The returned function takes it back.
+func (l *links) add(now time.Time, from, to int, f flight) func() {
 	if l.byZones == nil {
-		l.byZones = map[[2]int][]flight{}
+		l.byZones = map[[2]int][]*flight{}
 	}
 	k := [2]int{from, to}
-	l.byZones[k] = append(slices.DeleteFunc(l.byZones[k], func(f flight) bool { return f.end.Before(now) }), f)
+	l.byZones[k] = append(slices.DeleteFunc(l.byZones[k], func(f *flight) bool { return f.end.Before(now) }), &f)
+	return func() {
+		l.byZones[k] = slices.DeleteFunc(l.byZones[k], func(x *flight) bool { return x == &f })
+	}
 }
--- a/internal/placement/fair.go
+++ b/internal/placement/fair.go
@@ -25,7 +25,6 @@
 type Shares struct {
 	at       time.Time
 	levelAt  time.Time
-	level    float64
 	entries  map[string]*share
 	contents []*share
 }
@@ -34,6 +33,9 @@
 	name           string
 	weight         float64
 	granted, asked float64
+	// over is from the last computation of the fair level: compared with a later amount, an old level would count
+	// every workspace of a burst as over its share.
+	over bool
 }
 
 // NewShares returns an empty table.
@@ -67,9 +69,13 @@
 	}
 	s.decay(now)
 	if now.Sub(s.levelAt) >= levelAge {
-		s.levelAt, s.level = now, s.fairLevel()
+		s.levelAt = now
+		level := s.fairLevel()
+		for _, x := range s.contents {
+			x.over = x.granted > level*x.weight*overMargin
+		}
 	}
-	return e.granted > s.level*e.weight*overMargin
+	return e.over
 }
 
 func (s *Shares) entry(now time.Time, workspace string, weight int64) *share {
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -292,12 +292,19 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	ready := now.Add(p.prefill.ready)
+	release := a.decode.release
 	if p.prefill.server != p.decode.server {
-		s.view.links.add(now, p.prefill.zone, p.decode.zone,
+		landed := s.view.links.add(now, p.prefill.zone, p.decode.zone,
 			flight{start: ready, end: ready.Add(p.transfer), tokens: a.r.PromptTokens})
+		release = func() {
+			s.mu.Lock()
+			landed()
+			s.mu.Unlock()
+			a.decode.release()
+		}
 	}
 	out := &Placement{
-		Prefill: p.prefill.server.rule, Decode: p.decode.server.rule, ReleasePrefill: func() {}, ReleaseDecode: a.decode.release,
+		Prefill: p.prefill.server.rule, Decode: p.decode.server.rule, ReleasePrefill: func() {}, ReleaseDecode: release,
 	}
 	if prefill != nil {
 		out.ReleasePrefill = prefill.release
--- a/test/bench/bench_test.go
+++ b/test/bench/bench_test.go
@@ -7,6 +7,10 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/boragecourse/boragecourse/test/baseline"
 )
 
 var (
@@ -69,3 +73,31 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against a change of the placement that collapses under overload, wastes prefill or refuses wrongfully. The
+// limits leave room for the order of goroutines, which differs between runs.
+func TestReservingBeatsBaselines(t *testing.T) {
+	g := NewWithT(t)
+	var cases []Case
+	for _, c := range Matrix([]float64{0.7, 1.5}, []Fault{NoFault}, 1) {
+		if c.Policy != baseline.Colocated {
+			cases = append(cases, c)
+		}
+	}
+	rows := runAll(t, cases)
+	for _, r := range rows {
+		if r.Policy != string(Reserving) {
+			continue
+		}
+		best := Best(rows, r)
+		g.Expect(r.Wasted).To(BeNumerically("<", 0.02), "%+v", r)
+		g.Expect(r.Lost).To(BeZero(), "%+v", r)
+		if r.Load < 1 {
+			g.Expect(r.Goodput).To(BeNumerically(">", 0.95*best.Goodput), "%+v", r)
+			g.Expect(r.Wrongful).To(BeNumerically("<", 5), "%+v", r)
+			continue
+		}
+		g.Expect(r.Goodput).To(BeNumerically(">", 1.2*best.Goodput), "%+v", r)
+		g.Expect(r.Worst).To(BeNumerically(">", best.Worst), "%+v", r)
+	}
+}
