Bound the fallback by this host's part of the slots and let stale reports fade

In the bench, the retry of a stream lost with its engine was held to the first-token deadline that it had met already. Change: a host takes at most 1.25 times an even part of the slots in the fallback; reports fade over 4 s; the bench's life cycle restarts the deadline once the first token was sent.

--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -314,6 +314,14 @@
 	return out
 }
 
+const (
+	// reportFades is the age at which a report no longer counts in the fallback: most streams of then have ended.
+	reportFades = 4 * time.Second
+	// ownExcess is how far above an even part of a server's slots one host goes in the fallback. The hosts do not know
+	// of each other's placements then, and a KV cache without a slot is a wasted prefill.
+	ownExcess = 1.25
+)
+
 // fallback places without reservations while some home host does not answer: two random choices for each stage on
 // the last reported load and this host's own count. The engine's own limit is the last guard.
 func (a *attempt) fallback(fixed *rules.Server) *Placement {
@@ -328,9 +336,12 @@
 		wait := s.view.servers[r.Name].prefillWait(now, false) + time.Duration(s.own.get(r.Name, StagePrefill))*fallbackPrefill
 		return float64(wait) / float64(s.opt.FirstToken)
 	}
+	hosts := float64(max(1, len(s.viewer.Epoch().Hosts)))
 	decodeLoad := func(r *rules.Server) float64 {
-		_, load := s.view.servers[r.Name].slotWait(false)
-		return load + s.ownLoad(StageDecode)(r)
+		v := s.view.servers[r.Name]
+		_, reported := v.slotWait(false)
+		fresh := max(0, 1-float64(now.Sub(v.loadAt))/float64(reportFades))
+		return fresh*reported + s.ownLoad(StageDecode)(r)*hosts/ownExcess
 	}
 	prefill := fixed
 	if prefill == nil {
--- a/test/bench/life.go
+++ b/test/bench/life.go
@@ -86,6 +86,10 @@
 		if res.Refused && isPlacerRefusal(refused.cause) {
 			return res
 		}
+		if res.First > 0 {
+			// The first token was sent, so its deadline no longer applies.
+			req.Arrived = time.Now()
+		}
 		if j.Class == rules.ClassWait {
 			select {
 			case <-time.After(waitPause):
