Add an in-process fleet and the first fault matrix

Change: test/fleet runs whole hosts over the stand-ins; test/faults strikes each fault at each step of a generation request, a booking and a configuration change.

--- /dev/null
+++ b/test/faults/steps_test.go
@@ -0,0 +1,182 @@
+package faults
+
+import (
+	"time"
+
+	"github.com/boragecourse/boragecourse/test/fleet"
+	"github.com/boragecourse/boragecourse/test/standin/service"
+)
+
+// inStep is how long after the begin of a step of about 100 ms its fault strikes.
+const inStep = 50 * time.Millisecond
+
+// step brings the work to a step and injects the fault there.
+type step struct {
+	name string
+	run  func(*trial, fault)
+}
+
+func (t *trial) strike(f fault) {
+	f.inject(t)
+	t.pass(f.lasts)
+}
+
+func (t *trial) send(work func() *fleet.Call) func() {
+	return func() { t.target = work() }
+}
+
+func (t *trial) request() *fleet.Call {
+	return t.generate(t.serving, "guests", promptTokens, outputTokens)
+}
+
+// generationSteps are the steps of a generation request.
+var generationSteps = []step{
+	{"before arrival", func(t *trial, f fault) {
+		f.inject(t)
+		t.pass(inStep)
+		t.target = t.request()
+		t.pass(f.lasts)
+	}},
+	{"waiting for a slot", func(t *trial, f fault) {
+		for range 3 {
+			for _, h := range t.All() {
+				t.generate(h, "crew", 20, 100)
+			}
+		}
+		t.pass(time.Second)
+		t.target = t.request()
+		t.pass(300 * time.Millisecond)
+		t.check("step", t.ranOf(t.target.ID).calls == 0 && !t.target.Returned(), "the request does not wait: %v", t.target.Seen().Err)
+		t.strike(f)
+	}},
+	{"prefill", func(t *trial, f fault) { t.during("prefill", 1, f) }},
+	{"KV transfer", func(t *trial, f fault) { t.during("transfer", 1, f) }},
+	{"decode", func(t *trial, f fault) { t.during("decode", 5, f) }},
+	{"just finished", func(t *trial, f fault) {
+		t.target = t.request()
+		<-t.target.Returns
+		t.check("step", t.target.Seen().Err == nil, "the request failed before the fault: %v", t.target.Seen().Err)
+		t.strike(f)
+	}},
+}
+
+// during injects the fault in the middle of a step of the request.
+func (t *trial) during(name string, n int, f fault) {
+	t.reach(name, n, t.send(t.request))
+	time.Sleep(inStep)
+	t.mustBeWhole = f.survives
+	t.strike(f)
+}
+
+// bookingSteps are the steps of a booking with an idempotency key. The booking is repeated on another host while
+// the fault lasts, and twice after it.
+var bookingSteps = []step{
+	{"before the claim", func(t *trial, f fault) {
+		f.inject(t)
+		t.pass(inStep)
+		t.target = t.book(t.serving)
+		t.repeat(f)
+	}},
+	{"claim being written", func(t *trial, f fault) {
+		t.slowClaims()
+		t.reach("claim", 1, t.send(func() *fleet.Call { return t.book(t.serving) }))
+		time.Sleep(inStep)
+		f.inject(t)
+		t.repeat(f)
+	}},
+	{"claim written", func(t *trial, f fault) {
+		t.reach("claim written", 1, t.send(func() *fleet.Call { return t.book(t.serving) }))
+		f.inject(t)
+		t.repeat(f)
+	}},
+	{"dispatched", func(t *trial, f fault) {
+		t.slowServices()
+		t.reach("dispatched", 1, t.send(func() *fleet.Call { return t.book(t.serving) }))
+		time.Sleep(inStep)
+		f.inject(t)
+		t.repeat(f)
+	}},
+	{"answered", func(t *trial, f fault) {
+		t.target = t.book(t.serving)
+		<-t.target.Returns
+		f.inject(t)
+		t.repeat(f)
+	}},
+	{"repeated on another host", func(t *trial, f fault) {
+		t.slowServices()
+		t.reach("dispatched", 1, t.send(func() *fleet.Call { return t.book(t.serving) }))
+		t.repeats = append(t.repeats, t.book(t.other))
+		time.Sleep(inStep)
+		f.inject(t)
+		t.repeat(f)
+	}},
+}
+
+// repeat sends the booking again while the fault lasts.
+func (t *trial) repeat(f fault) {
+	t.pass(time.Second)
+	t.repeats = append(t.repeats, t.book(t.other))
+	t.pass(f.lasts)
+}
+
+// slowClaims and slowServices make the steps long enough for a fault in their middle.
+func (t *trial) slowClaims() {
+	t.serving.Client.SetDelay(2 * inStep)
+}
+
+func (t *trial) slowServices() {
+	for _, s := range t.Services {
+		s.SetFaults(service.Faults{Slow: 4 * inStep})
+	}
+}
+
+// changeSteps are the steps of a change that withdraws a key.
+var changeSteps = []step{
+	{"before the change", func(t *trial, f fault) {
+		f.inject(t)
+		t.pass(inStep)
+		t.withdraw()
+		t.pass(f.lasts)
+	}},
+	{"head being written", func(t *trial, f fault) {
+		t.serving.Client.SetDelay(2 * inStep)
+		t.reach("head", 1, t.withdraw)
+		time.Sleep(inStep)
+		t.strike(f)
+	}},
+	{"head swapped but not pushed", func(t *trial, f fault) {
+		t.reach("head written", 1, t.withdraw)
+		t.strike(f)
+	}},
+	{"in force on some hosts", func(t *trial, f fault) {
+		// Pushes to zone b and what its hosts read from the store arrive late.
+		t.Net.SetDelay(func(from, to string) time.Duration {
+			if from[0] != to[0] {
+				return 400 * time.Millisecond
+			}
+			return time.Millisecond
+		})
+		for _, h := range t.InZone("b") {
+			h.Client.SetDelay(400 * time.Millisecond)
+		}
+		before := t.serving.Config.Generation()
+		t.withdraw()
+		reached := false
+		for range 40 {
+			time.Sleep(5 * time.Millisecond)
+			held := 0
+			for _, h := range t.All() {
+				if h.Config.Generation() > before {
+					held++
+				}
+			}
+			if reached = held > 0 && held < 5; reached {
+				break
+			}
+		}
+		t.check("step", reached, "the change was not in force on some hosts only")
+		t.strike(f)
+	}},
+}
+
+func (t *trial) withdraw() { t.change(t.serving, t.rules.Without("guests")) }
--- /dev/null
+++ b/test/fleet/host.go
@@ -0,0 +1,174 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/boragecourse/boragecourse/internal/assembly"
+	"github.com/boragecourse/boragecourse/internal/config"
+	"github.com/boragecourse/boragecourse/internal/host"
+	"github.com/boragecourse/boragecourse/internal/membership"
+	"github.com/boragecourse/boragecourse/internal/metrics"
+	"github.com/boragecourse/boragecourse/internal/platform"
+	"github.com/boragecourse/boragecourse/test/standin/memnet"
+	"github.com/boragecourse/boragecourse/test/standin/memstore"
+)
+
+// Host is one host. The process that runs on it changes with each Start.
+type Host struct {
+	Name, Zone, Addr string
+	*process
+
+	fleet     *Fleet
+	storeDown bool
+	starts    uint64
+}
+
+// process is one run of the daemon's parts. What it does after its death reaches nobody.
+type process struct {
+	*assembly.Parts
+	// Client is its connection to the store.
+	Client *memstore.Client
+	// Died is when it was killed or left; zero while it runs.
+	Died time.Time
+
+	ctx  context.Context //nolint:containedctx // The life of the process.
+	stop context.CancelFunc
+	dead atomic.Bool
+	// requests counts those that run in the process.
+	requests sync.WaitGroup
+}
+
+// Alive reports whether a process runs on the host.
+func (h *Host) Alive() bool { return h.process != nil && !h.dead.Load() }
+
+// Start runs a new incarnation.
+func (h *Host) Start() error {
+	h.starts++
+	p := &process{Client: h.fleet.Store.Client()}
+	p.Client.SetDown(h.storeDown)
+	p.ctx, p.stop = context.WithCancel(context.Background())
+	node := h.fleet.Net.Node(h.Addr)
+	timing := membership.DefaultTiming()
+	timing.Isolation = Isolation
+	store := &store{Client: p.Client, fleet: h.fleet, name: h.Name}
+	parts, err := assembly.New(assembly.Environment{
+		Self:  host.ID{Name: h.Name, Addr: h.Addr, Zone: h.Zone, Incarnation: h.starts},
+		Store: store, Hosts: platform.NewHostList(store), Dialer: &dialer{node, p},
+		Engines: &directory{h.fleet, h, p}, Metrics: metrics.New(), Log: h.fleet.Log.WithName(h.Name), Timing: timing,
+	})
+	if err != nil {
+		return err
+	}
+	p.Parts = parts
+	if h.fleet.Tamper != nil {
+		h.fleet.Tamper(parts)
+	}
+	h.process = p
+	node.SetDown(false)
+	parts.Register(node)
+	for _, s := range append(parts.Control(), parts.Work()...) {
+		h.fleet.running.Go(func() {
+			err := s.Serve(p.ctx)
+			if p.ctx.Err() == nil {
+				h.fleet.fault("host %s: service %T ended: %v", h.Name, s, err)
+			}
+		})
+	}
+	h.fleet.running.Go(func() {
+		for !parts.Config.Ready() && p.ctx.Err() == nil {
+			time.Sleep(20 * time.Millisecond)
+		}
+		parts.Members.SetReady()
+	})
+	return nil
+}
+
+// Kill ends the process at once: nothing that it does from now on reaches anyone.
+func (h *Host) Kill() { h.kill(h.process) }
+
+func (h *Host) kill(p *process) {
+	p.dead.Store(true)
+	p.Died = time.Now()
+	h.fleet.Net.Node(h.Addr).SetDown(true)
+	p.Client.SetDown(true)
+	p.stop()
+	h.fleet.running.Go(func() {
+		p.requests.Wait()
+		p.Close()
+	})
+}
+
+// Leave drains the host as the daemon does on SIGTERM and ends the process.
+func (h *Host) Leave(ctx context.Context) error {
+	p := h.process
+	err := p.Router.Drain(ctx)
+	p.HandBack(ctx)
+	h.kill(p)
+	return err
+}
+
+// store is a process's connection to the store, with steps reported to the fleet's hook.
+type store struct {
+	*memstore.Client
+	fleet *Fleet
+	name  string
+}
+
+// Txn implements platform.Store.
+func (s *store) Txn(ctx context.Context, conditions []platform.Condition, writes []platform.Write) (platform.TxnResult, error) {
+	step := ""
+	for _, w := range writes {
+		switch {
+		case w.Key == config.HeadKey:
+			step = "head"
+		case strings.HasPrefix(w.Key, "/boragecourse/claim/") && w.Value != nil:
+			step = "claim"
+		}
+	}
+	if step == "" {
+		return s.Client.Txn(ctx, conditions, writes)
+	}
+	s.fleet.step(step, s.name)
+	res, err := s.Client.Txn(ctx, conditions, writes)
+	s.fleet.step(step+" written", s.name)
+	return res, err
+}
+
+// dialer connects a process to other hosts while it lives.
+type dialer struct {
+	node *memnet.Node
+	p    *process
+}
+
+// Conn implements peer.Dialer.
+func (d *dialer) Conn(addr string) grpc.ClientConnInterface {
+	return &conn{d.node.Conn(addr), d.p}
+}
+
+type conn struct {
+	grpc.ClientConnInterface
+	p *process
+}
+
+// Invoke implements grpc.ClientConnInterface.
+func (c *conn) Invoke(ctx context.Context, method string, args, reply any, opts ...grpc.CallOption) error {
+	if c.p.dead.Load() {
+		return status.Error(codes.Unavailable, errDead.Error())
+	}
+	return c.ClientConnInterface.Invoke(ctx, method, args, reply, opts...)
+}
+
+var (
+	errDead    = errors.New("the process is dead")
+	errCut     = errors.New("no route to host")
+	errCrossed = errors.New("answer carries another attempt's id")
+)
