--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/boragecourse/boragecourse/internal/config"
@@ -13,7 +14,13 @@
 
 const (
 	// maxTries bounds the pairs that one attempt asks for.
-	maxTries = 4
+	maxTries = 6
+	// askSlack is how much longer than predicted a latency-class request waits at a home host. Beyond it the home
+	// host refuses with its present load, and the request chooses again with it: loads of other home hosts are up
+	// to seconds old, and a queue at one server is no use while another is free.
+	askSlack = 20 * time.Millisecond
+	// staleChoice is the wait for a decode slot after which the prefill server is chosen again.
+	staleChoice = 10 * time.Millisecond
 	// retryPause is how long a wait-class request pauses after an attempt that could not wait at a home host.
 	retryPause = 100 * time.Millisecond
 	// patientPrefill is how long a wait-class request with a decode slot waits for a prefill server. The slot is
@@ -126,12 +133,14 @@
 	q       query
 	decode  *reservation
 	refusal error
+	// refused are the servers that refused once and may be asked again.
+	refused []*serverView
 	// last is when the first token must come; the zero time means no deadline.
 	last time.Time
 }
 
 func (s *Service) attempt(ctx context.Context, snap *config.Snapshot, r Request, fixed *rules.Server) (*Placement, error) {
-	a := &attempt{s: s, snap: snap, r: r, q: query{tokens: r.PromptTokens, blocks: r.PrefixBlocks, exclude: r.Exclude}}
+	a := &attempt{s: s, snap: snap, r: r, q: query{tokens: r.PromptTokens, blocks: r.PrefixBlocks, exclude: r.Exclude, patient: r.Class == rules.ClassWait && fixed == nil}}
 	if r.Class != rules.ClassWait && fixed == nil {
 		a.last = r.Arrived.Add(s.opt.FirstToken)
 	}
@@ -191,54 +200,84 @@
 		return false
 	}
 	over := a.q.now.Add(p.first).Sub(a.last)
+	stage := StagePrefill
+	if p.decode.ready > p.prefill.ready {
+		stage = StageDecode
+	}
+	a.s.metrics.Inc(metricLate, metrics.L("stage", string(stage)))
 	a.refusal = &DeadlineError{Predicted: a.q.now.Sub(a.r.Arrived) + p.first, RetryAfter: over}
 	return true
 }
 
 // try asks for the decode slot, then for the prefill. It reports whether another pair may be tried.
 func (a *attempt) try(ctx context.Context, p pair) (*Placement, bool) {
-	s, patient := a.s, a.r.Class == rules.ClassWait && a.q.fixed == nil
+	s, patient := a.s, a.q.patient
 	now := a.q.now
 	if a.decode == nil {
 		deadline := now.Add(s.opt.WaitRound)
 		if !a.last.IsZero() {
-			deadline = a.last.Add(-p.transfer - p.step)
+			deadline = earlier(a.last.Add(-p.transfer-p.step), now.Add(p.decode.ready+askSlack))
 		} else if !patient {
 			deadline = now.Add(s.opt.KVLife / 2)
 		}
 		res, rep := s.reserve(ctx, p.decode.server, Ask{
 			Workspace: a.r.Workspace, Weight: a.r.Weight, Stage: StageDecode, Priority: a.r.Priority, Patient: patient,
-			Tokens: a.r.PromptTokens + a.r.MaxOutputTokens, Start: now.Add(p.prefill.ready), Deadline: deadline,
+			Tokens: a.r.MaxOutputTokens, Start: now.Add(p.prefill.ready), Deadline: deadline,
 			Duration: p.hold,
 		}, nil)
 		if res == nil {
-			a.note(rep)
-			a.q.noDecode = append(a.q.noDecode, p.decode.server)
+			a.note(rep, StageDecode)
+			if a.seenBefore(p.decode.server, rep.load.SlotWait > p.decode.ready) {
+				a.q.noDecode = append(a.q.noDecode, p.decode.server)
+			}
 			return nil, !patient || !rep.asked()
 		}
 		a.decode, a.q.keep = res, p.decode.server
+		if a.q.fixed == nil && time.Since(now) > staleChoice {
+			return nil, true
+		}
 	}
 	if a.q.fixed != nil {
 		return a.placement(p, nil, 0), false
 	}
 	deadline := time.Now().Add(patientPrefill)
 	if !a.last.IsZero() {
-		deadline = a.last.Add(-p.transfer - p.step - p.need)
+		deadline = earlier(a.last.Add(-p.transfer-p.step-p.need), time.Now().Add(p.prefill.ready-p.need+askSlack))
 	}
 	res, rep := s.reserve(ctx, p.prefill.server, Ask{
 		Workspace: a.r.Workspace, Weight: a.r.Weight, Stage: StagePrefill, Priority: a.r.Priority, Patient: patient,
 		Tokens: a.r.PromptTokens, Start: now, Deadline: deadline, Duration: p.need,
 	}, a.r.PrefixBlocks)
 	if res == nil {
-		a.note(rep)
-		a.q.noPre = append(a.q.noPre, p.prefill.server)
+		a.note(rep, StagePrefill)
+		if a.seenBefore(p.prefill.server, rep.load.PrefillWait > p.prefill.ready-p.need) {
+			a.q.noPre = append(a.q.noPre, p.prefill.server)
+		}
 		return nil, true
 	}
 	return a.placement(p, res, rep.cached), false
 }
 
+// seenBefore reports whether a refused server should not be asked again: unless the refusal told of a longer wait than
+// predicted, which the next choice takes into account, and it was the first one.
+func (a *attempt) seenBefore(s *serverView, longer bool) bool {
+	if longer && !slices.Contains(a.refused, s) {
+		a.refused = append(a.refused, s)
+		return false
+	}
+	return true
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // note keeps the reason of a refusal for the caller.
-func (a *attempt) note(r reply) {
+func (a *attempt) note(r reply, stage Stage) {
+	a.s.metrics.Inc(metricDenied, metrics.L("stage", string(stage)), metrics.L("class", string(a.r.Class)))
 	switch {
 	case r.queueFull:
 		a.refusal = &QueueFullError{Waiting: a.s.opt.ServerQueueLimit, RetryAfter: r.retryAfter}
@@ -279,11 +318,11 @@
 		return nil
 	}
 	prefillLoad := func(r *rules.Server) float64 {
-		wait := s.view.servers[r.Name].prefillWait(now) + time.Duration(s.own.get(r.Name, StagePrefill))*fallbackPrefill
+		wait := s.view.servers[r.Name].prefillWait(now, false) + time.Duration(s.own.get(r.Name, StagePrefill))*fallbackPrefill
 		return float64(wait) / float64(s.opt.FirstToken)
 	}
 	decodeLoad := func(r *rules.Server) float64 {
-		_, load := s.view.servers[r.Name].slotWait()
+		_, load := s.view.servers[r.Name].slotWait(false)
 		return load + s.ownLoad(StageDecode)(r)
 	}
 	prefill := fixed
--- a/internal/request/refusals_test.go
+++ b/internal/request/refusals_test.go
@@ -51,6 +51,8 @@
 		"no output":         {body(`{"model":"m","prompt":"x","max_tokens":0}`), outcome.CodeMalformedRequest, 400, outcome.NotRun},
 		"unknown model":     {body(`{"model":"x","prompt":"x"}`), outcome.CodeUnknownModel, 404, outcome.NotRun},
 		"unknown path":      {at("/v1/other"), outcome.CodeUnknownRoute, 404, outcome.NotRun},
+		"path with dots":    {at("/booking/status/../reserve"), outcome.CodeUnknownRoute, 404, outcome.NotRun},
+		"key in the path":   {at("/booking/status/" + secret), outcome.CodeMalformedRequest, 400, outcome.NotRun},
 		"missing key":       {func(_ *fixture, in *Input) { in.Key = "" }, outcome.CodeMissingKey, 401, outcome.NotRun},
 		"wrong key":         {func(_ *fixture, in *Input) { in.Key = "x" }, outcome.CodeInvalidKey, 401, outcome.NotRun},
 		"unconfirmed":       {func(f *fixture, _ *Input) { f.stale = context.DeadlineExceeded }, outcome.CodeConfigUnconfirmed, 503, outcome.NotRun},
@@ -101,11 +103,11 @@
 		in := f.input(pathChat, `{"model":"m","messages":[{"role":"user","content":"hello lighthouse"}],"stream":true,
 			"max_completion_tokens":12,"kv_transfer_params":{"do_remote_prefill":true},"priority":-9}`)
 		in.Header.Set("User-Agent", "x "+secret)
+		x := &run{Router: f.Router, in: &Input{URL: in.URL, Body: in.Body}}
 		r := f.run(t.Context(), in)
 		f.Expect(r.err).To(BeNil())
 		f.Expect(r.text.String()).To(Equal(standin.Answer(greeted, 12)))
 		f.Expect(in.Header).To(BeEmpty())
-		x := &run{Router: f.Router, in: in}
 		f.Expect(x.parse()).To(Succeed())
 		f.Expect(string(x.call(x.newAttempt(), 12, "").Body)).NotTo(MatchRegexp("kv_transfer|priority|completion_tokens"))
 		f.verify(in, r)
@@ -155,21 +157,33 @@
 // Guards against a withdrawn key whose queued request still runs, and against one that cuts running work.
 func TestKeyWithdrawn(t *testing.T) {
 	for _, path := range []string{pathCompletions, "/booking/reserve"} {
-		t.Run("queued"+path, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newFixture(t)
-				defer f.Close()
-				f.block = make(chan struct{})
-				time.AfterFunc(time.Second, func() { f.install(config.NewSnapshot(4, rulesOf())) })
-				time.AfterFunc(2*time.Second, func() { close(f.block) })
-				in := f.input(path, completion("m", true))
-				r := f.run(t.Context(), in)
-				f.Expect(r.err.Code).To(Equal(outcome.CodeKeyWithdrawn))
-				f.Expect(r.err.Status).To(Equal(http.StatusUnauthorized))
-				f.Expect(r.err.Outcome).To(Equal(outcome.NotRun))
-				f.verify(in, r)
+		for _, hook := range []bool{true, false} {
+			t.Run(fmt.Sprintf("queued%s/hook=%t", path, hook), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFixture(t)
+					defer f.Close()
+					f.block = make(chan struct{})
+					without := config.NewSnapshot(4, rulesOf())
+					time.AfterFunc(time.Second, func() {
+						if hook {
+							// The queue does not move, so only the hook can end the wait.
+							f.install(without)
+							return
+						}
+						f.mu.Lock()
+						f.snap = without
+						f.mu.Unlock()
+						close(f.block)
+					})
+					in := f.input(path, completion("m", true))
+					r := f.run(t.Context(), in)
+					f.Expect(r.err.Code).To(Equal(outcome.CodeKeyWithdrawn))
+					f.Expect(r.err.Status).To(Equal(http.StatusUnauthorized))
+					f.Expect(r.err.Outcome).To(Equal(outcome.NotRun))
+					f.verify(in, r)
+				})
 			})
-		})
+		}
 	}
 	t.Run("running", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -29,6 +31,7 @@
 	body      *body
 
 	quota reservations
+	claim *claimed
 	tries int
 	held  []*hold
 	ran   ran
@@ -81,7 +84,7 @@
 	x.charge()
 	x.Metrics.Inc("requests_finished",
 		metrics.L("outcome", string(x.result.Outcome)), metrics.L("code", string(x.result.Code)))
-	line := []any{"request", x.in.ID, "path", x.in.URL.Path, "outcome", x.result.Outcome, "code", x.result.Code}
+	line := []any{"request", x.in.ID, "path", x.in.redact(x.in.URL.Path), "outcome", x.result.Outcome, "code", x.result.Code}
 	if x.route != nil {
 		line = append(line, "route", x.route.ID())
 	}
@@ -92,7 +95,7 @@
 	line = append(line, "prompt_tokens", x.ran.prompt, "cached_tokens", x.ran.cached, "output_tokens", x.ran.output,
 		"cost_tokens", x.ran.cost, "attempts", x.tries, "duration", time.Since(x.in.Arrived))
 	if x.result.Cause != nil {
-		line = append(line, "cause", x.result.Cause.Error())
+		line = append(line, "cause", x.in.redact(x.result.Cause.Error()))
 	}
 	x.Log.Info("request finished", line...)
 }
@@ -127,5 +130,8 @@
 	if context.Cause(ctx) == errWithdrawn { //nolint:errorlint // The cause is this very value.
 		return keyWithdrawn()
 	}
-	return x.fail(statusClientClosed, outcome.CodeCanceled, "request was canceled", context.Cause(ctx))
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return x.fail(http.StatusGatewayTimeout, outcome.CodeCanceled, "the time limit of a request has passed", ctx.Err())
+	}
+	return x.fail(statusClientClosed, outcome.CodeCanceled, "the request was canceled", context.Cause(ctx))
 }
--- a/internal/request/service.go
+++ b/internal/request/service.go
@@ -30,7 +30,6 @@
 // serviceCall is the run of a request on a plain service.
 type serviceCall struct {
 	*run
-	claim *claimed
 	// leave ends the time in which the request counts as queued.
 	leave func()
 }
@@ -43,11 +42,11 @@
 	if err := x.recheck(); err != nil {
 		return err
 	}
-	replayed, err := c.takeClaim(waiting)
+	replayed, err := x.takeClaim(waiting)
 	if err != nil || replayed {
 		return err
 	}
-	defer func() { c.claim.settle(err) }()
+	defer func() { x.claim.settle(err) }()
 	return c.call(ctx, waiting)
 }
 
@@ -147,7 +146,7 @@
 		// A call that may act is not cut when its caller leaves, so that its outcome is known and recorded.
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	timed, cancel := context.WithCancel(ctx)
 	defer cancel()
 	limit := time.AfterFunc(c.settings.ServiceTimeout, cancel)
 	defer limit.Stop()
@@ -159,11 +158,8 @@
 		req.Body = nil
 	}
 	start := time.Now()
-	res, err := c.Engines.Service(server.Name, server.Addr).Do(ctx, c.newAttempt(), req)
-	c.Placer.Observe(placement.Observation{
-		Server: server.Name, Stage: placement.StageService, Tokens: c.route.Cost, Duration: time.Since(start),
-		Failed: err != nil,
-	})
+	res, err := c.Engines.Service(server.Name, server.Addr).Do(timed, c.newAttempt(), req)
+	c.observe(ctx, server, placement.StageService, c.route.Cost, start, err)
 	if err != nil {
 		return err
 	}
@@ -192,15 +188,15 @@
 		return &engine.FailedError{Server: server.Name, Status: res.StatusCode, Cause: err}
 	}
 	limit.Stop()
-	return c.send(res.StatusCode, answerHeader(res), io.MultiReader(bytes.NewReader(first), res.Body))
+	return c.sendAnswer(res.StatusCode, answerHeader(res), io.MultiReader(bytes.NewReader(first), res.Body))
 }
 
-func (c *serviceCall) send(status int, header http.Header, body io.Reader) error {
+func (x *run) sendAnswer(status int, header http.Header, body io.Reader) error {
 	if status >= http.StatusInternalServerError {
-		header.Set(HeaderOutcome, string(c.ran.outcome()))
+		header.Set(HeaderOutcome, string(x.ran.outcome()))
 	}
-	if err := c.sink.Answer(status, header, body); err != nil {
-		return c.fail(statusClientClosed, outcome.CodeCanceled, "the answer could not be sent", &SinkError{Cause: err})
+	if err := x.sink.Answer(status, header, body); err != nil {
+		return x.fail(statusClientClosed, outcome.CodeCanceled, "the answer could not be sent", &SinkError{Cause: err})
 	}
 	return nil
 }
