Return to the caller of Place when a waiting request excludes every server

A wait-class request that had excluded every server of a stage, because each had failed it once, waited for ever: the request path clears its exclusions only after Place has reported that no server is left. The caller got no answer, and no charge was written. Change: excluded servers do not count as servers to wait for.

--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -68,13 +68,14 @@
 	}
 }
 
-// configured reports whether the rules have active servers for both stages, so that waiting makes sense.
+// configured reports whether the rules have active servers for both stages that the request does not exclude, so
+// that waiting makes sense.
 func (s *Service) configured(snap *config.Snapshot, r Request) bool {
 	if installed := s.snapshot(); installed != nil {
 		snap = installed
 	}
 	engines := snap.Engines(r.Model)
-	return len(usable(engines, StagePrefill, nil)) > 0 && len(usable(engines, StageDecode, nil)) > 0
+	return len(usable(engines, StagePrefill, r.Exclude)) > 0 && len(usable(engines, StageDecode, r.Exclude)) > 0
 }
 
 func pause(ctx context.Context, d time.Duration) error {
