Reset the link delays when the test fleet heals

Cause: the delays of one step stayed after the fault, so loans between zones timed out. Change: Heal restores them. Conclusion: a fault of the scaffolding.

--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -88,12 +88,7 @@
 		Hosts: map[string]*Host{}, Cores: map[string]*engine.Core{}, Services: map[string]*service.Service{},
 		cuts: map[[2]string]bool{}, crossed: map[string]int{}, hook: func(string, string) {},
 	}
-	f.Net.SetDelay(func(from, to string) time.Duration {
-		if from[0] == to[0] {
-			return 100 * time.Microsecond
-		}
-		return 500 * time.Microsecond
-	})
+	f.Net.SetDelay(delay)
 	f.addBackendServers()
 	for _, name := range hostNames {
 		h := &Host{Name: name, Zone: name[:1], Addr: name, fleet: f}
@@ -115,6 +110,14 @@
 	return f, nil
 }
 
+// delay is the one-way time between two hosts, whose addresses begin with their zone.
+func delay(from, to string) time.Duration {
+	if from[0] == to[0] {
+		return 100 * time.Microsecond
+	}
+	return 500 * time.Microsecond
+}
+
 func (f *Fleet) publish(h *Host) error {
 	key, value, err := platform.EncodeHost(platform.HostEntry{Name: h.Name, Addr: h.Addr, Zone: h.Zone, State: platform.HostLive})
 	if err != nil {
@@ -277,6 +280,7 @@
 // Heal ends every fault and starts dead hosts again.
 func (f *Fleet) Heal() error {
 	f.Net.HealAll()
+	f.Net.SetDelay(delay)
 	f.mu.Lock()
 	clear(f.cuts)
 	clear(f.crossed)
