Save memory statistics with the path benchmark's profile

Cause: the memory per open stream is above its target and its parts were unknown. Change: benchpath -profile also writes the runtime's statistics. Tried and taken back: a GC percent of 60 in the daemon, 67.7 KB per stream against 65.5 KB to 70.8 KB without, which is within the noise.

--- a/test/benchpath/main.go
+++ b/test/benchpath/main.go
@@ -96,6 +96,7 @@
 		measure(ctx, f.callers, streams, func() {
 			f.saveProfile(ctx, "heap?gc=1", profile)
 			f.saveProfile(ctx, "goroutine?debug=1", profile+".goroutines")
+			f.saveProfile(ctx, "heap?debug=1", profile+".memstats")
 		})
 	}
 	return report(streams, direct, routed, perStream)
