--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 BENCH_JSON ?= out/bench-placement.json
 
-.PHONY: build programs test demo bench bench-path fmt lint proto
+.PHONY: build programs test demo bench bench-path capacity fmt lint proto
 
 build: ## Build every package.
 	$(GO) build ./...
@@ -34,3 +34,9 @@
 bench: ## Measure placement against the baselines; prints a table and writes BENCH_JSON.
 	@mkdir -p out
 	$(GO) test ./test/bench -count=1 -run 'TestPlacementBench$$' -v -placement.full -placement.json=$(abspath $(BENCH_JSON))
+
+CAPACITY_JSON ?= out/capacity.json
+
+capacity: ## Measure how the control plane's cost grows; prints a table and writes CAPACITY_JSON.
+	@mkdir -p out
+	$(GO) test ./test/capacity -count=1 -timeout 170s -run 'TestCapacity$$' -v -capacity.full -capacity.json=$(abspath $(CAPACITY_JSON))
--- /dev/null
+++ b/test/capacity/hosts.go
@@ -0,0 +1,158 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+)
+
+const (
+	// settle is the time after a change before a steady state is measured. Reservations, grants and epochs settle
+	// within a few seconds.
+	settle = 12 * time.Second
+	// span is the fleet time of a measurement.
+	span = 10 * time.Second
+	perK = 1e3
+)
+
+// addPerHost adds what a host costs in a second of fleet time.
+func (r *Report) addPerHost(series, xUnit string, x float64, m Measured, hosts int) {
+	n := m.Span * float64(hosts)
+	sum := Sum(m.Traffic)
+	r.Add(series+": CPU of a host", xUnit, "ms/s", x, perK*m.CPU/n)
+	r.Add(series+": messages between hosts", xUnit, "1/s per host", x, float64(sum.Messages)/n)
+	r.Add(series+": bytes between hosts", xUnit, "KB/s per host", x, float64(sum.Bytes)/n/perK)
+	for _, name := range sortedKeys(m.Traffic) {
+		t := m.Traffic[name]
+		r.Add(series+": bytes of "+name, xUnit, "KB/s per host", x, float64(t.Bytes)/n/perK)
+		r.Add(series+": messages of "+name, xUnit, "1/s per host", x, float64(t.Messages)/n)
+	}
+}
+
+// addStore adds the fleet's calls to the store.
+func (r *Report) addStore(series, xUnit string, x float64, m Measured, hosts int) {
+	r.Add(series+": store reads", xUnit, "1/s of the fleet", x, m.Reads/m.Span)
+	r.Add(series+": store writes", xUnit, "1/s of the fleet", x, m.Writes/m.Span)
+	sum := Sum(m.Store)
+	r.Add(series+": bytes to and from the store", xUnit, "KB/s per host", x, float64(sum.Bytes)/m.Span/float64(hosts)/perK)
+	for _, kind := range sortedKeys(m.Store) {
+		if t := m.Store[kind]; t.Messages > 0 {
+			r.Add(series+": store calls, "+kind, xUnit, "1/s of the fleet", x, float64(t.Messages)/m.Span)
+			r.Add(series+": store bytes, "+kind, xUnit, "KB/s per host", x, float64(t.Bytes)/m.Span/float64(hosts)/perK)
+		}
+	}
+}
+
+func sortedKeys(m map[string]Traffic) []string {
+	var keys []string
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// MeasureHosts measures an idle fleet and one change of its configuration.
+func MeasureHosts(r *Report, size Size) error {
+	f, err := NewFleet(size)
+	if err != nil {
+		f.Close()
+		return err
+	}
+	defer f.Close()
+	x, unit := float64(size.Hosts), "hosts"
+	time.Sleep(settle)
+	idle := f.Measure(func() { time.Sleep(span) })
+	r.addPerHost("idle", unit, x, idle, size.Hosts)
+	r.addStore("idle", unit, x, idle, size.Hosts)
+	var took time.Duration
+	m := f.Measure(func() { took, err = f.change(1) })
+	if err != nil {
+		return err
+	}
+	r.Add("change: time until in force", unit, "ms", x, float64(took.Milliseconds()))
+	r.Add("change: bytes between hosts", unit, "KB per host", x, float64(Sum(m.Traffic).Bytes)/x/perK)
+	r.Add("change: store calls", unit, "calls", x, m.Reads+m.Writes)
+	return nil
+}
+
+// MeasureReplacement measures the replacement of one host.
+func MeasureReplacement(r *Report, size Size) error {
+	f, err := NewFleet(size)
+	if err != nil {
+		f.Close()
+		return err
+	}
+	defer f.Close()
+	time.Sleep(settle)
+	return f.replace(r, f.Measure(func() { time.Sleep(span) }))
+}
+
+// change applies a configuration with another key and returns when it is in force everywhere.
+func (f *Fleet) change(version int) (time.Duration, error) {
+	began := time.Now()
+	h := f.Hosts[0]
+	report, err := h.Config.Apply(h.ctx, h.Config.Generation(), []byte(f.Rules(version)))
+	if err != nil {
+		return 0, err
+	}
+	if !report.InForce {
+		return 0, &NotInForceError{Generation: h.Config.Generation()}
+	}
+	for slices.ContainsFunc(f.Hosts, func(o *Host) bool { return o.Config.Generation() != h.Config.Generation() }) {
+		time.Sleep(time.Millisecond)
+	}
+	return time.Since(began), nil
+}
+
+// NotInForceError says that a change was accepted and is not in force yet.
+type NotInForceError struct{ Generation uint64 }
+
+// Error implements error.
+func (e *NotInForceError) Error() string {
+	return fmt.Sprintf("generation %d is not in force", e.Generation)
+}
+
+// replace kills the last host and starts a new one in its place once the others excluded it. What the replacement
+// costs is the difference to the idle fleet.
+func (f *Fleet) replace(r *Report, idle Measured) error {
+	last := len(f.Hosts) - 1
+	var excluded time.Duration
+	var err error
+	m := f.Measure(func() {
+		f.Hosts[last].kill()
+		began := time.Now()
+		for len(f.Hosts[0].Members.Epoch().Hosts) > last && time.Since(began) < joinLimit {
+			time.Sleep(50 * time.Millisecond)
+		}
+		excluded = time.Since(began)
+		if err = f.start(last, 2); err == nil {
+			err = f.Await()
+		}
+		time.Sleep(settle)
+	})
+	x, unit := float64(len(f.Hosts)), "hosts"
+	scale := m.Span / idle.Span
+	r.Add("replacement: time until excluded", unit, "s", x, excluded.Seconds())
+	r.Add("replacement: CPU of each host", unit, "ms", x, perK*(m.CPU-scale*idle.CPU)/x)
+	r.Add("replacement: bytes between hosts", unit, "KB per host", x, (float64(Sum(m.Traffic).Bytes)-scale*float64(Sum(idle.Traffic).Bytes))/x/perK)
+	r.Add("replacement: bytes to and from the store", unit, "KB per host", x, (float64(Sum(m.Store).Bytes)-scale*float64(Sum(idle.Store).Bytes))/x/perK)
+	r.Add("replacement: store reads", unit, "calls", x, m.Reads-scale*idle.Reads)
+	r.Add("replacement: store writes", unit, "calls", x, m.Writes-scale*idle.Writes)
+	return err
+}
+
+// repeat calls f at a rate in each host's own goroutine until ctx ends, with a number that is unique in the fleet.
+func (f *Fleet) repeat(ctx context.Context, perSecond float64, do func(h *Host, n int)) {
+	for i, h := range f.Hosts {
+		f.running.Go(func() {
+			gap := time.Duration(float64(time.Second) / perSecond)
+			time.Sleep(gap * time.Duration(i) / time.Duration(len(f.Hosts)))
+			for n := 0; ctx.Err() == nil; n++ {
+				f.running.Go(func() { do(h, n*len(f.Hosts)+i) })
+				time.Sleep(gap)
+			}
+		})
+	}
+}
