Read the host list only without a configuration

Cause: the configuration's poll read the platform's host list from the store twice a second on every host, and used it only before the first configuration. Change: the list is read while no configuration is installed.

--- a/internal/config/poll.go
+++ b/internal/config/poll.go
@@ -113,7 +113,11 @@
 }
 
 func (s *Service) poll(ctx context.Context, wg *sync.WaitGroup) {
-	extra := s.o.ExtraPeers()
+	var extra []host.ID
+	// The list may be a read of the store, and only a host without a configuration uses it.
+	if s.Current() == nil {
+		extra = s.o.ExtraPeers()
+	}
 	var q query
 	s.update(func(m *machine, now time.Time) {
 		s.round++
--- a/test/capacity/hosts.go
+++ b/test/capacity/hosts.go
@@ -25,6 +25,9 @@
 	r.Add(series+": bytes between hosts", xUnit, "KB/s per host", x, float64(sum.Bytes)/n/perK)
 	for _, name := range sortedKeys(m.Traffic) {
 		t := m.Traffic[name]
+		if t.Messages == 0 {
+			continue
+		}
 		r.Add(series+": bytes of "+name, xUnit, "KB/s per host", x, float64(t.Bytes)/n/perK)
 		r.Add(series+": messages of "+name, xUnit, "1/s per host", x, float64(t.Messages)/n)
 	}
@@ -36,6 +39,9 @@
 	r.Add(series+": store writes", xUnit, "1/s of the fleet", x, m.Writes/m.Span)
 	sum := Sum(m.Store)
 	r.Add(series+": bytes to and from the store", xUnit, "KB/s per host", x, float64(sum.Bytes)/m.Span/float64(hosts)/perK)
+	if series != "idle" {
+		return
+	}
 	for _, kind := range sortedKeys(m.Store) {
 		if t := m.Store[kind]; t.Messages > 0 {
 			r.Add(series+": store calls, "+kind, xUnit, "1/s of the fleet", x, float64(t.Messages)/m.Span)
