--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -103,6 +103,9 @@
 	return f
 }
 
+// Accepting implements charge.Writer.
+func (f *fleet) Accepting() error { return nil }
+
 func (f *fleet) Current() *config.Snapshot         { return f.snap }
 func (f *fleet) KeyedRequestsAllowed(string) error { return nil }
 func (f *fleet) Observe(placement.Observation)     {}
--- a/internal/charge/charge.go
+++ b/internal/charge/charge.go
@@ -27,5 +27,8 @@
 
 // Writer accepts records. It is safe for concurrent use and does not block on the store.
 type Writer interface {
+	// Accepting returns an error while unwritten records leave too little room for another request. It is
+	// asked before a request runs, so that what runs can be recorded.
+	Accepting() error
 	Add(r Record)
 }
--- a/internal/claim/sweep.go
+++ b/internal/claim/sweep.go
@@ -56,6 +56,9 @@
 // sweepNext sweeps the next shard that this host owns.
 func (c *Coordinator) sweepNext(ctx context.Context) {
 	epoch, self := c.viewer.Epoch(), c.viewer.Self()
+	if !epoch.Contains(self) {
+		return
+	}
 	for range shards {
 		c.mu.Lock()
 		shard := c.shard
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -41,6 +41,7 @@
 	CodeRateExceeded      Code = "rate_exceeded"
 	CodeExceedsBurst      Code = "exceeds_burst"
 	CodeQuotaUnavailable  Code = "quota_unavailable"
+	CodeChargesFull       Code = "charges_full"
 	CodeNoServer          Code = "no_backend_server"
 	CodeDeadline          Code = "deadline_unreachable"
 	CodeQueueFull         Code = "queue_full"
--- a/internal/request/fakes_test.go
+++ b/internal/request/fakes_test.go
@@ -79,6 +79,9 @@
 	}
 }
 
+// Accepting implements charge.Writer.
+func (f *fixture) Accepting() error { return f.chargesErr }
+
 // Add implements charge.Writer.
 func (f *fixture) Add(r charge.Record) {
 	f.mu.Lock()
--- a/internal/request/fixture_test.go
+++ b/internal/request/fixture_test.go
@@ -52,6 +52,7 @@
 	// quotaLeft is the bucket; quotaErr, placeErr and block steer the fakes.
 	quotaLeft, quotaUsed int64
 	quotaErr, placeErr   error
+	chargesErr           error
 	block                chan struct{}
 	openQuota, openSlots int
 	charges              []charge.Record
--- a/internal/request/refusals.go
+++ b/internal/request/refusals.go
@@ -25,6 +25,13 @@
 	return e
 }
 
+// chargesFull refuses what could run and could not be recorded.
+func chargesFull(cause error) *outcome.Error {
+	e := outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeChargesFull, "charges cannot be recorded now")
+	e.RetryAfter, e.Cause = retryDraining, cause
+	return e
+}
+
 func errNoConfiguration() *outcome.Error {
 	e := outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeNoConfiguration, "this host has no configuration yet")
 	e.RetryAfter = retryDraining
--- a/internal/request/refusals_test.go
+++ b/internal/request/refusals_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/boragecourse/boragecourse/internal/charge"
 	"github.com/boragecourse/boragecourse/internal/config"
 	"github.com/boragecourse/boragecourse/internal/metrics"
 	"github.com/boragecourse/boragecourse/internal/outcome"
@@ -39,6 +40,7 @@
 		status  int
 		outcome outcome.Outcome
 	}{
+		"charges full":      {func(f *fixture, _ *Input) { f.chargesErr = &charge.OverflowError{} }, outcome.CodeChargesFull, 503, outcome.NotRun},
 		"draining":          {func(f *fixture, _ *Input) { _ = f.Drain(context.Background()) }, outcome.CodeDraining, 503, outcome.NotRun},
 		"no configuration":  {func(f *fixture, _ *Input) { f.snap = nil }, outcome.CodeNoConfiguration, 503, outcome.NotRun},
 		"not JSON":          {body(`{"model":`), outcome.CodeMalformedRequest, 400, outcome.NotRun},
--- a/internal/request/release.go
+++ b/internal/request/release.go
@@ -114,6 +114,11 @@
 	p := &pendingRelease{attempt: attempt, after: after, since: time.Now()}
 	r.mu.Lock()
 	q := r.servers[k]
+	if r.ctx.Err() != nil {
+		r.mu.Unlock()
+		r.giveUp(k, p, "closed")
+		return
+	}
 	if q != nil && len(q.pending) >= r.settings.ReleaseBacklog {
 		r.mu.Unlock()
 		r.giveUp(k, p, "backlog")
@@ -238,6 +243,9 @@
 }
 
 func (r *releaser) close() {
+	// Under the lock, so that no worker is added once the wait has begun.
+	r.mu.Lock()
 	r.stop()
+	r.mu.Unlock()
 	r.wg.Wait()
 }
--- a/internal/request/router.go
+++ b/internal/request/router.go
@@ -162,6 +162,9 @@
 	if err := x.guard(); err != nil {
 		return err
 	}
+	if err := x.Charges.Accepting(); err != nil && !x.route.Open {
+		return chargesFull(err)
+	}
 	x.budget.accepted()
 	if x.route.Pool != "" {
 		return x.service(ctx)
