--- /dev/null
+++ b/test/quotabench/fleet.go
@@ -0,0 +1,166 @@
+package main
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/boragecourse/boragecourse/internal/config"
+	"github.com/boragecourse/boragecourse/internal/host"
+	"github.com/boragecourse/boragecourse/internal/membership"
+	"github.com/boragecourse/boragecourse/internal/quota"
+	"github.com/boragecourse/boragecourse/internal/rules"
+	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
+	"github.com/boragecourse/boragecourse/test/standin/memnet"
+)
+
+// Delays of the measured network, one way.
+const (
+	zoneDelay  = 200 * time.Microsecond
+	crossDelay = 500 * time.Microsecond
+	// contactTime is for how long a lost host still counts as reachable.
+	contactTime = 2 * time.Second
+)
+
+// fleet runs the quota service on every host over the in-memory network.
+type fleet struct {
+	net   *memnet.Network
+	snap  *config.Snapshot
+	mu    sync.Mutex
+	epoch membership.Epoch
+	nodes []*node
+}
+
+// node is one host and its own membership.Viewer and config.Reader.
+type node struct {
+	fleet       *fleet
+	id          host.ID
+	service     *quota.Service
+	cancel      context.CancelFunc
+	done        chan struct{}
+	unreachable map[string]bool
+	dead        bool
+}
+
+func newFleet(hosts []host.ID, workspaces []*rules.Workspace) *fleet {
+	f := &fleet{net: memnet.New(), epoch: membership.Epoch{Number: 1, Hosts: hosts}}
+	zones := map[string]string{}
+	var all []rules.Rule
+	for _, h := range hosts {
+		if zones[h.Addr] = h.Zone; len(f.epoch.InZone(h.Zone)) > 0 && f.epoch.InZone(h.Zone)[0] == h {
+			all = append(all, &rules.Zone{Name: h.Zone, Share: 1})
+		}
+	}
+	for _, w := range workspaces {
+		all = append(all, w)
+	}
+	f.snap = config.NewSnapshot(1, all)
+	f.net.SetDelay(func(from, to string) time.Duration {
+		if zones[from] == zones[to] {
+			return zoneDelay
+		}
+		return crossDelay
+	})
+	for _, id := range hosts {
+		f.start(id)
+	}
+	return f
+}
+
+func (f *fleet) start(id host.ID) {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{fleet: f, id: id, cancel: cancel, done: make(chan struct{}), unreachable: map[string]bool{}}
+	link := f.net.Node(id.Addr)
+	n.service = quota.New(quota.Options{Viewer: n, Spread: n, Dialer: link, Config: n, Log: logr.Discard()})
+	peerv1.RegisterQuotaServer(link, n.service)
+	f.nodes = append(f.nodes, n)
+	go func() {
+		defer close(n.done)
+		_ = n.service.Serve(ctx)
+	}()
+}
+
+func (f *fleet) stop() {
+	for _, n := range f.nodes {
+		n.cancel()
+		<-n.done
+	}
+}
+
+// kill stops a host; others notice after contactTime.
+func (f *fleet) kill(n *node) {
+	f.mu.Lock()
+	n.dead = true
+	f.mu.Unlock()
+	f.net.Node(n.id.Addr).SetDown(true)
+	n.cancel()
+	time.AfterFunc(contactTime, func() { f.separate(n, true) })
+}
+
+func (f *fleet) exclude(n *node) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := membership.Epoch{Number: f.epoch.Number + 1}
+	for _, h := range f.epoch.Hosts {
+		if h != n.id {
+			next.Hosts = append(next.Hosts, h)
+		}
+	}
+	f.epoch = next
+}
+
+// cut separates a host from all others until the returned function is called.
+func (f *fleet) cut(n *node) func() {
+	for _, o := range f.nodes {
+		if o != n {
+			f.net.CutBoth(n.id.Addr, o.id.Addr)
+		}
+	}
+	time.AfterFunc(contactTime, func() { f.separate(n, true) })
+	return func() {
+		f.net.HealAll()
+		f.separate(n, false)
+	}
+}
+
+func (f *fleet) separate(n *node, unreachable bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, o := range f.nodes {
+		if o != n {
+			o.unreachable[n.id.Name] = unreachable
+			n.unreachable[o.id.Name] = unreachable
+		}
+	}
+}
+
+// Self implements membership.Viewer.
+func (n *node) Self() host.ID { return n.id }
+
+// Epoch implements membership.Viewer.
+func (n *node) Epoch() membership.Epoch {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return n.fleet.epoch
+}
+
+// CanAdmit implements membership.Viewer.
+func (n *node) CanAdmit(time.Time) error { return nil }
+
+// Reachable implements membership.Viewer.
+func (n *node) Reachable(id host.ID) bool {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return !n.unreachable[id.Name]
+}
+
+// EpochKnownByMajority implements quota.EpochSpread.
+func (n *node) EpochKnownByMajority(uint64) bool { return true }
+
+// Current implements config.Reader.
+func (n *node) Current() *config.Snapshot { return n.fleet.snap }
+
+// KeyedRequestsAllowed implements config.Reader.
+func (n *node) KeyedRequestsAllowed(string) error { return nil }
