Let a zone's hosts fetch from its reader before the store

Cause: on a change every host that is not its zone's reader went to the store after one round of peers, so the store's reads grew with the number of hosts. Change: hosts ask the zone's reader and up to two more peers in up to four rounds before the store. The package's tests check for leaked goroutines.

--- a/internal/config/cluster_test.go
+++ b/internal/config/cluster_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -14,6 +13,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
 
 	"github.com/boragecourse/boragecourse/internal/config"
 	"github.com/boragecourse/boragecourse/internal/host"
@@ -28,7 +28,7 @@
 	flag.Parse()
 	_ = flag.Set("rapid.seed", "20261204")
 	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
+	goleak.VerifyTestMain(m)
 }
 
 const epochKey = "/boragecourse/epoch"
--- a/internal/config/fetch.go
+++ b/internal/config/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/boragecourse/boragecourse/internal/host"
@@ -12,10 +13,13 @@
 	// fetchRetryMin and fetchRetryMax bound the random wait after an attempt that did not get everything.
 	fetchRetryMin = 100 * time.Millisecond
 	fetchRetryMax = 400 * time.Millisecond
-	// storeJitter spreads the reads of hosts that turn to the store. The zone's reader does not wait, so that
-	// the others usually get the chunks from it.
-	storeJitter = 400 * time.Millisecond
-	// fetchPeers is how many peers of the zone are asked before the store.
+	// peerRounds is how often a host asks its zone's peers before it turns to the store, with a random wait of
+	// roundMin to roundMax after each round. The zone's reader asks once and does not wait, so that the others
+	// get the chunks from it and the store is read once for each zone.
+	peerRounds = 4
+	roundMin   = 50 * time.Millisecond
+	roundMax   = 200 * time.Millisecond
+	// fetchPeers is how many peers of the zone are asked in a round.
 	fetchPeers = 3
 	// fetchBatch is how many chunks one call asks for; the answer is bounded by maxFetchBytes.
 	fetchBatch = 64
@@ -90,18 +94,23 @@
 		return add(hash, data)
 	}
 	zone, rest, reader := s.sources()
-	for _, p := range zone {
-		if len(lacking()) == 0 {
-			return nil
+	for round := range peerRounds {
+		for _, p := range zone {
+			if len(lacking()) == 0 {
+				return nil
+			}
+			s.fetchFrom(ctx, p, lacking, keep)
 		}
-		s.fetchFrom(ctx, p, lacking, keep)
-	}
-	var storeErr error
-	if len(lacking()) > 0 {
-		if !reader && !sleep(ctx, jitter(0, storeJitter)) {
+		if reader || round == peerRounds-1 || len(lacking()) == 0 {
+			break
+		}
+		if !sleep(ctx, jitter(roundMin, roundMax)) {
 			return ctx.Err()
 		}
-		storeErr = s.fetchFromStore(ctx, lacking(), keep)
+	}
+	var storeErr error
+	if hashes := lacking(); len(hashes) > 0 {
+		storeErr = s.fetchFromStore(ctx, hashes, keep)
 	}
 	if storeErr != nil {
 		for _, p := range rest {
@@ -117,31 +126,39 @@
 	return nil
 }
 
-// sources returns the peers to ask before and after the store, those that are known to be up to date first, and
-// whether this host is its zone's reader.
-func (s *Service) sources() (zone, rest []host.ID, reader bool) {
+// sources returns the peers to ask before and after the store, the zone's reader and those that are known to be up to
+// date first, and whether this host is its zone's reader.
+func (s *Service) sources() (zone, rest []host.ID, isReader bool) {
 	extra := s.o.ExtraPeers()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.m
 	m.observeEpoch(s.o.Viewer.Epoch(), time.Now())
-	reader = m.reader(s.o.Viewer.Reachable).Name == m.self.Name
-	upToDate := func(h host.ID) bool { return m.heard[h.Name].generation >= m.target.Generation }
-	var behind []host.ID
+	reader := m.reader(s.o.Viewer.Reachable)
+	all := append(append([]host.ID{}, m.epoch.Hosts...), extra...)
+	rank := func(h host.ID) int {
+		switch {
+		case h.Name == reader.Name:
+			return 0
+		case m.heard[h.Name].generation >= m.target.Generation:
+			return 1
+		default:
+			return 2
+		}
+	}
+	slices.SortStableFunc(all, func(a, b host.ID) int { return rank(a) - rank(b) })
 	seen := map[string]bool{m.self.Addr: true}
-	for _, h := range append(append([]host.ID{}, m.epoch.Hosts...), extra...) {
+	for _, h := range all {
 		switch {
 		case seen[h.Addr]:
 		case h.Zone == m.self.Zone && len(zone) < fetchPeers && s.o.Viewer.Reachable(h):
 			zone = append(zone, h)
-		case upToDate(h):
-			rest = append(rest, h)
 		default:
-			behind = append(behind, h)
+			rest = append(rest, h)
 		}
 		seen[h.Addr] = true
 	}
-	return zone, append(rest, behind...), reader
+	return zone, rest, reader.Name == m.self.Name
 }
 
 // fetchFrom asks a peer for what is lacking until it gives nothing more.
--- a/internal/config/service_test.go
+++ b/internal/config/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -433,3 +434,39 @@
 		c.Expect(b.Generation()).To(Equal(uint64(2)))
 	})
 }
+
+// Guards against store calls that grow with the number of hosts, in the steady state and for a change, and against
+// control traffic beyond a daemon's 5 KB/s.
+func TestStoreCallsAndTraffic(t *testing.T) {
+	var hosts []string
+	for _, zone := range []string{"a", "b", "c"} {
+		for i := range 10 {
+			hosts = append(hosts, zone+strconv.Itoa(i))
+		}
+	}
+	bubble(t, hosts, func(c *cluster) {
+		c.apply("a1", 0, "k1")
+		time.Sleep(5 * time.Second)
+		reads, writes := c.store.Calls()
+		_, bytes := c.net.Traffic()
+		time.Sleep(time.Minute)
+		moreReads, moreWrites := c.store.Calls()
+		_, moreBytes := c.net.Traffic()
+		t.Logf("steady state: %d reads and %d writes in 60 s, %d bytes for each host and second",
+			moreReads-reads, moreWrites-writes, (moreBytes-bytes)/60/int64(len(hosts)))
+		c.Expect(moreReads - reads).To(BeNumerically("<=", 3*2*60+3))
+		c.Expect(moreWrites).To(Equal(writes))
+		c.Expect((moreBytes - bytes) / 60 / int64(len(hosts))).To(BeNumerically("<", 1000))
+
+		reads = moreReads
+		c.apply("a1", 1, "k2")
+		time.Sleep(time.Second)
+		for _, name := range hosts {
+			c.Expect(c.nodes[name].svc.Generation()).To(Equal(uint64(2)))
+		}
+		moreReads, _ = c.store.Calls()
+		t.Logf("one change: %d reads", moreReads-reads)
+		// Head and epoch, index and chunk for each zone, and up to two seconds of the steady state.
+		c.Expect(moreReads - reads).To(BeNumerically("<=", 2+3*2+3*2*2))
+	})
+}
