--- a/Makefile
+++ b/Makefile
@@ -37,4 +37,6 @@
 quota-bench: ## Measure wrongful refusals, overshoot and control traffic of the quota service.
 	$(GO) run ./test/quotabench
 	$(GO) test -run '^$$' -bench Reserve -benchmem ./internal/quota
+model: ## Check the Promela models; installs spin when it is missing.
+	spec/check.sh
 
