--- a/internal/membership/policy.go
+++ b/internal/membership/policy.go
@@ -32,4 +32,6 @@
 	renewalAlone bool
 	// anyAcquisition lets a delayed acquisition of a lease register although a later one has succeeded.
 	anyAcquisition bool
+	// noClockMargin runs the machines without a margin for differences in clock rate.
+	noClockMargin bool
 }
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -334,3 +334,20 @@
 		})
 	}
 }
+
+// Guards against a store outage in a fleet where the usual heartbeats reach less than a majority within the contact
+// window.
+func TestOutageInALargerFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		f.startAll(2, 12)
+		var all []string
+		for name := range f.hosts {
+			all = append(all, name)
+		}
+		f.storeDown(true, all...)
+		f.hold(time.Minute, all...)
+		f.expectCondition(membership.ConditionMajority, all...)
+	})
+}
