--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -30,12 +30,13 @@
 	HomeRetry time.Duration
 	// RenewInterval is the shortest period of the exchange with the other home hosts. Default 250 ms.
 	RenewInterval time.Duration
-	// RenewMax is the longest period; within both the period follows ControlBytes. Default 2 s.
+	// RenewMax is the longest period; within both the period follows ControlBytes. Default 3 s.
 	RenewMax time.Duration
 	// ControlBytes is how many bytes per second this host's own exchanges may take, both directions together. It
 	// serves about as many for others. Default 2200.
 	ControlBytes int
-	// OwnerTTL is how long reservations outlive the last sign of life of their owner. Default 6 s.
+	// OwnerTTL is how long reservations outlive the last sign of life of their owner, three
+	// longest periods and a margin. Default 10 s.
 	OwnerTTL time.Duration
 	// PollInterval is the period of load reports and cache events from own servers. Default 250 ms.
 	PollInterval time.Duration
@@ -63,9 +64,9 @@
 	duration(&o.CallTimeout, 50*time.Millisecond)
 	duration(&o.HomeRetry, time.Second)
 	duration(&o.RenewInterval, 250*time.Millisecond)
-	duration(&o.RenewMax, 2*time.Second)
+	duration(&o.RenewMax, 3*time.Second)
 	number(&o.ControlBytes, 2200)
-	duration(&o.OwnerTTL, 6*time.Second)
+	duration(&o.OwnerTTL, 10*time.Second)
 	duration(&o.PollInterval, 250*time.Millisecond)
 	duration(&o.DownFor, 2*time.Second)
 	number(&o.FairReserve, 2)
--- a/test/bench/bench_test.go
+++ b/test/bench/bench_test.go
@@ -18,6 +18,7 @@
 	jsonPath = flag.String("placement.json", "", "file for the rows of the whole bench as JSON")
 	seeds    = flag.Int("placement.seeds", 3, "number of seeds of the whole bench")
 	one      = flag.Float64("placement.load", 0, "run only this load, without faults")
+	oneFault = flag.String("placement.fault", "", "run only this fault")
 	trace    = flag.Bool("placement.trace", false, "print the reasons and shares of each run of the reserving policy")
 )
 
@@ -55,6 +56,9 @@
 	if *one > 0 {
 		faults, load = []Fault{NoFault}, []float64{*one}
 	}
+	if *oneFault != "" {
+		faults = []Fault{Fault(*oneFault)}
+	}
 	rows := runAll(t, Matrix(load, faults, *seeds))
 	var text strings.Builder
 	if err := Table(&text, rows); err != nil {
--- a/test/bench/life.go
+++ b/test/bench/life.go
@@ -81,6 +81,8 @@
 		var refused *refusedError
 		res.Refused, res.Reason = errors.As(err, &refused), err.Error()
 		if ctx.Err() != nil {
+			// The caller left or its host died, so nobody was refused.
+			res.Refused = false
 			break
 		}
 		if res.Refused && isPlacerRefusal(refused.cause) {
