Wait longer at one server with each round of a wait-class request

Cause: at 1.5 times capacity most bytes between hosts are wait-class requests that ask again every second. Change: the wait at one server doubles from 1 s to 4 s.

--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -21,6 +21,9 @@
 	askSlack = 20 * time.Millisecond
 	// staleChoice is the wait for a decode slot after which the prefill server is chosen again.
 	staleChoice = 10 * time.Millisecond
+	// maxRoundShift bounds the doubling of the wait at one server from round to round. A long queue changes little in
+	// a second, and each round costs two messages.
+	maxRoundShift = 2
 	// retryPause is how long a wait-class request pauses after an attempt that could not wait at a home host.
 	retryPause = 100 * time.Millisecond
 	// patientPrefill is how long a wait-class request with a decode slot waits for a prefill server. The slot is
@@ -49,8 +52,8 @@
 		}
 		defer s.dequeue()
 	}
-	for {
-		p, err := s.attempt(ctx, snap, r, fixed)
+	for round := 0; ; round++ {
+		p, err := s.attempt(ctx, snap, r, fixed, round)
 		if err == nil {
 			s.metrics.Inc(metricPlaced)
 			return p, nil
@@ -131,6 +134,8 @@
 	snap    *config.Snapshot
 	r       Request
 	q       query
+	// round counts the earlier attempts of a wait-class request.
+	round   int
 	decode  *reservation
 	refusal error
 	// refused are the servers that refused once and may be asked again.
@@ -139,8 +144,8 @@
 	last time.Time
 }
 
-func (s *Service) attempt(ctx context.Context, snap *config.Snapshot, r Request, fixed *rules.Server) (*Placement, error) {
-	a := &attempt{s: s, snap: snap, r: r, q: query{tokens: r.PromptTokens, blocks: r.PrefixBlocks, exclude: r.Exclude, patient: r.Class == rules.ClassWait && fixed == nil}}
+func (s *Service) attempt(ctx context.Context, snap *config.Snapshot, r Request, fixed *rules.Server, round int) (*Placement, error) {
+	a := &attempt{s: s, round: round, snap: snap, r: r, q: query{tokens: r.PromptTokens, blocks: r.PrefixBlocks, exclude: r.Exclude, patient: r.Class == rules.ClassWait && fixed == nil}}
 	if r.Class != rules.ClassWait && fixed == nil {
 		a.last = r.Arrived.Add(s.opt.FirstToken)
 	}
@@ -214,7 +219,7 @@
 	s, patient := a.s, a.q.patient
 	now := a.q.now
 	if a.decode == nil {
-		deadline := now.Add(s.opt.WaitRound)
+		deadline := now.Add(s.opt.WaitRound << min(a.round, maxRoundShift))
 		if !a.last.IsZero() {
 			deadline = earlier(a.last.Add(-p.transfer-p.step), now.Add(p.decode.ready+askSlack))
 		} else if !patient {
