--- a/test/bench/measure.go
+++ b/test/bench/measure.go
@@ -80,6 +80,8 @@
 		o.Shares = append(o.Shares, share)
 		o.Worst, o.WorstRequests = min(o.Worst, share), min(o.WorstRequests, n/window/requests[i])
 	}
+	r.w.mu.Lock()
+	defer r.w.mu.Unlock()
 	if r.w.prefill > 0 {
 		o.Wasted = max(0, 1-float64(r.w.used+r.pendingPrefill())/float64(r.w.prefill))
 	}
