--- a/Makefile
+++ b/Makefile
@@ -34,9 +34,11 @@
 bench: ## Measure placement against the baselines; prints a table and writes BENCH_JSON.
 	@mkdir -p out
 	$(GO) test ./test/bench -count=1 -run 'TestPlacementBench$$' -v -placement.full -placement.json=$(abspath $(BENCH_JSON))
+
 quota-bench: ## Measure wrongful refusals, overshoot and control traffic of the quota service.
 	$(GO) run ./test/quotabench
 	$(GO) test -run '^$$' -bench Reserve -benchmem ./internal/quota
+
 model: ## Check the Promela models; installs spin when it is missing.
 	spec/check.sh
 
