--- a/internal/config/machine.go
+++ b/internal/config/machine.go
@@ -15,8 +15,7 @@
 // one about the store's head. A peer's reply relays one with its age. Replies of a majority of the epoch's hosts
 // give one about every acknowledged change, because a change is acknowledged only once a majority holds it.
 type machine struct {
-	self  host.ID
-	trust time.Duration
+	self host.ID
 	// started is when the daemon began, for the choice of the first head.
 	started time.Time
 
@@ -55,8 +54,8 @@
 	configEpoch uint64
 }
 
-func newMachine(self host.ID, trust time.Duration, now time.Time) *machine {
-	return &machine{self: self, trust: trust, started: now, heard: map[string]reply{}}
+func newMachine(self host.ID, now time.Time) *machine {
+	return &machine{self: self, started: now, heard: map[string]reply{}}
 }
 
 // observeEpoch takes over a newer epoch.
--- a/internal/config/machine_test.go
+++ b/internal/config/machine_test.go
@@ -63,7 +63,7 @@
 
 func (w *world) restart(h *simHost) {
 	h.id.Incarnation++
-	h.m, h.inbox = newMachine(h.id, DefaultTrustPeriod, w.now), nil
+	h.m, h.inbox = newMachine(h.id, w.now), nil
 	w.open = slices.DeleteFunc(w.open, func(a *attempt) bool { return a.applier == h })
 }
 
--- a/internal/config/majority_test.go
+++ b/internal/config/majority_test.go
@@ -63,7 +63,7 @@
 			g := NewWithT(t)
 			self := id("a")
 			self.Incarnation = max(1, tt.incarnation)
-			m := newMachine(self, DefaultTrustPeriod, start)
+			m := newMachine(self, start)
 			m.observeEpoch(epochOf(5, tt.hosts...), start)
 			m.install(Head{Generation: 2})
 			m.configEpoch = tt.self
@@ -106,7 +106,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			m := newMachine(id("a"), DefaultTrustPeriod, time.Unix(1000, 0))
+			m := newMachine(id("a"), time.Unix(1000, 0))
 			for _, e := range tt.epochs {
 				m.observeEpoch(e, time.Unix(1000, 0))
 			}
@@ -121,7 +121,7 @@
 func TestFirstHead(t *testing.T) {
 	g := NewWithT(t)
 	start := time.Unix(1000, 0)
-	fresh := func() *machine { return newMachine(id("a"), DefaultTrustPeriod, start) }
+	fresh := func() *machine { return newMachine(id("a"), start) }
 	wants := func(m *machine, after time.Duration) bool { _, ok := m.wanted(start.Add(after)); return ok }
 	old := reply{from: id("b"), generation: 1, sentAt: start}
 
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -23,7 +23,8 @@
 // 5 s even where push and watch fail; 3 s leave room for the calls in between.
 const DefaultTrustPeriod = 3 * time.Second
 
-// Options configure a Service. Store, Viewer and Dialer are required.
+// Options configure a Service. Store, Viewer and Dialer are required. The service calls Viewer.Reachable while it
+// holds its lock, so the viewer must not call Apply, Distribution or Text from under its own.
 type Options struct {
 	Store  platform.Store
 	Viewer membership.Viewer
@@ -85,7 +86,7 @@
 		o.OnInstall = func(_, _ *Snapshot) {}
 	}
 	s := &Service{
-		o: o, m: newMachine(o.Viewer.Self(), o.TrustPeriod, time.Now()), blobs: newBlobs(),
+		o: o, m: newMachine(o.Viewer.Self(), time.Now()), blobs: newBlobs(),
 		changed: make(chan struct{}), asking: map[string]bool{},
 		wake: make(chan struct{}, 1), hints: make(chan host.ID, 16),
 	}
