--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -14,8 +14,9 @@
 type Book struct {
 	opt   Options
 	lanes map[Stage]*lane
-	// Down is set by the home host while the server does not answer.
-	Down bool
+	// Down is set by the home host while the server does not answer, Leaving while its rule takes it out of placement.
+	// Both refuse new and waiting asks; reservations that were granted stay.
+	Down, Leaving bool
 }
 
 // Shared are the tables that all books of a home host share, so that fairness holds across its servers.
@@ -48,6 +49,9 @@
 	if l.grants[a.ID] != nil {
 		return Answer{ID: a.ID, Granted: true}, nil
 	}
+	if b.Down || b.Leaving {
+		return Answer{ID: a.ID, RetryAfter: b.opt.WaitRound}, nil
+	}
 	l.shares.Ask(now, a.Workspace, a.Weight, a.Tokens)
 	if !a.Patient {
 		l.lastLatency = now
@@ -70,7 +74,7 @@
 	if len(l.waiting) >= b.opt.ServerQueueLimit {
 		return Answer{ID: a.ID, QueueFull: true, RetryAfter: wait}, nil
 	}
-	if b.Down || !a.Deadline.After(now) || (!a.Patient && now.Add(wait).After(a.Deadline)) {
+	if !a.Deadline.After(now) || (!a.Patient && now.Add(wait).After(a.Deadline)) {
 		return Answer{ID: a.ID, RetryAfter: max(wait, time.Millisecond)}, nil
 	}
 	l.waiting = append(l.waiting, a)
@@ -136,7 +140,7 @@
 		kept, work := l.waiting[:0], time.Duration(0)
 		for _, a := range l.waiting {
 			switch {
-			case b.Down || !a.Deadline.After(now):
+			case b.Down || b.Leaving || !a.Deadline.After(now):
 				out = append(out, Answer{ID: a.ID, RetryAfter: max(l.wait(now, len(kept), work), time.Millisecond)})
 			case l.grantable(now, a, l.shares.Over(now, a.Workspace)):
 				l.grant(now, a)
--- a/internal/placement/book_test.go
+++ b/internal/placement/book_test.go
@@ -133,8 +133,15 @@
 	g.Expect(refused.RetryAfter).To(BeNumerically(">", 0))
 	g.Expect(reserve(ask(3, "a", StageDecode, true)).Queued).To(BeTrue())
 	g.Expect(reserve(ask(4, "a", StageDecode, true)).QueueFull).To(BeTrue())
-	b.Down = true
-	g.Expect(b.Advance(epochStart)).To(HaveLen(1))
+	for _, stop := range []*bool{&b.Down, &b.Leaving} {
+		*stop = true
+		g.Expect(b.Advance(epochStart)).To(HaveLen(1))
+		b.Release(epochStart, ask(1, "a", StageDecode, false).ID)
+		g.Expect(reserve(ask(1, "a", StageDecode, false)).Granted).To(BeFalse(), "a free slot of a server without new work")
+		*stop = false
+		g.Expect(reserve(ask(1, "a", StageDecode, false)).Granted).To(BeTrue())
+		g.Expect(reserve(ask(3, "a", StageDecode, true)).Queued).To(BeTrue())
+	}
 	_, err := b.Reserve(epochStart, ask(5, "a", StagePrefill, false))
 	var stage *StageError
 	g.Expect(err).To(BeAssignableToTypeOf(stage))
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -71,6 +71,10 @@
 		case mine:
 			b.rule = s.rule
 		}
+		if b := h.books[name]; b != nil {
+			b.Leaving = s.rule.State == rules.ServerLeaving
+			h.advance(now, b)
+		}
 	}
 	for name, b := range h.books {
 		if v.servers[name] == nil {
@@ -142,9 +146,9 @@
 	now := time.Now()
 	s.syncLocked(now, nil)
 	b := s.homes.books[server]
-	if b == nil || b.rule.State == rules.ServerLeaving {
+	if b == nil {
 		s.mu.Unlock()
-		return reply{notHome: b == nil, retryAfter: s.opt.WaitRound}, nil
+		return reply{notHome: true}, nil
 	}
 	s.homes.heard(now, a.ID.Owner)
 	answer, err := b.Reserve(now, a)
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -130,10 +130,10 @@
 
 // attempt tries pairs until both reservations are granted.
 type attempt struct {
-	s       *Service
-	snap    *config.Snapshot
-	r       Request
-	q       query
+	s    *Service
+	snap *config.Snapshot
+	r    Request
+	q    query
 	// round counts the earlier attempts of a wait-class request.
 	round   int
 	decode  *reservation
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -366,9 +366,18 @@
 		g.Expect(errors.As(err, &full)).To(BeTrue(), "%v", err)
 		cancel()
 		g.Expect(errors.Is(<-done, context.Canceled)).To(BeTrue())
+		waiting := make(chan error, 1)
+		go func() {
+			_, err := f.services["a"].Place(context.Background(), f.Current(), f.request(rules.ClassWait))
+			waiting <- err
+		}()
+		time.Sleep(time.Second)
 		all := serverRules(1, "d")
 		all[1].(*rules.Server).State = rules.ServerLeaving
 		f.setRules(2, all)
+		time.Sleep(2 * time.Second)
+		p.ReleaseDecode()
+		g.Expect(<-waiting).To(HaveOccurred(), "a request that waits for a leaving server does not get its free slot")
 		var none *NoServerError
 		for _, class := range []rules.Class{rules.ClassLatency, rules.ClassWait} {
 			_, err = f.place("a", class)
