--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,19 +54,27 @@
 	d.pool = peer.NewPool(s.PeerSecret, nil)
 	reg := metrics.New()
 	d.engines = openai.NewDirectory(openai.Settings{}, reg)
-	d.Parts, err = assembly.New(assembly.Environment{
-		Self:  host.ID{Name: s.Name, Addr: s.AdvertisePeers, Zone: s.Zone, Incarnation: host.NewIncarnation()},
-		Store: store, Hosts: platform.NewHostList(store), Dialer: d.pool, Engines: d.engines, Metrics: reg, Log: log,
-		Timing: timing(s), TrustPeriod: s.TrustPeriod,
-		Placement: placement.Options{FirstToken: s.FirstTokenTarget},
-		Request:   request.Settings{DefaultMaxOutput: s.DefaultMaxOutput},
-	})
+	d.Parts, err = d.assemble(s, reg, log)
+	if err == nil {
+		err = d.listen()
+	}
 	if err != nil {
+		d.close()
 		return nil, err
 	}
 	d.peers = peer.NewServer(s.PeerSecret, nil)
 	d.Register(d.peers)
-	return d, d.listen()
+	return d, nil
+}
+
+func (d *Daemon) assemble(s settings.Daemon, reg *metrics.Registry, log logr.Logger) (*assembly.Parts, error) {
+	return assembly.New(assembly.Environment{
+		Self:  host.ID{Name: s.Name, Addr: s.AdvertisePeers, Zone: s.Zone, Incarnation: host.NewIncarnation()},
+		Store: d.store, Hosts: platform.NewHostList(d.store), Dialer: d.pool, Engines: d.engines, Metrics: reg, Log: log,
+		Timing: timing(s), TrustPeriod: s.TrustPeriod,
+		Placement: placement.Options{FirstToken: s.FirstTokenTarget},
+		Request:   request.Settings{DefaultMaxOutput: s.DefaultMaxOutput},
+	})
 }
 
 func timing(s settings.Daemon) membership.Timing {
@@ -86,7 +94,6 @@
 	} {
 		opened, err := net.Listen("tcp", l.addr)
 		if err != nil {
-			d.closeListeners()
 			return &ListenError{Addr: l.addr, Cause: err}
 		}
 		*l.into = opened
--- a/internal/daemon/epochwatch.go
+++ b/internal/daemon/epochwatch.go
@@ -15,10 +15,15 @@
 
 // Serve implements suture.Service.
 func (w *epochWatch) Serve(ctx context.Context) error {
-	for epoch := range w.d.Members.Subscribe(ctx) {
-		w.changed(epoch)
+	epochs := w.d.Members.Subscribe(ctx)
+	for {
+		select {
+		case epoch := <-epochs:
+			w.changed(epoch)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
-	return ctx.Err()
 }
 
 // String names the service in supervisor events.
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -18,6 +18,8 @@
 	failureDecay     = 30 // seconds
 	failureBackoff   = time.Second
 	stopTimeout      = 5 * time.Second
+	// releaseTimeout bounds the release of requests that were cut.
+	releaseTimeout = 2 * time.Second
 )
 
 // Run serves until a signal drains the daemon or ctx ends. The first signal starts the drain, the second one
@@ -42,17 +44,30 @@
 	if err := <-ended; err != nil && !errors.Is(err, context.Canceled) {
 		d.Log.Error(err, "supervisor ended")
 	}
+	d.releaseCut(ctx)
 	d.close()
+	d.Log.Info("daemon stopped")
 	return drainErr
 }
 
+// releaseCut frees what engines hold for requests that were cut, so that no other host has to.
+func (d *Daemon) releaseCut(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	if err := d.Router.Drain(ctx); err != nil {
+		d.Log.Error(err, "engines may hold memory until another host releases it")
+	}
+}
+
+// close ends what New and the services leave behind.
 func (d *Daemon) close() {
-	d.Close()
+	if d.Parts != nil {
+		d.Close()
+	}
 	d.pool.Close()
 	d.engines.Close()
 	_ = d.store.Close()
 	d.closeListeners()
-	d.Log.Info("daemon stopped")
 }
 
 // supervisor builds the tree of the design page. The parts keep their state in the Daemon, so that a restart of
