--- a/internal/assembly/parts.go
+++ b/internal/assembly/parts.go
@@ -38,6 +38,10 @@
 	Metrics *metrics.Registry
 	Log     logr.Logger
 
+	// SeedPeers are peer addresses of other hosts. The platform's host list lies in the store, so a host that
+	// starts while the store is down finds its configuration only through them.
+	SeedPeers []string
+
 	Timing membership.Timing
 	// TrustPeriod as in config.Options.
 	TrustPeriod time.Duration
@@ -51,6 +55,7 @@
 	Log     logr.Logger
 	Metrics *metrics.Registry
 	hosts   platform.Hosts
+	seeds   []string
 
 	Events    *events.Bus
 	Members   *membership.Service
@@ -64,7 +69,7 @@
 
 // New builds and connects the parts. Nothing runs before the services of Control and Work do.
 func New(e Environment) (*Parts, error) {
-	p := &Parts{Self: e.Self, Log: e.Log, Metrics: e.Metrics, hosts: e.Hosts}
+	p := &Parts{Self: e.Self, Log: e.Log, Metrics: e.Metrics, hosts: e.Hosts, seeds: e.SeedPeers}
 	p.Events = events.New(e.Metrics, e.Log)
 	members, err := membership.New(p.membershipOptions(e))
 	if err != nil {
@@ -134,6 +139,10 @@
 	return nil
 }
 
+// handOverTime is how long a host that has left the epoch still answers its successors, so that they can fetch the
+// buckets that move to them. They ask within a tick of learning the new epoch.
+const handOverTime = time.Second
+
 // HandBack gives up what other hosts can use at once, after the last request has finished. A failure costs time
 // and no promise: grants run out, and the epoch excludes this host once it has stopped.
 func (p *Parts) HandBack(ctx context.Context) {
@@ -151,6 +160,10 @@
 			p.Log.Error(err, "hand-back failed", "part", step.name)
 		}
 	}
+	select {
+	case <-time.After(handOverTime):
+	case <-ctx.Done():
+	}
 }
 
 // Close ends what the services leave behind.
@@ -172,15 +185,26 @@
 // listedHostsTimeout bounds the read of the platform's host list, which is only a hint.
 const listedHostsTimeout = time.Second
 
-// listedHosts returns the hosts of the platform's list, for a daemon that starts without an epoch.
+// listedHosts returns the seeds, or else the hosts of the platform's list, for a daemon that starts without an
+// epoch. It is asked with every poll of the configuration, so a host that knows an epoch must not read the list:
+// that would cost the store two reads a second for each host and delay polls in an outage.
 func (p *Parts) listedHosts() []host.ID {
+	if p.Members.Epoch().Number > 0 {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), listedHostsTimeout)
 	defer cancel()
+	ids := make([]host.ID, 0, len(p.seeds))
+	for _, addr := range p.seeds {
+		ids = append(ids, host.ID{Name: addr, Addr: addr})
+	}
+	if len(ids) > 0 {
+		return ids
+	}
 	entries, err := p.hosts.ListHosts(ctx)
 	if err != nil {
 		return nil
 	}
-	ids := make([]host.ID, 0, len(entries))
 	for _, e := range entries {
 		if e.State == platform.HostLive && e.Name != p.Self.Name {
 			ids = append(ids, host.ID{Name: e.Name, Addr: e.Addr, Zone: e.Zone})
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -71,6 +71,9 @@
 	if best == nil {
 		return
 	}
+	if best.MajorityLost {
+		_, _ = fmt.Fprintln(w, "\nat least half of the epoch's hosts are silent: the epoch stays as it is and their shares are unused")
+	}
 	_, _ = fmt.Fprintln(w)
 	t = tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	_, _ = fmt.Fprintln(t, "ZONE\tSHARE OF EACH BUCKET")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,7 +71,7 @@
 	return assembly.New(assembly.Environment{
 		Self:  host.ID{Name: s.Name, Addr: s.AdvertisePeers, Zone: s.Zone, Incarnation: host.NewIncarnation()},
 		Store: d.store, Hosts: platform.NewHostList(d.store), Dialer: d.pool, Engines: d.engines, Metrics: reg, Log: log,
-		Timing: timing(s), TrustPeriod: s.TrustPeriod,
+		SeedPeers: s.SeedPeers, Timing: timing(s), TrustPeriod: s.TrustPeriod,
 		Placement: placement.Options{FirstToken: s.FirstTokenTarget},
 		Request:   request.Settings{DefaultMaxOutput: s.DefaultMaxOutput},
 	})
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -118,18 +118,16 @@
 // Status implements operatorapi.Backend.
 func (o *operators) Status(context.Context) (operatorapi.Status, error) {
 	d := o.d
-	epoch := d.Members.Epoch()
+	members := d.Members.Status()
+	epoch := members.Epoch
 	s := operatorapi.Status{
 		Host: d.Self.Name, Zone: d.Self.Zone, Ready: d.ready() == nil, Draining: d.drainer.started(),
-		Epoch: epoch.Number, Authority: "held", Generation: d.Config.Generation(),
+		Epoch: epoch.Number, Authority: string(members.Condition), MajorityLost: members.MajorityLost, Generation: d.Config.Generation(),
 		Freshness: d.Config.FreshnessAge(time.Now()), OpenCalls: d.Router.Open(),
 	}
-	if err := d.Members.CanAdmit(time.Now()); err != nil {
-		s.Authority = "none"
-	}
 	for _, h := range epoch.Hosts {
 		s.Hosts = append(s.Hosts, operatorapi.HostStatus{
-			Name: h.Name, Zone: h.Zone, Addr: h.Addr, Reachable: h.Name == d.Self.Name || d.Members.Reachable(h),
+			Name: h.Name, Zone: h.Zone, Addr: h.Addr, Reachable: !slices.Contains(members.Silent, h),
 		})
 	}
 	if snap := d.Config.Current(); snap != nil {
--- a/internal/operatorapi/types.go
+++ b/internal/operatorapi/types.go
@@ -47,27 +47,30 @@
 
 // Status is one daemon's view of the fleet.
 type Status struct {
-	Host       string        `json:"host"`
-	Zone       string        `json:"zone"`
-	Ready      bool          `json:"ready"`
-	Draining   bool          `json:"draining"`
-	Epoch      uint64        `json:"epoch"`
-	Authority  string        `json:"authority"`
-	Generation uint64        `json:"generation"`
-	Freshness  time.Duration `json:"freshness_nanos"`
-	OpenCalls  int           `json:"open_requests"`
-	Hosts      []HostStatus  `json:"hosts"`
-	Servers    []Server      `json:"servers"`
-	Shares     []ZoneShare   `json:"shares"`
+	Host     string `json:"host"`
+	Zone     string `json:"zone"`
+	Ready    bool   `json:"ready"`
+	Draining bool   `json:"draining"`
+	Epoch    uint64 `json:"epoch"`
+	// Authority is what the right to admit rests on: lease, majority, zone, or none.
+	Authority string `json:"authority"`
+	// MajorityLost is set when at least half of the epoch's hosts are silent, so that the epoch cannot change.
+	MajorityLost bool          `json:"majority_lost"`
+	Generation   uint64        `json:"generation"`
+	Freshness    time.Duration `json:"freshness_nanos"`
+	OpenCalls    int           `json:"open_requests"`
+	Hosts        []HostStatus  `json:"hosts"`
+	Servers      []Server      `json:"servers"`
+	Shares       []ZoneShare   `json:"shares"`
 }
 
 // HostStatus is what the reporting daemon knows of another host.
 type HostStatus struct {
-	Name       string `json:"name"`
-	Zone       string `json:"zone"`
-	Addr       string `json:"addr"`
-	Reachable  bool   `json:"reachable"`
-	Generation uint64 `json:"generation"`
+	Name string `json:"name"`
+	Zone string `json:"zone"`
+	Addr string `json:"addr"`
+	// Reachable is false when nothing has arrived from the host for longer than the fence time.
+	Reachable bool `json:"reachable"`
 }
 
 // Server is a backend server and what the placement knows of it.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,7 @@
 	AdvertisePeers  string `help:"Address under which other hosts reach this one, ip:port. Default: the listening address." env:"BORAGECOURSE_ADVERTISE_PEERS"`
 	ListenOperators string `help:"Address for the operator API and metrics, ip:port." default:"127.0.0.1:8082" env:"BORAGECOURSE_LISTEN_OPERATORS"`
 
+	SeedPeers                []string `help:"Peer addresses of other hosts, ip:port, for a start while the store is down." env:"BORAGECOURSE_SEED_PEERS"`
 	Store                    []string `help:"Addresses of the platform's key-value service, ip:port." required:"" env:"BORAGECOURSE_STORE"`
 	PeerSecret               string   `help:"Secret shared by all hosts, at least 16 characters." required:"" env:"BORAGECOURSE_PEER_SECRET"`
 	OperatorCredentialSHA256 string   `name:"operator-credential-sha256" help:"SHA-256 of the operator credential, in hex." required:"" env:"BORAGECOURSE_OPERATOR_CREDENTIAL_SHA256"`
@@ -124,6 +125,10 @@
 	c.require(d.ListenCallers != d.ListenPeers && d.ListenPeers != d.ListenOperators && d.ListenCallers != d.ListenOperators,
 		"listen-callers", "callers, peers and operators need different addresses")
 	c.require(len(d.Store) > 0, "store", "no address")
+	for _, s := range d.SeedPeers {
+		_, err := netip.ParseAddrPort(s)
+		c.require(err == nil, "seed-peers", "%q is not ip:port", s)
+	}
 	for _, s := range d.Store {
 		_, err := netip.ParseAddrPort(s)
 		c.require(err == nil, "store", "%q is not ip:port", s)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -57,7 +57,7 @@
 	_, err := os.Stat(missing)
 	g.Expect(err).To(HaveOccurred())
 	cases := map[string]string{
-		"--name=Bad_Name": "name", "--zone=": "zone", "--store=localhost": "store", "--peer-secret=short": "peer-secret",
+		"--name=Bad_Name": "name", "--zone=": "zone", "--store=localhost": "store", "--seed-peers=entry-2": "seed-peers", "--peer-secret=short": "peer-secret",
 		"--operator-credential-sha256=xyz": "operator-credential-sha256", "--listen-callers=8080": "listen-callers",
 		"--advertise-peers=0.0.0.0:1": "advertise-peers", "--trust-period=5s": "trust-period", "--lease-ttl=1500ms": "lease-ttl",
 		"--isolation-limit=1s": "isolation-limit", "--heartbeat-interval=1s": "heartbeat-interval",
