Hand buckets over when a host drains and leaves

Cause: successors of a host that left started empty, at every restart of a daemon. Change: Drain stops the host's buckets and their refill; after it left the epoch, successors ask it and add its level to theirs. The exploration has clean leaves and lets excluded hosts learn epochs without them; its oracle no longer gives authority back with an epoch older than the exclusion. Conclusion: a rolling restart keeps the buckets' levels if the daemon serves hand-overs for a second.

--- a/internal/quota/explore_fleet_test.go
+++ b/internal/quota/explore_fleet_test.go
@@ -92,7 +92,7 @@
 }
 
 // faultKinds is the number of cases of fault.
-const faultKinds = 5
+const faultKinds = 6
 
 // fault changes the fleet or the configuration.
 func (w *world) fault() {
@@ -126,6 +126,14 @@
 		w.after(w.upTo(5*time.Second), func() { w.join(h) })
 	case 3:
 		w.reconfigure()
+	case 5: // The host drains, leaves, hands its buckets over and ends.
+		w.on(h, 0, func(now time.Time) {
+			h.fenced = true
+			h.node.Leave(now)
+			w.exclude(h)
+			w.after(w.upTo(2*time.Second), func() { h.alive = false })
+			w.after(2*time.Second+w.upTo(5*time.Second), func() { w.restart(h) })
+		})
 	case 4:
 		w.exclude(h)
 		w.after(w.upTo(200*time.Millisecond), func() { w.join(h) })
@@ -149,7 +157,7 @@
 }
 
 func (w *world) join(h *simHost) {
-	if h.alive && !w.epoch.Contains(h.id) {
+	if h.alive && !h.node.leaving && !w.epoch.Contains(h.id) {
 		w.newEpoch(append(slices.Clone(w.epoch.Hosts), h.id))
 	}
 }
--- a/internal/quota/explore_test.go
+++ b/internal/quota/explore_test.go
@@ -111,11 +111,12 @@
 	rate   int64 // thousandths
 	offset time.Duration
 	alive  bool
-	// fenced is set by the oracle when the epoch excludes the host.
-	fenced   bool
-	paused   time.Duration
-	epoch    membership.Epoch
-	snapshot *config.Snapshot
+	// fenced is set by the oracle when an epoch excludes the host, until the host knows a later one.
+	fenced     bool
+	excludedBy uint64
+	paused     time.Duration
+	epoch      membership.Epoch
+	snapshot   *config.Snapshot
 }
 
 type simAdmission struct {
@@ -205,7 +206,7 @@
 		w.length = 80 * time.Second
 	}
 	for i, zone := range []string{"za", "za", "zb", "zb", "zc"} {
-		w.hosts = append(w.hosts, &simHost{id: host.ID{Name: fmt.Sprint("h", i), Zone: zone}})
+		w.hosts = append(w.hosts, &simHost{id: host.ID{Name: fmt.Sprint("h", i), Addr: fmt.Sprint("h", i), Zone: zone}})
 	}
 	w.reconfigure()
 	for _, h := range w.hosts {
@@ -279,7 +280,7 @@
 	h.node = NewNode(h.id)
 	h.rate = slowestClock + w.r.Int64N(fastestClock-slowestClock+1)
 	h.offset = w.upTo(time.Hour)
-	h.alive, h.fenced, h.paused = true, false, 0
+	h.alive, h.fenced, h.paused, h.excludedBy = true, false, 0, 0
 	h.epoch, h.snapshot = membership.Epoch{}, w.snapshots[len(w.snapshots)-1]
 	w.on(h, w.upTo(tickInterval), func(now time.Time) { w.tick(h, now) })
 }
@@ -289,15 +290,15 @@
 	e := w.epoch
 	for _, h := range w.hosts {
 		if !e.Contains(h.id) {
-			h.fenced = true
-			continue
+			h.fenced, h.excludedBy = true, e.Number
 		}
 		incarnation := h.id.Incarnation
 		w.after(w.upTo(w.learn), func() {
 			if h.alive && h.id.Incarnation == incarnation && h.epoch.Number < e.Number {
 				h.epoch = e
-				// A host that was excluded admits again only after it has read an epoch that contains it.
-				h.fenced = !w.epoch.Contains(h.id)
+				// A host that was excluded admits again only after it has read a later epoch that contains it. An
+				// older one that reaches it late gives no authority.
+				h.fenced = e.Number <= h.excludedBy || h.node.leaving
 			}
 		})
 	}
--- a/internal/quota/explore_traps_test.go
+++ b/internal/quota/explore_traps_test.go
@@ -5,6 +5,11 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/boragecourse/boragecourse/internal/config"
+	"github.com/boragecourse/boragecourse/internal/host"
+	"github.com/boragecourse/boragecourse/internal/membership"
+	"github.com/boragecourse/boragecourse/internal/rules"
 )
 
 // spoil breaks the host's state before an event in the way of the trap; unspoil takes back what must not add up.
@@ -162,6 +167,27 @@
 	}
 }
 
+// The successor refills from its takeover. If the bucket of the host that left went on refilling until it was handed
+// over, that time would count twice.
+func TestLeaveStopsRefill(t *testing.T) {
+	g := NewWithT(t)
+	self, other := host.ID{Name: "a", Addr: "a", Zone: "za"}, host.ID{Name: "b", Addr: "b", Zone: "za"}
+	n := NewNode(self)
+	snapshot := config.NewSnapshot(1, []rules.Rule{
+		&rules.Zone{Name: "za", Share: 1}, &rules.Workspace{Name: "ws", Rate: 100, Burst: 1000},
+	})
+	known := func(uint64) bool { return true }
+	n.Sync(scriptTime(0), membership.Epoch{Number: 1, Hosts: []host.ID{self}}, snapshot, known)
+	a, err := n.Admit(scriptTime(time.Minute), "ws", 1000)
+	g.Expect(err).NotTo(HaveOccurred())
+	a.Use(1000)
+	n.Leave(scriptTime(time.Minute))
+	n.Sync(scriptTime(time.Minute), membership.Epoch{Number: 2, Hosts: []host.ID{other}}, snapshot, known)
+	answer := n.HandOver(scriptTime(time.Minute+5*time.Second), other, 2)
+	g.Expect(answer.GetBuckets()).To(HaveLen(1))
+	g.Expect(answer.GetBuckets()[0].GetLevel()).To(BeZero())
+}
+
 // exploreSeeds is how many fleets are explored in each focus, trapSeeds how many it may take to catch a trap.
 const exploreSeeds, trapSeeds = 15, 100
 
@@ -180,6 +206,7 @@
 	{"grants in flight at a takeover", noTrap, inFlight(time.Second), 0},
 	{"grants in flight for long", noTrap, inFlight(7 * time.Second), 0},
 	{"long silence of a borrower", noTrap, silence, 0},
+	{"clean leave", noTrap, func(c *conditions) { takeover(c); c.faults = []int{5} }, 0},
 	{"share raised at once", trapShareRaisedAtOnce, func(c *conditions) { c.faults = []int{3} }, 0},
 }
 
--- a/internal/quota/home.go
+++ b/internal/quota/home.go
@@ -208,6 +208,14 @@
 	return handed
 }
 
+// Merge takes in the bucket of a predecessor that had stopped before this one started empty.
+func (h *Home) Merge(now time.Time, handed Handed) {
+	h.Advance(now)
+	h.inherited, h.inheritedUntil = max(handed.Outstanding, 0), now.Add(withMargin(handed.Remaining))
+	h.level.tokens += max(handed.Level, 0)
+	h.level.cut(h.room(now))
+}
+
 // Stop ends the bucket without a successor's state.
 func (h *Home) Stop() {
 	h.stopped = true
--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -21,6 +21,8 @@
 	divisions  Divisions
 	workspaces map[string]*workspace
 	lastGrant  uint64
+	// leaving is set by Leave. Buckets are kept for their successors through the first epoch without this host.
+	leaving bool
 }
 
 // workspace is the state of one workspace on this host.
@@ -68,7 +70,7 @@
 func (n *Node) home(now time.Time, name string) *Home {
 	standing, since := n.tenure.Of(name)
 	ready, inForce := n.divisions.Ready()
-	if standing != StandingHome || !ready {
+	if standing != StandingHome || !ready || n.leaving {
 		return nil
 	}
 	w := n.workspace(name)
--- a/internal/quota/node_sync.go
+++ b/internal/quota/node_sync.go
@@ -1,14 +1,10 @@
 package quota
 
 import (
-	"iter"
-	"maps"
 	"time"
 
 	"github.com/boragecourse/boragecourse/internal/config"
-	"github.com/boragecourse/boragecourse/internal/host"
 	"github.com/boragecourse/boragecourse/internal/membership"
-	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
 )
 
 // Sync takes in the newest epoch and configuration. Every use of a bucket and every acknowledgement comes after
@@ -20,9 +16,12 @@
 	}
 	newEpoch := epoch.Number > n.epoch.Number
 	if newEpoch {
+		justLeft := n.leaving && epoch.Number == n.tenure.Number()+1 && !epoch.Contains(n.self)
 		n.epoch = epoch
 		if !n.tenure.Learn(epoch) {
-			n.dropHomes()
+			if !justLeft {
+				n.dropHomes()
+			}
 			n.divisions.Reset(len(n.workspaces) == 0)
 		}
 	}
@@ -63,7 +62,7 @@
 			continue
 		}
 		w.home.SetShare(now, n.share(name))
-		if ready {
+		if ready && !n.leaving {
 			w.home.Resume(now)
 		}
 	}
@@ -117,107 +116,3 @@
 	w.home = NewHome(later(since, inForce), n.share(name))
 	return w.home
 }
-
-// AskHandOver returns the hosts to ask for buckets that moved here and for missing acknowledgements.
-func (n *Node) AskHandOver() []host.ID {
-	hosts := n.tenure.Waiting()
-	missing := map[string]bool{}
-	for _, name := range n.divisions.Waiting() {
-		missing[name] = true
-	}
-	for _, h := range n.epoch.Hosts {
-		if missing[h.Name] && (h.Zone != n.self.Zone || n.tenure.isAcked(h.Name)) {
-			hosts = append(hosts, h)
-		}
-	}
-	return hosts
-}
-
-// Epoch returns the epoch that Sync took in last.
-func (n *Node) Epoch() membership.Epoch { return n.epoch }
-
-// HandOver answers a host that asks for its buckets and for an acknowledgement.
-func (n *Node) HandOver(now time.Time, from host.ID, epoch uint64) *peerv1.HandOverResponse {
-	answer := &peerv1.HandOverResponse{Epoch: n.epoch.Number}
-	answer.DivisionHash, answer.DivisionEstablished = n.divisions.Current()
-	if epoch != answer.Epoch || from.Zone != n.self.Zone || n.snapshot == nil || n.tenure.isHandedTo(from.Name) {
-		return answer
-	}
-	defer n.tenure.Hand(from.Name)
-	for name := range n.mayMove(from) {
-		if to, ok := n.tenure.Successor(name); ok && to == from {
-			n.handBucket(now, name, answer)
-		}
-	}
-	return answer
-}
-
-// mayMove returns the workspaces whose bucket may move to a host. Rendezvous hashing moves none between two hosts
-// that stay, so there only a bucket from an earlier epoch that was never asked for can be left.
-func (n *Node) mayMove(to host.ID) iter.Seq[string] {
-	if n.tenure.isNew(to) {
-		return maps.Keys(n.snapshot.Workspaces())
-	}
-	return func(yield func(string) bool) {
-		for name, w := range n.workspaces {
-			if w.home != nil && !yield(name) {
-				return
-			}
-		}
-	}
-}
-
-func (n *Node) handBucket(now time.Time, name string, answer *peerv1.HandOverResponse) {
-	home := n.retired(name)
-	if home == nil {
-		return
-	}
-	n.workspace(name).home = nil
-	handed := home.HandOver(now)
-	answer.Buckets = append(answer.Buckets, &peerv1.HandedOverBucket{
-		Workspace: name, Level: handed.Level, Outstanding: handed.Outstanding,
-		RemainingTermNanos: int64(handed.Remaining),
-	})
-}
-
-// TakeHandOver uses an answer to a request of the given epoch. Answers of another epoch do not count: their
-// buckets may have moved on. It returns the number of buckets that were taken over.
-func (n *Node) TakeHandOver(now time.Time, from host.ID, asked uint64, answer *peerv1.HandOverResponse) int {
-	if answer.GetEpoch() != asked || asked != n.epoch.Number {
-		return 0
-	}
-	taken := 0
-	if from.Zone == n.self.Zone && !n.tenure.isAcked(from.Name) {
-		for _, b := range answer.GetBuckets() {
-			taken += n.install(now, b)
-		}
-		n.tenure.Acked(from.Name, answer.GetEpoch())
-	}
-	before := n.divisions.version
-	n.divisions.Acked(now, from.Name, answer.GetEpoch(), answer.GetDivisionHash(), answer.GetDivisionEstablished())
-	if n.divisions.version != before {
-		n.applyShares(now)
-	}
-	return taken
-}
-
-func (n *Node) install(now time.Time, b *peerv1.HandedOverBucket) int {
-	name := b.GetWorkspace()
-	if standing, _ := n.tenure.Of(name); standing != StandingWaiting {
-		return 0
-	}
-	w := n.workspace(name)
-	if w.home != nil {
-		// Two hosts claim the bucket; only an empty one is safe.
-		w.home.Stop()
-		w.home = NewHome(now, n.share(name))
-		return 0
-	}
-	w.home = NewHomeFrom(now, n.share(name), Handed{
-		Level: b.GetLevel(), Outstanding: b.GetOutstanding(), Remaining: time.Duration(b.GetRemainingTermNanos()),
-	})
-	if ready, _ := n.divisions.Ready(); !ready {
-		w.home.Pause(now)
-	}
-	return 1
-}
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -22,6 +22,9 @@
 }
 
 // Options are the parts that a Service works with. All but Metrics and Log are required.
+//
+// Viewer.CanAdmit must refuse a host that an epoch has excluded until Viewer.Epoch is later than that epoch and
+// contains the host. An older epoch that arrives late must not give authority back: its home hosts have successors.
 type Options struct {
 	Viewer membership.Viewer
 	Spread EpochSpread
--- a/internal/quota/service_settle.go
+++ b/internal/quota/service_settle.go
@@ -91,10 +91,15 @@
 }
 
 // Drain admits and grants nothing more and hands every unspent grant back. It returns nil when all lenders
-// have acknowledged, and the context's error otherwise; lenders then close the rest as used.
+// have acknowledged, and the context's error otherwise; lenders then close the rest as used. Call it when the
+// accepted requests are finished, then leave the epoch, and keep serving the Quota grpc service for a second:
+// successors ask for the buckets in the epoch without this host.
 func (s *Service) Drain(ctx context.Context) error {
 	s.mu.Lock()
 	s.draining = true
+	now := time.Now()
+	s.sync(now)
+	s.node.Leave(now)
 	s.mu.Unlock()
 	for {
 		s.mu.Lock()
--- a/internal/quota/service_test.go
+++ b/internal/quota/service_test.go
@@ -114,6 +114,7 @@
 			defer cancel()
 			f.Expect(f.hosts[home.Name].svc.Drain(ctx)).To(Succeed())
 			f.setEpoch(without(all, home.Name)...)
+			time.Sleep(time.Second)
 			f.stop(home.Name)
 		}, []string{other, "b1"}, 0.8},
 	}
@@ -185,6 +186,26 @@
 	}
 }
 
+// A host that drains and leaves must pass its buckets on, or every rolling restart empties them.
+func TestHandOverOnLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := fiveHosts()
+		home, _ := membership.Epoch{Hosts: all}.Home("za", "ws")
+		f := newFleet(t, all...)
+		defer f.stopAll()
+		time.Sleep(warmUp)
+		f.Expect(f.hosts[home.Name].svc.Drain(context.Background())).To(Succeed())
+		f.setEpoch(without(all, home.Name)...)
+		time.Sleep(time.Second)
+		f.stop(home.Name)
+		_, err := f.reserve("b1", testBurst)
+		f.Expect(err).NotTo(HaveOccurred())
+		_, err = f.reserve("b1", 100)
+		f.Expect(err).To(HaveOccurred())
+		f.expectWithinBound()
+	})
+}
+
 // Without authority nothing is admitted, neither on the host itself nor for a borrower that asks it.
 func TestNoAuthority(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/quota/tenure.go
+++ b/internal/quota/tenure.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"slices"
 	"time"
 
 	"github.com/boragecourse/boragecourse/internal/host"
@@ -28,6 +29,9 @@
 	acked   map[string]bool
 	ready   bool
 	readyAt time.Time
+	// left counts how often hosts that left with this epoch were asked for their buckets; answered ones are
+	// at leftTries.
+	left map[host.ID]int
 	// handed names the hosts that already got their buckets in this epoch.
 	handed map[string]bool
 }
@@ -57,13 +61,42 @@
 	if !consecutive {
 		t.terms = nil
 	}
-	t.terms = append(t.terms, &term{epoch: epoch, acked: map[string]bool{t.self.Name: true}, handed: map[string]bool{}})
+	t.terms = append(t.terms, &term{epoch: epoch, acked: map[string]bool{t.self.Name: true}, handed: map[string]bool{}, left: map[host.ID]int{}})
 	if len(t.terms) > tenureEpochs {
 		t.terms = t.terms[1:]
 	}
 	return consecutive
 }
 
+// leftTries is how often a host that left is asked for its buckets, once per tick. It may be dead, so nothing
+// waits for it.
+const leftTries = 20
+
+// askLeft returns the hosts of the zone that were in the epoch before and are to be asked for their buckets.
+func (t *Tenure) askLeft() []host.ID {
+	if len(t.terms) < 2 {
+		return nil
+	}
+	var hosts []host.ID
+	for _, h := range t.terms[len(t.terms)-2].epoch.InZone(t.self.Zone) {
+		replaced := slices.ContainsFunc(t.current().epoch.Hosts, func(o host.ID) bool { return o.Addr == h.Addr })
+		if !replaced && t.current().left[h] < leftTries {
+			t.current().left[h]++
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
+// answeredLeft reports whether this is the first answer of a host that left, and notes it.
+func (t *Tenure) answeredLeft(id host.ID) bool {
+	if len(t.terms) == 0 || t.current().left[id] == 0 || t.current().left[id] > leftTries {
+		return false
+	}
+	t.current().left[id] = leftTries + 1
+	return true
+}
+
 // Number is the newest epoch that contains this host, or zero.
 func (t *Tenure) Number() uint64 {
 	if len(t.terms) == 0 {
