End the wait for a charge write with the context

Cause: Flush and the write round share a mutex that is held during store calls. With a slow store, a drain waited for that mutex beyond its deadline, and fake time stood still, since a bubble does not count a mutex as waiting. Change: the mutex is a channel of one token, and waiting for it ends with the context.

--- a/internal/charge/ledger.go
+++ b/internal/charge/ledger.go
@@ -77,8 +77,9 @@
 	metrics *metrics.Registry
 	log     logr.Logger
 
-	// writing serializes the writes of own batches, so that the store holds a prefix of the sequence.
-	writing sync.Mutex
+	// writing holds a token while own batches are written, so that the store holds a prefix of the sequence. Waiting for
+	// it ends with the context, which a mutex would not allow.
+	writing chan struct{}
 
 	mu sync.Mutex
 	// openRecords form the batch with number next.
@@ -117,7 +118,7 @@
 		cfg: cfg.withDefaults(), store: store, dialer: dialer, viewer: viewer, metrics: m,
 		log: log.WithName("charge"), next: 1,
 		holders: map[host.ID]*holder{}, suspects: map[host.ID]time.Time{}, copies: map[run]*copySet{},
-		closed: make(chan struct{}, 1),
+		closed: make(chan struct{}, 1), writing: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/charge/write.go
+++ b/internal/charge/write.go
@@ -105,8 +105,12 @@
 
 // writeOwn writes closed batches in sequence, in at most the given number of transactions.
 func (l *Ledger) writeOwn(ctx context.Context, transactions int) {
-	l.writing.Lock()
-	defer l.writing.Unlock()
+	select {
+	case l.writing <- struct{}{}:
+		defer func() { <-l.writing }()
+	case <-ctx.Done():
+		return
+	}
 	for range transactions {
 		items := l.nextOwn()
 		if len(items) == 0 {
