--- a/test/faults/broken_test.go
+++ b/test/faults/broken_test.go
@@ -26,20 +26,20 @@
 	fault       fault
 	options     fleet.Options
 }{
-	{"aborts without effect", "I1", atPrefill, stall, router(func(d *request.Deps) { d.Engines = noAborts{d.Engines} })},
-	{"sink that answers twice", "I2", atDecode, noFault, fleet.Options{WrapSink: func(c *fleet.Call) fleet.Sink { return twoEnds{c} }}},
+	{"aborts without effect", "I1", atPrefill, stall, router(func(d *request.Deps) { d.Engines = engineDirectoryWithoutAborts{d.Engines} })},
+	{"sink that answers twice", "I2", atDecode, noFault, fleet.Options{WrapSink: func(c *fleet.Call) fleet.Sink { return repeatingSink{c} }}},
 	{"keys of other workspaces", "I3", atDecode, noFault, router(func(d *request.Deps) { d.Config = &wrongKeys{Reader: d.Config} })},
-	{"key sent to engines", "I4", atDecode, noFault, router(func(d *request.Deps) { d.Engines = leaky{d.Engines} })},
-	{"configuration that never changes", "I5", atDecode, keyWithdrawn, router(func(d *request.Deps) { d.Config = &frozen{Reader: d.Config} })},
-	{"limiter that always grants", "I6", atDecode, noFault, router(func(d *request.Deps) { d.Limiter = generous{} })},
-	{"text of another answer", "I7", atDecode, noFault, router(func(d *request.Deps) { d.Engines = mixed{d.Engines} })},
-	{"calls that ran and are reported as not sent", "I8", atDispatch, noFault, router(func(d *request.Deps) { d.Engines = lying{d.Engines} })},
-	{"claims that are always granted", "I9", atRepeat, noFault, router(func(d *request.Deps) { d.Claims = always{} })},
+	{"key sent to engines", "I4", atDecode, noFault, router(func(d *request.Deps) { d.Engines = leakingEngines{d.Engines} })},
+	{"configuration that never changes", "I5", atDecode, keyWithdrawn, router(func(d *request.Deps) { d.Config = &staleConfig{Reader: d.Config} })},
+	{"limiter that always grants", "I6", atDecode, noFault, router(func(d *request.Deps) { d.Limiter = unlimited{} })},
+	{"text of another answer", "I7", atDecode, noFault, router(func(d *request.Deps) { d.Engines = alteringEngines{d.Engines} })},
+	{"calls that ran and are reported as not sent", "I8", atDispatch, noFault, router(func(d *request.Deps) { d.Engines = misreportingServices{d.Engines} })},
+	{"claims that are always granted", "I9", atRepeat, noFault, router(func(d *request.Deps) { d.Claims = openClaims{} })},
 	{"server that is not seen to leave", "I10", atDecode, leavingService, fleet.Options{}},
 	{"shutdown that does not wait", "I11", atDecode, abruptDrain, fleet.Options{}},
 	{"store that does not compare", "I12", atArrival, both(storeSlow, race), fleet.Options{NoCompare: true}},
-	{"charges written twice", "I13", atDecode, noFault, router(func(d *request.Deps) { d.Charges = double{d.Charges} })},
-	{"sink that loses an event", "I14", atDecode, noFault, fleet.Options{WrapSink: func(c *fleet.Call) fleet.Sink { return &forgetful{Call: c} }}},
+	{"charges written twice", "I13", atDecode, noFault, router(func(d *request.Deps) { d.Charges = doubledCharges{d.Charges} })},
+	{"sink that loses an event", "I14", atDecode, noFault, fleet.Options{WrapSink: func(c *fleet.Call) fleet.Sink { return &lossySink{Call: c} }}},
 }
 
 // router rebuilds the request path with other collaborators.
@@ -56,7 +56,7 @@
 	serviceLeaves.inject(t)
 	t.pass(4 * time.Second)
 	s := t.serving.Router.Engines.Service("s-a", "")
-	_, _ = s.Do(context.Background(), engine.Attempt{ID: "stray.1"}, &http.Request{Method: http.MethodGet, URL: urlOf(fleet.PathStatus), Header: http.Header{}})
+	_, _ = s.Do(context.Background(), engine.Attempt{ID: "late.1"}, &http.Request{Method: http.MethodGet, URL: urlOf(fleet.PathStatus), Header: http.Header{}})
 }}
 
 // abruptDrain kills the host where a drain would wait.
@@ -65,76 +65,78 @@
 	t.serving.Kill()
 }}
 
-type twoEnds struct{ *fleet.Call }
+type repeatingSink struct{ *fleet.Call }
 
-func (s twoEnds) Done() error {
+func (s repeatingSink) Done() error {
 	_ = s.Call.Done()
 	return s.Call.Done()
 }
 
-type forgetful struct {
+type lossySink struct {
 	*fleet.Call
 	events int
 }
 
-func (s *forgetful) Event(data []byte) error {
+func (s *lossySink) Event(data []byte) error {
 	if s.events++; s.events > 2 && s.events < 5 {
 		return nil
 	}
 	return s.Call.Event(data)
 }
 
-type noAborts struct{ engine.Directory }
+type engineDirectoryWithoutAborts struct{ engine.Directory }
 
-func (d noAborts) Server(name, addr string) engine.Server {
-	return noAbort{d.Directory.Server(name, addr)}
+func (d engineDirectoryWithoutAborts) Server(name, addr string) engine.Server {
+	return engineWithoutAborts{d.Directory.Server(name, addr)}
 }
 
-type noAbort struct{ engine.Server }
+type engineWithoutAborts struct{ engine.Server }
 
-func (noAbort) Abort(context.Context, string) error { return nil }
+func (engineWithoutAborts) Abort(context.Context, string) error { return nil }
 
-type leaky struct{ engine.Directory }
+type leakingEngines struct{ engine.Directory }
 
-func (d leaky) Server(name, addr string) engine.Server {
-	return leak{d.Directory.Server(name, addr)}
+func (d leakingEngines) Server(name, addr string) engine.Server {
+	return leakingEngine{d.Directory.Server(name, addr)}
 }
 
-type leak struct{ engine.Server }
+type leakingEngine struct{ engine.Server }
 
-func (s leak) Prefill(ctx context.Context, c engine.Call) (engine.KVHandle, error) {
+func (s leakingEngine) Prefill(ctx context.Context, c engine.Call) (engine.KVHandle, error) {
 	c.Body = bytes.Replace(c.Body, []byte("{"), []byte(`{"user":"`+fleet.DefaultRules().Keys["guests"]+`",`), 1)
 	return s.Server.Prefill(ctx, c)
 }
 
-type mixed struct{ engine.Directory }
+type alteringEngines struct{ engine.Directory }
 
-func (d mixed) Server(name, addr string) engine.Server { return mix{d.Directory.Server(name, addr)} }
+func (d alteringEngines) Server(name, addr string) engine.Server {
+	return alteringEngine{d.Directory.Server(name, addr)}
+}
 
-type mix struct{ engine.Server }
+type alteringEngine struct{ engine.Server }
 
-func (s mix) Decode(ctx context.Context, c engine.Call, kv *engine.KVHandle) (engine.Stream, error) {
+func (s alteringEngine) Decode(ctx context.Context, c engine.Call, kv *engine.KVHandle) (engine.Stream, error) {
 	st, err := s.Server.Decode(ctx, c, kv)
-	return mixedStream{st}, err
+	return alteredStream{st}, err
 }
 
-type mixedStream struct{ engine.Stream }
+type alteredStream struct{ engine.Stream }
 
-func (s mixedStream) Next() (engine.Chunk, error) {
+func (s alteredStream) Next() (engine.Chunk, error) {
 	c, err := s.Stream.Next()
 	c.Data = bytes.ReplaceAll(c.Data, []byte("3 "), []byte("4 "))
 	return c, err
 }
 
-type lying struct{ engine.Directory }
+type misreportingServices struct{ engine.Directory }
 
-func (d lying) Service(name, addr string) engine.Service {
-	return lie{d.Directory.Service(name, addr)}
+func (d misreportingServices) Service(name, addr string) engine.Service {
+	return misreportingService{d.Directory.Service(name, addr)}
 }
 
-type lie struct{ engine.Service }
+type misreportingService struct{ engine.Service }
 
-func (s lie) Do(ctx context.Context, a engine.Attempt, r *http.Request) (*http.Response, error) {
+func (s misreportingService) Do(ctx context.Context, a engine.Attempt, r *http.Request) (*http.Response, error) {
 	res, err := s.Service.Do(ctx, a, r)
 	if err == nil {
 		_ = res.Body.Close()
@@ -142,9 +144,9 @@
 	return nil, &engine.ConnectError{Server: s.Name(), Cause: err}
 }
 
-type frozen struct{ config.Reader }
+type staleConfig struct{ config.Reader }
 
-func (c *frozen) Current() *config.Snapshot {
+func (c *staleConfig) Current() *config.Snapshot {
 	s := c.Reader.Current()
 	if s == nil || s.Generation == 1 {
 		return s
@@ -164,9 +166,9 @@
 	return config.NewSnapshot(s.Generation, rulesOf(r))
 }
 
-type generous struct{}
+type unlimited struct{}
 
-func (generous) Reserve(context.Context, string, int64) (quota.Reservation, error) {
+func (unlimited) Reserve(context.Context, string, int64) (quota.Reservation, error) {
 	return granted{}, nil
 }
 
@@ -175,9 +177,9 @@
 func (granted) Use(int64) {}
 func (granted) Close()    {}
 
-type always struct{}
+type openClaims struct{}
 
-func (always) Claim(context.Context, claim.Call) (claim.Ticket, *claim.Answer, error) {
+func (openClaims) Claim(context.Context, claim.Call) (claim.Ticket, *claim.Answer, error) {
 	return ticket{}, nil, nil
 }
 
@@ -188,9 +190,9 @@
 func (ticket) GiveUp(context.Context) error             { return nil }
 func (ticket) Unknown(context.Context) error            { return nil }
 
-type double struct{ charge.Writer }
+type doubledCharges struct{ charge.Writer }
 
-func (w double) Add(r charge.Record) {
+func (w doubledCharges) Add(r charge.Record) {
 	w.Writer.Add(r)
 	w.Writer.Add(r)
 }
--- a/test/faults/trial_test.go
+++ b/test/faults/trial_test.go
@@ -39,7 +39,7 @@
 	serving, home, other *fleet.Host
 	target               *fleet.Call
 	repeats              []*fleet.Call
-	// begins are the processes whose generation was seen, with the highest.
+	// generations are the highest seen by host.
 	generations map[string]uint64
 	requests    int
 	ticks       int
@@ -49,7 +49,7 @@
 	// withdrawn, leaving and drained say when such a change was accepted or begun; zero for never.
 	withdrawn, leaving time.Time
 	drains             []drain
-	// excluded is set when the fault keeps hosts from hearing of changes.
+	// cutOff is set when the fault keeps hosts from hearing of changes.
 	cutOff bool
 	// mustBeWhole is set when the design promises that the target's answer survives.
 	mustBeWhole bool
