--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 BENCH_JSON ?= out/bench-placement.json
 
-.PHONY: build programs test faults demo bench bench-path fmt lint proto
+.PHONY: build programs test demo bench bench-path quota-bench faults model capacity fuzz fmt lint proto
 
 build: ## Build every package.
 	$(GO) build ./...
@@ -37,3 +37,11 @@
 bench: ## Measure placement against the baselines; prints a table and writes BENCH_JSON.
 	@mkdir -p out
 	$(GO) test ./test/bench -count=1 -run 'TestPlacementBench$$' -v -placement.full -placement.json=$(abspath $(BENCH_JSON))
+
+quota-bench: ## Measure wrongful refusals, overshoot and control traffic of the quota service.
+	$(GO) run ./test/quotabench
+	$(GO) test -run '^$$' -bench Reserve -benchmem ./internal/quota
+
+model: ## Check the Promela models; installs spin when it is missing.
+	spec/check.sh
+
--- a/internal/config/service_test.go
+++ b/internal/config/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -207,7 +208,7 @@
 		c.outage(false, "a1", "b1", "c1")
 		time.Sleep(2 * time.Second)
 		c.Expect(c.works("b1", "k2")).To(BeTrue())
-		c.Expect(b.installs).To(Equal([]uint64{1, 2}))
+		c.Expect(b.installed()).To(Equal([]uint64{1, 2}))
 	})
 }
 
@@ -355,8 +356,8 @@
 	bubble(t, []string{"a1", "b1", "c1"}, func(c *cluster) {
 		c.apply("a1", 0, "k1")
 		a := c.nodes["a1"]
-		stale := c.epoch
-		a.epoch = &stale
+		stale := a.Epoch()
+		a.override(&stale)
 		a.store.SetDelay(10 * time.Millisecond)
 		go func() {
 			// After the epoch is read and before the commit.
@@ -365,9 +366,7 @@
 		}()
 		r := c.apply("a1", 1, "k2")
 		c.Expect(r.InForce).To(BeFalse())
-		c.mu.Lock()
-		a.epoch = nil
-		c.mu.Unlock()
+		a.override(nil)
 		c.Expect(a.svc.Distribution(c.t.Context()).InForce).To(BeTrue())
 		// Another daemon cannot tell which epoch counts while the store is down.
 		c.Expect(c.nodes["b1"].svc.Distribution(c.t.Context()).InForce).To(BeTrue())
@@ -413,7 +412,7 @@
 		c.Expect(b.svc.Generation()).To(Equal(uint64(1)))
 		b.run()
 		c.apply("a1", 1, "k2")
-		c.Expect(b.installs).To(Equal([]uint64{1, 2}))
+		c.Expect(b.installed()).To(Equal([]uint64{1, 2}))
 	})
 }
 
@@ -435,3 +434,39 @@
 		c.Expect(b.Generation()).To(Equal(uint64(2)))
 	})
 }
+
+// Guards against store calls that grow with the number of hosts, in the steady state and for a change, and against
+// control traffic beyond a daemon's 5 KB/s.
+func TestStoreCallsAndTraffic(t *testing.T) {
+	var hosts []string
+	for _, zone := range []string{"a", "b", "c"} {
+		for i := range 10 {
+			hosts = append(hosts, zone+strconv.Itoa(i))
+		}
+	}
+	bubble(t, hosts, func(c *cluster) {
+		c.apply("a1", 0, "k1")
+		time.Sleep(5 * time.Second)
+		reads, writes := c.store.Calls()
+		_, bytes := c.net.Traffic()
+		time.Sleep(time.Minute)
+		moreReads, moreWrites := c.store.Calls()
+		_, moreBytes := c.net.Traffic()
+		t.Logf("steady state: %d reads and %d writes in 60 s, %d bytes for each host and second",
+			moreReads-reads, moreWrites-writes, (moreBytes-bytes)/60/int64(len(hosts)))
+		c.Expect(moreReads - reads).To(BeNumerically("<=", 3*2*60+3))
+		c.Expect(moreWrites).To(Equal(writes))
+		c.Expect((moreBytes - bytes) / 60 / int64(len(hosts))).To(BeNumerically("<", 1000))
+
+		reads = moreReads
+		c.apply("a1", 1, "k2")
+		time.Sleep(time.Second)
+		for _, name := range hosts {
+			c.Expect(c.nodes[name].svc.Generation()).To(Equal(uint64(2)))
+		}
+		moreReads, _ = c.store.Calls()
+		t.Logf("one change: %d reads", moreReads-reads)
+		// Head and epoch, index and chunk for each zone, and up to two seconds of the steady state.
+		c.Expect(moreReads - reads).To(BeNumerically("<=", 2+3*2+3*2*2))
+	})
+}
--- a/internal/membership/propose.go
+++ b/internal/membership/propose.go
@@ -75,7 +75,7 @@
 	if m.policy.trustHostList {
 		return m.proposeUnlisted()
 	}
-	if !m.record.Contains(m.self) || m.leaving || !m.mayPropose() {
+	if !m.member || m.leaving || !m.mayPropose() {
 		return nil
 	}
 	excluded := m.isolated(now)
@@ -170,7 +170,7 @@
 	if !s.majorityOf(m.record.Hosts, silence) {
 		return false
 	}
-	if m.policy.ungatedEpochs {
+	if m.policy.presentOnly {
 		return true
 	}
 	window := m.timing.observed(silence)
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -21,6 +21,9 @@
 	askSlack = 20 * time.Millisecond
 	// staleChoice is the wait for a decode slot after which the prefill server is chosen again.
 	staleChoice = 10 * time.Millisecond
+	// maxRoundShift bounds the doubling of the wait at one server from round to round. A long queue changes little in
+	// a second, and each round costs two messages.
+	maxRoundShift = 2
 	// retryPause is how long a wait-class request pauses after an attempt that could not wait at a home host.
 	retryPause = 100 * time.Millisecond
 	// patientPrefill is how long a wait-class request with a decode slot waits for a prefill server. The slot is
@@ -49,8 +52,8 @@
 		}
 		defer s.dequeue()
 	}
-	for {
-		p, err := s.attempt(ctx, snap, r, fixed)
+	for round := 0; ; round++ {
+		p, err := s.attempt(ctx, snap, r, fixed, round)
 		if err == nil {
 			s.metrics.Inc(metricPlaced)
 			return p, nil
@@ -128,10 +131,12 @@
 
 // attempt tries pairs until both reservations are granted.
 type attempt struct {
-	s       *Service
-	snap    *config.Snapshot
-	r       Request
-	q       query
+	s    *Service
+	snap *config.Snapshot
+	r    Request
+	q    query
+	// round counts the earlier attempts of a wait-class request.
+	round   int
 	decode  *reservation
 	refusal error
 	// refused are the servers that refused once and may be asked again.
@@ -140,8 +145,8 @@
 	last time.Time
 }
 
-func (s *Service) attempt(ctx context.Context, snap *config.Snapshot, r Request, fixed *rules.Server) (*Placement, error) {
-	a := &attempt{s: s, snap: snap, r: r, q: query{tokens: r.PromptTokens, blocks: r.PrefixBlocks, exclude: r.Exclude, patient: r.Class == rules.ClassWait && fixed == nil}}
+func (s *Service) attempt(ctx context.Context, snap *config.Snapshot, r Request, fixed *rules.Server, round int) (*Placement, error) {
+	a := &attempt{s: s, round: round, snap: snap, r: r, q: query{tokens: r.PromptTokens, blocks: r.PrefixBlocks, exclude: r.Exclude, patient: r.Class == rules.ClassWait && fixed == nil}}
 	if r.Class != rules.ClassWait && fixed == nil {
 		a.last = r.Arrived.Add(s.opt.FirstToken)
 	}
@@ -215,7 +220,7 @@
 	s, patient := a.s, a.q.patient
 	now := a.q.now
 	if a.decode == nil {
-		deadline := now.Add(s.opt.WaitRound)
+		deadline := now.Add(s.opt.WaitRound << min(a.round, maxRoundShift))
 		if !a.last.IsZero() {
 			deadline = earlier(a.last.Add(-p.transfer-p.step), now.Add(p.decode.ready+askSlack))
 		} else if !patient {
@@ -293,12 +298,19 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	ready := now.Add(p.prefill.ready)
+	release := a.decode.release
 	if p.prefill.server != p.decode.server {
-		s.view.links.add(now, p.prefill.zone, p.decode.zone,
+		landed := s.view.links.add(now, p.prefill.zone, p.decode.zone,
 			flight{start: ready, end: ready.Add(p.transfer), tokens: a.r.PromptTokens})
+		release = func() {
+			s.mu.Lock()
+			landed()
+			s.mu.Unlock()
+			a.decode.release()
+		}
 	}
 	out := &Placement{
-		Prefill: p.prefill.server.rule, Decode: p.decode.server.rule, ReleasePrefill: func() {}, ReleaseDecode: a.decode.release,
+		Prefill: p.prefill.server.rule, Decode: p.decode.server.rule, ReleasePrefill: func() {}, ReleaseDecode: release,
 	}
 	if prefill != nil {
 		out.ReleasePrefill = prefill.release
@@ -308,6 +320,14 @@
 	return out
 }
 
+const (
+	// reportFades is the age at which a report no longer counts in the fallback: most streams of then have ended.
+	reportFades = 4 * time.Second
+	// ownExcess is how far above an even part of a server's slots one host goes in the fallback. The hosts do not know
+	// of each other's placements then, and a KV cache without a slot is a wasted prefill.
+	ownExcess = 1.25
+)
+
 // fallback places without reservations while some home host does not answer: two random choices for each stage on
 // the last reported load and this host's own count. The engine's own limit is the last guard.
 func (a *attempt) fallback(fixed *rules.Server) *Placement {
@@ -322,9 +342,12 @@
 		wait := s.view.servers[r.Name].prefillWait(now, false) + time.Duration(s.own.get(r.Name, StagePrefill))*fallbackPrefill
 		return float64(wait) / float64(s.opt.FirstToken)
 	}
+	hosts := float64(max(1, len(s.viewer.Epoch().Hosts)))
 	decodeLoad := func(r *rules.Server) float64 {
-		_, load := s.view.servers[r.Name].slotWait(false)
-		return load + s.ownLoad(StageDecode)(r)
+		v := s.view.servers[r.Name]
+		_, reported := v.slotWait(false)
+		fresh := max(0, 1-float64(now.Sub(v.loadAt))/float64(reportFades))
+		return fresh*reported + s.ownLoad(StageDecode)(r)*hosts/ownExcess
 	}
 	prefill := fixed
 	if prefill == nil {
--- a/internal/quota/service_settle.go
+++ b/internal/quota/service_settle.go
@@ -91,14 +91,20 @@
 }
 
 // Drain admits and grants nothing more and hands every unspent grant back. It returns nil when all lenders
-// have acknowledged, and the context's error otherwise; lenders then close the rest as used.
+// have acknowledged, and the context's error otherwise; lenders then close the rest as used. Call it when the
+// accepted requests are finished, then leave the epoch, and keep serving the Quota grpc service for a second:
+// successors ask for the buckets in the epoch without this host.
 func (s *Service) Drain(ctx context.Context) error {
 	s.mu.Lock()
 	s.draining = true
-	s.node.ReturnAll()
+	now := time.Now()
+	s.sync(now)
+	s.node.Leave(now)
 	s.mu.Unlock()
 	for {
 		s.mu.Lock()
+		// Answers to draws that were under way may still have brought grants.
+		s.node.ReturnAll()
 		batches := s.collect(time.Now())
 		left := len(s.settling)
 		s.mu.Unlock()
--- a/test/bench/life.go
+++ b/test/bench/life.go
@@ -81,11 +81,17 @@
 		var refused *refusedError
 		res.Refused, res.Reason = errors.As(err, &refused), err.Error()
 		if ctx.Err() != nil {
+			// The caller left or its host died, so nobody was refused.
+			res.Refused = false
 			break
 		}
 		if res.Refused && isPlacerRefusal(refused.cause) {
 			return res
 		}
+		if res.First > 0 {
+			// The first token was sent, so its deadline no longer applies.
+			req.Arrived = time.Now()
+		}
 		if j.Class == rules.ClassWait {
 			select {
 			case <-time.After(waitPause):
