Release the claim of a dispatched call that certainly did not run

Cause: a keyed call whose backend servers all refused it was answered as not-run, but its claim had been marked as dispatched and could only be recorded as unknown. The key was then unusable for 24 hours.

Change: the state machine accepts EventNotRun in the dispatched phase and releases the claim; the ticket has NotRun for it. GiveUp stays refused in that phase, so a caller has to state that the call had no effect. The model has calls that no server acts on, releases that arrive late, and two new broken variants: giving up a call that may have run, and releasing without comparing the revision.

Tests: the assertion that GiveUp fails after Dispatching stays, and now also checks that the record stays. NotRun is checked to fail before Dispatching and after Done and Unknown, and Done and Unknown to fail after NotRun. Both checks notice a policy that gives up a call that may have run.

Conclusion: a key is freed only by a statement that its call did not run.

--- a/internal/claim/ask.go
+++ b/internal/claim/ask.go
@@ -68,8 +68,8 @@
 	return r.GetState().String()
 }
 
-// Ask implements the Claims grpc service. An attempt of this incarnation that is not in the table was either
-// refused before it was dispatched, or its final state is in the store; the answer is "given up" for both, and in
+// Ask implements the Claims grpc service. An attempt of this incarnation that is not in the table either did not run
+// and never will, or its final state is in the store; the answer is "given up" for both, and in
 // the second case the comparison of the take-over fails and returns the final record.
 func (c *Coordinator) Ask(ctx context.Context, r *peerv1.AskClaimRequest) (*peerv1.AskClaimResponse, error) {
 	if r.GetClaimingIncarnation() != c.viewer.Self().Incarnation {
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -39,8 +39,16 @@
 	Dispatching() error
 	// Done records the answer.
 	Done(ctx context.Context, a Answer) error
-	// GiveUp records that the call was not sent and never will be.
+	// GiveUp ends an attempt whose call was not sent and never will be. After Dispatching it returns an *OrderError
+	// and changes nothing; the caller then uses NotRun, Unknown or Done.
 	GiveUp(ctx context.Context) error
+	// NotRun gives up a dispatched call that certainly had no effect and will not be sent again: no backend server
+	// accepted a connection, or each one that did answered that it did not run the call. The claim is released, and
+	// a later attempt with the key runs. A call of which a server may have acted on one byte ends with Unknown
+	// instead. It returns an *OrderError before Dispatching and after Done, Unknown or NotRun. After an
+	// *UnavailableError the attempt is given up all the same; the store may still hold the claim, which other hosts
+	// resolve by asking this one.
+	NotRun(ctx context.Context) error
 	// Unknown records that the call may have run and has no answer.
 	Unknown(ctx context.Context) error
 }
--- a/internal/claim/coordinator_test.go
+++ b/internal/claim/coordinator_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/boragecourse/boragecourse/internal/outcome"
 	"github.com/boragecourse/boragecourse/internal/platform"
+	"github.com/boragecourse/boragecourse/test/standin/memstore"
 )
 
 // bubble runs f with a fleet on the fake clock.
@@ -213,6 +214,57 @@
 	})
 }
 
+// Guards against a key that stays unusable although its call certainly did not run, whatever becomes of the releasing
+// write, and against a release that frees the key of another attempt or of a call that may have run.
+func TestCallThatDidNotRunFreesItsKey(t *testing.T) {
+	faults := map[string]func(s *memstore.Client){
+		"released":         func(*memstore.Client) {},
+		"answer lost":      func(s *memstore.Client) { s.LoseAnswers(2) },
+		"all answers lost": func(s *memstore.Client) { s.LoseAnswers(1000) },
+		"store down":       func(s *memstore.Client) { s.SetDown(true) },
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, Config{}, 2, func(g Gomega, f *fleet) {
+				var order *OrderError
+				early, _, err := f.claim(0, "k", "a")
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(errors.As(early.NotRun(f.ctx), &order)).To(BeTrue(), "before Dispatching")
+				g.Expect(early.Dispatching()).To(Succeed())
+				_, _, err = f.claim(1, "k", "told running")
+				as[*InProgressError](g, err, outcome.Unknown)
+
+				fault(f.host(0).store)
+				released := make(chan error, 1)
+				go func() { released <- early.NotRun(f.ctx) }()
+				synctest.Wait()
+				g.Expect(errors.As(early.Done(f.ctx, Answer{}), &order)).To(BeTrue(), "a late answer")
+				g.Expect(errors.As(early.Unknown(f.ctx), &order)).To(BeTrue())
+				// Another host takes the claim over while the release is on its way, or finds nothing.
+				next := f.mustClaim(g, 1, "k", "b")
+				<-released
+				f.host(0).store.SetDown(false)
+				f.host(0).store.LoseAnswers(0)
+				time.Sleep(5 * time.Second)
+				g.Expect(f.records(g)).To(HaveLen(1), "the claim of the next attempt")
+				g.Expect(next.Done(f.ctx, Answer{Status: 201})).To(Succeed())
+				g.Expect(errors.As(next.NotRun(f.ctx), &order)).To(BeTrue(), "after Done")
+				_, answer, err := f.claim(0, "k", "c")
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(answer.Status).To(Equal(201))
+			})
+		})
+	}
+	bubble(t, Config{}, 2, func(g Gomega, f *fleet) {
+		var order *OrderError
+		ticket := f.mustClaim(g, 0, "may have run", "a")
+		g.Expect(ticket.Unknown(f.ctx)).To(Succeed())
+		g.Expect(errors.As(ticket.NotRun(f.ctx), &order)).To(BeTrue())
+		_, _, err := f.claim(1, "may have run", "b")
+		as[*UnknownOutcomeError](g, err, outcome.Unknown)
+	})
+}
+
 // Guards against calls in the wrong order, attempts without bound, and claims that outlive their caller.
 func TestTicketOrderBoundsAndAbandonment(t *testing.T) {
 	bubble(t, Config{MaxOpen: 2}, 1, func(g Gomega, f *fleet) {
@@ -225,6 +277,7 @@
 		g.Expect(first.Dispatching()).To(Succeed())
 		g.Expect(errors.As(first.Dispatching(), &order)).To(BeTrue())
 		g.Expect(errors.As(first.GiveUp(f.ctx), &order)).To(BeTrue())
+		g.Expect(f.records(g)).To(HaveLen(1), "a dispatched call is not given up without the statement that it did not run")
 
 		second, _, err := f.claim(0, "second", "b")
 		g.Expect(err).NotTo(HaveOccurred())
--- a/internal/claim/errors.go
+++ b/internal/claim/errors.go
@@ -84,7 +84,7 @@
 // Outcome returns not-run.
 func (e *UnavailableError) Outcome() outcome.Outcome { return outcome.NotRun }
 
-// GivenUpError reports that the attempt was given up before it was dispatched.
+// GivenUpError reports that the attempt was given up before its call was sent.
 type GivenUpError struct {
 	Attempt, Reason string
 }
--- a/internal/claim/linear_test.go
+++ b/internal/claim/linear_test.go
@@ -123,10 +123,16 @@
 	if h.isDead() {
 		return result{kind: "none"}
 	}
+	if ending == 3 {
+		_ = ticket.NotRun(ctx)
+		return result{kind: "none"}
+	}
 	body := fmt.Sprintf("answer %d of %s to %s", s.f.run(c.IdempotencyKey), c.IdempotencyKey, c.Attempt)
 	time.Sleep(sending)
 	switch ending {
 	case 1:
+		// The refused GiveUp is a caller's fault, which must not free the key.
+		_ = ticket.GiveUp(ctx)
 		_ = ticket.Unknown(ctx)
 	case 2:
 		_ = ticket.Done(ctx, Answer{Status: 200, Body: []byte(body + strings.Repeat(".", 1000))})
@@ -208,7 +214,7 @@
 }
 
 func refusalLabels() map[string]bool {
-	labels := map[string]bool{"granted": true, "replayed": true}
+	labels := map[string]bool{"granted": true, "replayed": true, "not_run": true}
 	for _, name := range refusalNames {
 		labels[name] = true
 	}
@@ -229,7 +235,7 @@
 	}
 	t.Log(seen)
 	for _, name := range []string{
-		"granted", "replayed", "unavailable", "in_progress", "unknown", "given_up", "too_large", "takeover",
+		"granted", "replayed", "unavailable", "in_progress", "unknown", "given_up", "too_large", "not_run", "takeover",
 		"result ran", "result replayed", "result too large",
 	} {
 		g.Expect(seen[name]).To(BeNumerically(">", 0), name)
--- a/internal/claim/machine.go
+++ b/internal/claim/machine.go
@@ -21,7 +21,7 @@
 	PhaseRecording
 	// PhaseRecorded has its final state in the store.
 	PhaseRecorded
-	// PhaseRefused never dispatched and never will.
+	// PhaseRefused never ran the call and never will.
 	PhaseRefused
 )
 
@@ -55,6 +55,9 @@
 	EventFinished
 	// EventLost: the caller has no answer; the call may have run.
 	EventLost
+	// EventNotRun: the call was dispatched and certainly had no effect, and the caller will not send it again. It
+	// is an event of its own, so that giving up a dispatched call takes this statement of its caller.
+	EventNotRun
 	// EventAbandoned: the caller gave up before sending the call.
 	EventAbandoned
 )
@@ -169,6 +172,7 @@
 	grantBeforeAcknowledgement bool
 	takeOverWithoutAsking      bool
 	giveUpIsNotFinal           bool
+	giveUpMayHaveRun           bool
 }
 
 // Start begins an attempt.
@@ -292,11 +296,21 @@
 	}
 }
 
+// dispatched ends the call with what its caller knows. EventAbandoned says nothing about the call, so it is refused.
 func (p Policy) dispatched(a Attempt, e Event) (Attempt, Action) {
 	switch e.Kind {
 	case EventFinished, EventLost:
 		a.Phase, a.Lost = PhaseRecording, e.Kind == EventLost
 		return a, Action{Kind: ActionRecord}
+	case EventNotRun:
+		a.Phase = PhaseRefused
+		return a, Action{Kind: ActionRelease}
+	case EventAbandoned:
+		if p.giveUpMayHaveRun {
+			a.Phase = PhaseRefused
+			return a, Action{Kind: ActionRelease}
+		}
+		return a, misplaced()
 	default:
 		return a, misplaced()
 	}
@@ -333,7 +347,7 @@
 }
 
 // asked answers another attempt. An attempt that is not dispatched is given up for good, which is what allows the
-// other one to take the claim over.
+// other one to take the claim over. A dispatched one counts as running until its caller knows how the call ended.
 func (p Policy) asked(a Attempt) (Attempt, Action) {
 	reply := ReplyGivenUp
 	switch a.Phase {
--- a/internal/claim/machine_test.go
+++ b/internal/claim/machine_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,7 +14,7 @@
 )
 
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true", "rapid.checks": "20000"} {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true", "rapid.checks": "50000"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
@@ -26,9 +27,13 @@
 	"dispatch before the acknowledgement": {grantBeforeAcknowledgement: true},
 	"take-over without asking":            {takeOverWithoutAsking: true},
 	"give-up that is not final":           {giveUpIsNotFinal: true},
+	"give-up of a call that may have run": {giveUpMayHaveRun: true},
 }
 
-const worldAttempts = 3
+const (
+	worldAttempts = 3
+	maxFailures   = 8
+)
 
 // storeCall is a write on its way to the store or back.
 type storeCall struct {
@@ -50,7 +55,11 @@
 	owner    [worldAttempts]int
 	late     []func()
 	sent     [worldAttempts]bool
+	refused  [worldAttempts]bool
 	dead     [2]bool
+	// failures is how many store calls may still fail. Without a bound most schedules end before a second attempt
+	// gets far.
+	failures int
 
 	recordState FoundState
 	recordOwner int
@@ -168,12 +177,7 @@
 			add("Dispatching", func() { w.step(i, Event{Kind: EventDispatching}) })
 			add("Abandoned", func() { w.step(i, Event{Kind: EventAbandoned}) })
 		case PhaseDispatched:
-			if !w.sent[i] {
-				add("Run", func() { w.run(i) })
-				break
-			}
-			add("Finished", func() { w.step(i, Event{Kind: EventFinished}) })
-			add("Lost", func() { w.step(i, Event{Kind: EventLost}) })
+			w.dispatchedSteps(i, add)
 		}
 	}
 	for n, apply := range w.late {
@@ -182,14 +186,34 @@
 	return steps
 }
 
+// dispatchedSteps: a server acts on the call, or all refuse it. Giving the call up without saying which is a fault of
+// the caller that the machine has to refuse.
+func (w *world) dispatchedSteps(i int, add func(string, func())) {
+	switch {
+	case w.refused[i]:
+		add("NotRun", func() { w.seen["not run"]++; w.step(i, Event{Kind: EventNotRun}) })
+	case w.sent[i]:
+		add("Finished", func() { w.step(i, Event{Kind: EventFinished}) })
+		add("Lost", func() { w.step(i, Event{Kind: EventLost}) })
+		add("Abandoned", func() { w.step(i, Event{Kind: EventAbandoned}) })
+	default:
+		add("Run", func() { w.run(i) })
+		add("AllRefuse", func() { w.refused[i] = true })
+	}
+}
+
 func (w *world) storeSteps(i int, c *storeCall, add func(string, func())) {
 	if !c.applied {
 		add("StoreApply", func() { w.storeApply(i, c) })
 	} else {
 		add("StoreAnswer", func() { w.calls[i] = nil; w.owner[i] = c.owner; w.step(i, c.event) })
 	}
+	if w.failures == 0 {
+		return
+	}
 	add("StoreFailed", func() {
 		w.seen["store failed"]++
+		w.failures--
 		w.calls[i] = nil
 		if !c.applied {
 			w.late = append(w.late, func() { w.storeApply(i, c) })
@@ -203,6 +227,9 @@
 	w.runs++
 	w.ran = i
 	w.seen["run"]++
+	if slices.Contains(w.refused[:], true) {
+		w.seen["run after not run"]++
+	}
 	if w.runs > 1 {
 		w.violation = "the call ran twice"
 	}
@@ -211,6 +238,7 @@
 // explore runs one schedule; choose returns a number below n.
 func (w *world) explore(choose func(n int) int) {
 	death := choose(60)
+	w.failures = choose(maxFailures)
 	for n := range 80 {
 		if n == death {
 			w.dead[0] = true
@@ -237,8 +265,9 @@
 			seen[k] += v
 		}
 	})
+	t.Log(seen)
 	g := NewWithT(t)
-	for _, k := range []string{"run", "replay", "take over", "store failed"} {
+	for _, k := range []string{"run", "replay", "take over", "store failed", "not run", "run after not run"} {
 		g.Expect(seen[k]).To(BeNumerically(">", 50), k)
 	}
 }
--- a/internal/claim/ticket.go
+++ b/internal/claim/ticket.go
@@ -52,11 +52,26 @@
 // GiveUp implements Ticket. The attempt is given up in any case; an error only means that the store still holds
 // the claim, which other hosts resolve by asking this one.
 func (t *ticket) GiveUp(ctx context.Context) error {
-	action := t.e.step(Event{Kind: EventAbandoned})
+	return t.giveUp(ctx, EventAbandoned)
+}
+
+// NotRun implements Ticket.
+func (t *ticket) NotRun(ctx context.Context) error {
+	return t.giveUp(ctx, EventNotRun)
+}
+
+// giveUp makes the attempt refused and releases its claim. The release needs no repetition beyond that of its
+// transaction: it compares the revision, so it never removes another attempt's claim, and a claim that stays counts
+// as given up.
+func (t *ticket) giveUp(ctx context.Context, kind EventKind) error {
+	action := t.e.step(Event{Kind: kind})
 	switch action.Kind {
 	case ActionNone:
 		return nil
 	case ActionRelease:
+		if kind == EventNotRun {
+			t.e.c.count("not_run")
+		}
 	default:
 		return t.e.refusal(action.Refusal)
 	}
--- a/spec/claim.pml
+++ b/spec/claim.pml
@@ -1,7 +1,8 @@
 /*
  * At-most-once claims (internal/claim). Three attempts with one idempotency key on two hosts: attempts 0 and 2 on
  * host 0, attempt 1 on host 1. The store may lose answers, before or after the write took effect, or let the
- * write take effect later. Host 0 may die at any moment, and an asked host may seem to be out of reach. Phases and
+ * write take effect later. Host 0 may die at any moment, and an asked host may seem to be out of reach. A dispatched
+ * call is run, or all backend servers refuse it and its attempt is given up; the release may come late as well. Phases and
  * events have the names of internal/claim/machine.go. Checked: at most one attempt runs the call, and every
  * replayed answer is the one of the attempt that ran.
  *
@@ -13,6 +14,10 @@
  * MODEL claim.pml VARIANT give-up-not-final EXPECT error DEFINES -DGIVE_UP_IS_NOT_FINAL
  * MODEL claim.pml VARIANT gone-host-counts-as-given-up EXPECT error DEFINES -DGONE_IS_GIVEN_UP
  * MODEL claim.pml VARIANT take-over-without-compare EXPECT error DEFINES -DTAKE_OVER_WITHOUT_COMPARE
+ * MODEL claim.pml VARIANT give-up-although-it-may-have-run EXPECT error DEFINES -DGIVE_UP_MAY_HAVE_RUN
+ * MODEL claim.pml VARIANT release-without-compare EXPECT error DEFINES -DRELEASE_WITHOUT_COMPARE
+ * MODEL claim.pml VARIANT reach-run-after-not-run EXPECT error DEFINES -DREACH_RUN_AFTER_NOT_RUN
+ * MODEL claim.pml VARIANT reach-late-release EXPECT error DEFINES -DREACH_LATE_RELEASE
  * MODEL claim.pml VARIANT reach-run-after-take-over EXPECT error DEFINES -DREACH_RUN_AFTER_TAKE_OVER
  * MODEL claim.pml VARIANT reach-replay EXPECT error DEFINES -DREACH_REPLAY
  * MODEL claim.pml VARIANT reach-late-write EXPECT error DEFINES -DREACH_LATE_WRITE
@@ -40,9 +45,13 @@
 /* A write whose answer is lost and that has not reached the store yet. */
 bool late[ATTEMPTS];
 byte lateCompare[ATTEMPTS];
+mtype lateState[ATTEMPTS];
 bool dead[2];
 byte runs = 0;
 byte ranAttempt = NONE;
+#ifdef REACH_RUN_AFTER_NOT_RUN
+bool notRun = false;
+#endif
 
 /* The store: compare, then write or delete. */
 inline StoreApply(compare, state, who, ok) {
@@ -74,6 +83,15 @@
 	fi
 }
 
+/* ActionRelease: the write is repeated and compares the revision. It takes effect, fails, or comes late. */
+inline Release(who, ok) {
+	if
+	:: true -> StoreApply(claimRevision[who], Absent, NONE, ok)
+	:: true -> late[who] = true; lateCompare[who] = claimRevision[who]; lateState[who] = Absent
+	:: true
+	fi
+}
+
 inline Replay(who) {
 #ifdef REACH_REPLAY
 	assert(false);
@@ -88,6 +106,7 @@
 	mtype reply;
 	byte rounds = 0;
 	bool lost = false;
+	bool acted = false;
 
 #ifdef GRANT_BEFORE_ACKNOWLEDGEMENT
 	phase[i] = Claimed;
@@ -103,7 +122,7 @@
 #endif
 		if
 		:: true -> StoreApply(compare, InProgress, i, ok)
-		:: true -> late[i] = true; lateCompare[i] = compare; goto storeFailed
+		:: true -> late[i] = true; lateCompare[i] = compare; lateState[i] = InProgress; goto storeFailed
 		:: true -> goto storeFailed
 		fi
 	   }
@@ -159,30 +178,43 @@
 		fi
 	   }
 
-	/* EventDispatching, then the call itself. */
+	/* EventDispatching, then the call itself: a backend server acts on it, or no byte of it reaches one. */
 	:: atomic { !dead[HOST(i)] && phase[i] == Claimed -> phase[i] = Dispatched }
 	   if
-	   :: atomic { !dead[HOST(i)] -> runs++; ranAttempt = i;
+	   :: atomic { !dead[HOST(i)] -> runs++; ranAttempt = i; acted = true;
 #ifdef REACH_RUN_AFTER_TAKE_OVER
 		assert(!tookOver[i]);
+#endif
+#ifdef REACH_RUN_AFTER_NOT_RUN
+		assert(!notRun);
 #endif
 		assert(runs <= 1)
 	      }
+	   :: !dead[HOST(i)] -> skip
 	   :: dead[HOST(i)] -> goto finished
 	   fi;
-	   /* EventFinished or EventLost. */
+	   /* EventFinished, EventLost, or EventNotRun with ActionRelease. A caller that is not sure says lost. */
 	   if
-	   :: atomic { !dead[HOST(i)] -> phase[i] = Recording }
+	   :: atomic { !dead[HOST(i)] && acted -> phase[i] = Recording }
 	   :: atomic { !dead[HOST(i)] -> phase[i] = Recording; lost = true; lostAnswer[i] = true }
+#ifdef GIVE_UP_MAY_HAVE_RUN
+	   :: atomic { !dead[HOST(i)] ->
+#else
+	   :: atomic { !dead[HOST(i)] && !acted ->
+#endif
+		phase[i] = Refused;
+#ifdef REACH_RUN_AFTER_NOT_RUN
+		notRun = true;
+#endif
+		Release(i, ok);
+		goto finished
+	      }
 	   :: dead[HOST(i)] -> goto finished
 	   fi
 
 	/* EventAbandoned in phase Claimed: ActionRelease, which may fail. */
 	:: atomic { !dead[HOST(i)] && phase[i] == Claimed -> phase[i] = Refused;
-		if
-		:: true -> StoreApply(claimRevision[i], Absent, NONE, ok)
-		:: true
-		fi;
+		Release(i, ok);
 		goto finished
 	   }
 
@@ -220,7 +252,17 @@
 #ifdef REACH_LATE_WRITE
 		assert(recordRevision != lateCompare[i]);
 #endif
-		StoreApply(lateCompare[i], InProgress, i, ok)
+#ifdef REACH_LATE_RELEASE
+		assert(lateState[i] != Absent || recordRevision == lateCompare[i] || recordRevision == 0);
+#endif
+		if
+#ifdef RELEASE_WITHOUT_COMPARE
+		:: lateState[i] == Absent -> StoreApply(recordRevision, Absent, NONE, ok)
+#else
+		:: lateState[i] == Absent -> StoreApply(lateCompare[i], Absent, NONE, ok)
+#endif
+		:: else -> StoreApply(lateCompare[i], InProgress, i, ok)
+		fi
 	}
 }
 
