Free the idempotency key of a call that every server refused

Cause: settling a claim tried GiveUp after the dispatch, which always failed, and recorded the call as unknown.

Change: a dispatched claim is ended with NotRun when the failure is not-run and every call ended with a connect failure or the not-run marker. Anything else, a panic included, is recorded as unknown.

Conclusion: a caller can repeat a refused call with the same key.

--- a/internal/request/claimed.go
+++ b/internal/request/claimed.go
@@ -77,24 +77,24 @@
 	return nil
 }
 
-// settle ends a claim whose answer was not recorded. The failure says whether the call may have run.
-func (c *claimed) settle(failure error) {
+// settle ends a claim whose answer was not recorded. A dispatched call is given up only when the failure says that it
+// did not run and every call to a backend server certainly had no effect. After a panic there is no failure, so the
+// call counts as unknown.
+func (c *claimed) settle(failure error, r ran) {
 	if c == nil || c.done {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
 	defer cancel()
 	var e *outcome.Error
-	if errors.As(failure, &e) && e.Outcome == outcome.NotRun {
-		err := c.ticket.GiveUp(ctx)
-		if err == nil || !c.dispatched {
-			c.note("give up", err)
-			return
-		}
-		// A claim service that cannot take a dispatched call back keeps the key as unknown, which is safe.
-		c.note("give up after dispatch", err)
+	switch {
+	case !c.dispatched:
+		c.note("give up", c.ticket.GiveUp(ctx))
+	case errors.As(failure, &e) && e.Outcome == outcome.NotRun && r.outcome() == outcome.NotRun:
+		c.note("not run", c.ticket.NotRun(ctx))
+	default:
+		c.note("unknown", c.ticket.Unknown(ctx))
 	}
-	c.note("unknown", c.ticket.Unknown(ctx))
 }
 
 func (c *claimed) note(what string, err error) {
--- a/internal/request/generate.go
+++ b/internal/request/generate.go
@@ -46,7 +46,7 @@
 	}
 	if x.claim != nil {
 		x.sink = &recordingSink{Sink: x.sink, claim: x.claim, limit: x.settings.MaxRecordedAnswer}
-		defer func() { x.claim.settle(err) }()
+		defer func() { x.claim.settle(err, x.ran) }()
 	}
 	// The parsed fields hold what is needed; large prompts would otherwise be kept twice.
 	x.in.Body = nil
--- a/internal/request/service.go
+++ b/internal/request/service.go
@@ -46,7 +46,7 @@
 	if err != nil || replayed {
 		return err
 	}
-	defer func() { x.claim.settle(err) }()
+	defer func() { x.claim.settle(err, x.ran) }()
 	return c.call(ctx, waiting)
 }
 
--- a/internal/request/service_test.go
+++ b/internal/request/service_test.go
@@ -11,12 +11,14 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/boragecourse/boragecourse/internal/outcome"
+	standin "github.com/boragecourse/boragecourse/test/standin/engine"
 	"github.com/boragecourse/boragecourse/test/standin/service"
 )
 
 // step is one call of a caller who sends the same booking again.
 type step struct {
 	faults  service.Faults
+	others  service.Faults
 	down    bool
 	storeUp *bool
 	body    string
@@ -45,6 +47,17 @@
 		"all down":            {path: "/booking/reserve", steps: []step{{down: true, code: outcome.CodeRetriesExhausted, outcome: outcome.NotRun}}},
 		"keyed twice":         {path: "/booking/reserve", key: "k", steps: []step{{status: ok}, {status: ok, replayed: true}}, ran: 1, cost: 50},
 		"keyed, other body":   {path: "/booking/reserve", key: "k", steps: []step{{status: ok}, {body: "x", code: outcome.CodeKeyReused, outcome: outcome.NotRun}}, ran: 1, cost: 50},
+		"keyed, all refuse": {path: "/booking/reserve", key: "k", steps: []step{
+			{faults: service.Faults{FailBefore: 99}, others: service.Faults{FailBefore: 99}, code: outcome.CodeRetriesExhausted, outcome: outcome.NotRun}, {status: ok},
+		}, ran: 1, cost: 50},
+		"keyed, all down": {path: "/booking/reserve", key: "k", steps: []step{
+			{down: true, code: outcome.CodeRetriesExhausted, outcome: outcome.NotRun},
+			{down: true, code: outcome.CodeRetriesExhausted, outcome: outcome.NotRun}, {status: ok}, {status: ok, replayed: true},
+		}, ran: 1, cost: 50},
+		"keyed, refused, then cut": {path: "/booking/reserve", key: "k", steps: []step{
+			{faults: service.Faults{FailBefore: 99}, others: service.Faults{CutBefore: 1}, code: outcome.CodeServerFailed, outcome: outcome.Unknown},
+			{code: outcome.CodeClaimUnknown, outcome: outcome.Unknown},
+		}},
 		"keyed, answer lost": {path: "/booking/reserve", key: "k", steps: []step{
 			{faults: service.Faults{CutAfter: 1}, code: outcome.CodeServerFailed, outcome: outcome.Unknown},
 			{code: outcome.CodeClaimUnknown, outcome: outcome.Unknown},
@@ -66,6 +79,7 @@
 				defer f.Close()
 				for _, s := range c.steps {
 					f.services["s1"].SetFaults(s.faults)
+					f.services["s2"].SetFaults(s.others)
 					f.down["s1"], f.down["s2"] = s.down, s.down
 					if s.storeUp != nil {
 						f.store.SetDown(!*s.storeUp)
@@ -166,3 +180,44 @@
 		}
 	}
 }
+
+// Guards against a key that a generation uses up although no engine took it, and against one that is freed although
+// an engine may have run the prompt.
+func TestKeyOfRefusedGeneration(t *testing.T) {
+	cases := map[string]struct {
+		p1, p2  standin.Faults
+		outcome outcome.Outcome
+		again   outcome.Code
+	}{
+		"all down":             {p1: standin.Faults{RefuseConnections: true}, p2: standin.Faults{RefuseConnections: true}, outcome: outcome.NotRun},
+		"down and full":        {p1: standin.Faults{RefuseConnections: true}, p2: standin.Faults{Full: true}, outcome: outcome.NotRun},
+		"refused, then failed": {p1: standin.Faults{Full: true}, p2: standin.Faults{FailCalls: 1}, outcome: outcome.Unknown, again: outcome.CodeClaimUnknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				defer f.Close()
+				send := func() result {
+					in := f.input(pathCompletions, completion("once", true))
+					in.IdempotencyKey = "k"
+					r := f.run(t.Context(), in)
+					f.verify(in, r)
+					return r
+				}
+				f.engines["p1"].SetFaults(c.p1)
+				f.engines["p2"].SetFaults(c.p2)
+				f.Expect(send().err.Outcome).To(Equal(c.outcome))
+				f.engines["p1"].SetFaults(standin.Faults{})
+				f.engines["p2"].SetFaults(standin.Faults{})
+				again := send()
+				if c.again != "" {
+					f.Expect(again.err).NotTo(BeNil())
+					f.Expect(again.err.Code).To(Equal(c.again))
+					return
+				}
+				f.expectWhole(again, true)
+			})
+		})
+	}
+}
