Bound the open requests of a host

Cause: a host took any number of requests, so its memory had no bound.

Change: the request path refuses a request with 503, code too_many_open_requests, outcome not-run and Retry-After while MaxOpen requests are open; requests_finished counts it by code. Default 20,000: at the target of 64 KB per open stream they take 1.28 GB, and the mean at target size is about 700 streams per host. Requests whose body is still being read are not counted.

Conclusion: the number of open requests is bounded exactly.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -59,7 +59,7 @@
 		Store: store, Hosts: platform.NewHostList(store), Dialer: d.pool, Engines: d.engines, Metrics: reg, Log: log,
 		Timing: timing(s), TrustPeriod: s.TrustPeriod,
 		Placement: placement.Options{FirstToken: s.FirstTokenTarget},
-		Request:   request.Settings{DefaultMaxOutput: s.DefaultMaxOutput},
+		Request:   request.Settings{DefaultMaxOutput: s.DefaultMaxOutput, MaxOpen: s.MaxOpenRequests},
 	})
 	if err != nil {
 		return nil, err
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -24,6 +24,7 @@
 // Codes of refusals and failures, in the order in which a request can meet them.
 const (
 	CodeDraining          Code = "draining"
+	CodeTooManyOpen       Code = "too_many_open_requests"
 	CodeNoConfiguration   Code = "no_configuration"
 	CodeMalformedRequest  Code = "malformed_request"
 	CodeBodyTooLarge      Code = "body_too_large"
--- a/internal/request/errors.go
+++ b/internal/request/errors.go
@@ -36,6 +36,14 @@
 // Unwrap returns the cause.
 func (e *SinkError) Unwrap() error { return e.Cause }
 
+// OpenLimitError reports that this host has as many open requests as its settings allow.
+type OpenLimitError struct {
+	Limit int
+}
+
+// Error implements error.
+func (e *OpenLimitError) Error() string { return fmt.Sprintf("%d requests are open", e.Limit) }
+
 // BudgetError reports that a retry would exceed the retry budget.
 type BudgetError struct {
 	// Reason is why a retry was wanted.
--- a/internal/request/refusals.go
+++ b/internal/request/refusals.go
@@ -14,6 +14,7 @@
 // Times after which a caller may try again where no collaborator names one.
 const (
 	retryDraining    = time.Second
+	retryFull        = time.Second
 	retryUnconfirmed = 3 * time.Second
 	retryNoServer    = 5 * time.Second
 	retryClaims      = 2 * time.Second
@@ -25,6 +26,14 @@
 	return e
 }
 
+// errTooManyOpen refuses what would exceed this host's memory. The caller may try again soon, since the load balancer
+// then picks another host.
+func errTooManyOpen(limit int) *outcome.Error {
+	e := outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeTooManyOpen, "this host has too many open requests; try another one")
+	e.RetryAfter, e.Cause = retryFull, &OpenLimitError{Limit: limit}
+	return e
+}
+
 // chargesFull refuses what could run and could not be recorded.
 func chargesFull(cause error) *outcome.Error {
 	e := outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeChargesFull, "charges cannot be recorded now")
--- a/internal/request/refusals_test.go
+++ b/internal/request/refusals_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,6 +44,7 @@
 	}{
 		"charges full":      {func(f *fixture, _ *Input) { f.chargesErr = &charge.OverflowError{} }, outcome.CodeChargesFull, 503, outcome.NotRun},
 		"draining":          {func(f *fixture, _ *Input) { _ = f.Drain(context.Background()) }, outcome.CodeDraining, 503, outcome.NotRun},
+		"too many open":     {func(f *fixture, _ *Input) { f.open = f.settings.MaxOpen }, outcome.CodeTooManyOpen, 503, outcome.NotRun},
 		"no configuration":  {func(f *fixture, _ *Input) { f.snap = nil }, outcome.CodeNoConfiguration, 503, outcome.NotRun},
 		"not JSON":          {body(`{"model":`), outcome.CodeMalformedRequest, 400, outcome.NotRun},
 		"null":              {body(`null`), outcome.CodeMalformedRequest, 400, outcome.NotRun},
@@ -202,6 +205,49 @@
 	})
 }
 
+// Guards against a bound on open requests that two requests pass at once after both were checked, and against a place
+// that stays taken after its request.
+func TestOpenRequestsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		defer f.Close()
+		f.settings.MaxOpen = 2
+		f.block = make(chan struct{})
+		sent := make([]*Input, 5)
+		results := make([]result, len(sent))
+		var wg sync.WaitGroup
+		for i := range sent {
+			sent[i] = f.input(pathCompletions, completion("m", true))
+			f.Expect(f.Check(sent[i])).To(Succeed())
+		}
+		for i, in := range sent {
+			wg.Go(func() {
+				results[i].sink = &sink{}
+				errors.As(f.Do(t.Context(), in, results[i].sink), &results[i].err)
+			})
+		}
+		synctest.Wait()
+		f.Expect(f.Open()).To(Equal(2))
+		f.Expect(f.Check(f.input(pathCompletions, ""))).To(HaveOccurred(), "before the body is read")
+		close(f.block)
+		wg.Wait()
+		refused := 0
+		for i, in := range sent {
+			f.verify(in, results[i])
+			if results[i].err == nil {
+				f.expectWhole(results[i], true)
+				continue
+			}
+			refused++
+			f.Expect(results[i].err.Code).To(Equal(outcome.CodeTooManyOpen))
+			f.Expect(results[i].err.RetryAfter).To(BeNumerically(">", 0))
+		}
+		f.Expect(refused).To(Equal(3))
+		f.block = nil
+		f.expectWhole(f.run(t.Context(), f.input(pathCompletions, completion("m", true))), true)
+	})
+}
+
 // Guards against a drain that cuts an open request or that takes a new one.
 func TestDrainFinishesOpenRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/request/router.go
+++ b/internal/request/router.go
@@ -95,8 +95,8 @@
 
 // Check refuses a request that cannot be served whatever its body is, so that the body need not be read.
 func (r *Router) Check(in *Input) error {
-	if r.Draining() {
-		return r.refused(in, errDraining())
+	if e := r.notAccepting(); e != nil {
+		return r.refused(in, e)
 	}
 	snap := r.Config.Current()
 	if snap == nil {
@@ -128,8 +128,8 @@
 // *outcome.Error otherwise. Nothing is held when it returns, apart from releases that engines have not
 // acknowledged yet, which go on in the background.
 func (r *Router) Do(ctx context.Context, in *Input, sink Sink) error {
-	if !r.begin() {
-		return r.refused(in, errDraining())
+	if e := r.begin(); e != nil {
+		return r.refused(in, e)
 	}
 	defer r.end()
 	x := &run{Router: r, in: in, sink: sink}
@@ -188,14 +188,33 @@
 	pathChat        = "/v1/chat/completions"
 )
 
-func (r *Router) begin() bool {
+// begin counts a request as open unless this host takes no more.
+func (r *Router) begin() *outcome.Error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.draining {
-		return false
+	if e := r.notAcceptingLocked(); e != nil {
+		return e
 	}
 	r.open++
-	return true
+	return nil
+}
+
+// notAccepting returns the refusal of new requests, or nil while this host accepts them.
+func (r *Router) notAccepting() *outcome.Error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.notAcceptingLocked()
+}
+
+// notAcceptingLocked is notAccepting for a caller that holds the lock.
+func (r *Router) notAcceptingLocked() *outcome.Error {
+	switch {
+	case r.draining:
+		return errDraining()
+	case r.open >= r.settings.MaxOpen:
+		return errTooManyOpen(r.settings.MaxOpen)
+	}
+	return nil
 }
 
 func (r *Router) end() {
--- a/internal/request/settings.go
+++ b/internal/request/settings.go
@@ -8,6 +8,9 @@
 	BytesPerToken int
 	// DefaultMaxOutput is the output limit of requests that name none, in tokens. Default 1024.
 	DefaultMaxOutput int64
+	// MaxOpen bounds the open requests of this host. Default 20,000: at 64 KB per open stream they take 1.28 GB, and
+	// the mean at target size is about 700 streams per host.
+	MaxOpen int
 	// PrefillTimeout bounds one prefill, the engine's own queue included. Default 30 s.
 	PrefillTimeout time.Duration
 	// ImportTimeout bounds the import of a KV cache. Default 400 ms: a stalled transfer must be given up while
@@ -46,6 +49,7 @@
 func (s Settings) withDefaults() Settings {
 	setDefault(&s.BytesPerToken, 4)
 	setDefault(&s.DefaultMaxOutput, 1024)
+	setDefault(&s.MaxOpen, 20000)
 	setDefault(&s.PrefillTimeout, 30*time.Second)
 	setDefault(&s.ImportTimeout, 400*time.Millisecond)
 	setDefault(&s.KVLifetime, 700*time.Millisecond)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -62,7 +62,8 @@
 		"--advertise-peers=0.0.0.0:1": "advertise-peers", "--trust-period=5s": "trust-period", "--lease-ttl=1500ms": "lease-ttl",
 		"--isolation-limit=1s": "isolation-limit", "--heartbeat-interval=1s": "heartbeat-interval",
 		"--drain-timeout=0s": "drain-timeout", "--max-body-bytes=0": "max-body-bytes", "--max-header-bytes=1": "max-header-bytes",
-		"--default-max-output=0": "default-max-output", "--tls-cert-file=" + missing: "tls-cert-file",
+		"--default-max-output=0": "default-max-output", "--max-open-requests=0": "max-open-requests",
+		"--tls-cert-file=" + missing: "tls-cert-file",
 	}
 	args := required()
 	for arg := range cases {
