Resolve the merge of the bound on open requests

Cause: the merge before this commit kept conflict markers in the daemon, and the fault matrix's fake ticket lacked the new method. Change: the daemon passes the bound through assemble; the fake has NotRun.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,20 +54,10 @@
 	d.pool = peer.NewPool(s.PeerSecret, nil)
 	reg := metrics.New()
 	d.engines = openai.NewDirectory(openai.Settings{}, reg)
-<<<<<<< HEAD
 	d.Parts, err = d.assemble(s, reg, log)
 	if err == nil {
 		err = d.listen()
 	}
-=======
-	d.Parts, err = assembly.New(assembly.Environment{
-		Self:  host.ID{Name: s.Name, Addr: s.AdvertisePeers, Zone: s.Zone, Incarnation: host.NewIncarnation()},
-		Store: store, Hosts: platform.NewHostList(store), Dialer: d.pool, Engines: d.engines, Metrics: reg, Log: log,
-		Timing: timing(s), TrustPeriod: s.TrustPeriod,
-		Placement: placement.Options{FirstToken: s.FirstTokenTarget},
-		Request:   request.Settings{DefaultMaxOutput: s.DefaultMaxOutput, MaxOpen: s.MaxOpenRequests},
-	})
->>>>>>> giveup
 	if err != nil {
 		d.close()
 		return nil, err
@@ -83,7 +73,7 @@
 		Store: d.store, Hosts: platform.NewHostList(d.store), Dialer: d.pool, Engines: d.engines, Metrics: reg, Log: log,
 		SeedPeers: s.SeedPeers, Timing: timing(s), TrustPeriod: s.TrustPeriod,
 		Placement: placement.Options{FirstToken: s.FirstTokenTarget},
-		Request:   request.Settings{DefaultMaxOutput: s.DefaultMaxOutput},
+		Request:   request.Settings{DefaultMaxOutput: s.DefaultMaxOutput, MaxOpen: s.MaxOpenRequests},
 	})
 }
 
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -73,7 +73,7 @@
 		OperatorCredentialSHA256: hex.EncodeToString(sum[:]), DrainTimeout: patience, TrustPeriod: 3 * time.Second,
 		IsolationLimit: 5 * time.Minute, LeaseTTL: 5 * time.Second, FirstTokenTarget: patience, MaxBodyBytes: 1 << 20,
 		MaxHeaderBytes: 64 << 10, BodyTimeout: patience, IdleTimeout: patience, StreamTimeout: patience,
-		DefaultMaxOutput: 16, HeartbeatInterval: 500 * time.Millisecond,
+		DefaultMaxOutput: 16, MaxOpenRequests: 1000, HeartbeatInterval: 500 * time.Millisecond,
 	}}
 	d, err := daemon.New(h.settings, logr.Discard())
 	if err != nil {
--- a/test/faults/broken_test.go
+++ b/test/faults/broken_test.go
@@ -188,6 +188,7 @@
 func (ticket) Dispatching() error                       { return nil }
 func (ticket) Done(context.Context, claim.Answer) error { return nil }
 func (ticket) GiveUp(context.Context) error             { return nil }
+func (ticket) NotRun(context.Context) error             { return nil }
 func (ticket) Unknown(context.Context) error            { return nil }
 
 type doubledCharges struct{ charge.Writer }
