Refuse text after the body of an apply

Cause: the decoder read one JSON value and ignored what followed, so a damaged body was applied; FuzzApply shows it with '{} trailing' in its seed corpus. Change: an apply whose body holds anything more is refused as malformed_request. FuzzApply covers the body of the call. Conclusion: a body is applied whole or not at all.

--- /dev/null
+++ b/internal/operatorapi/fuzz_test.go
@@ -0,0 +1,46 @@
+package operatorapi_test
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/boragecourse/boragecourse/internal/operatorapi"
+)
+
+// Guards against bodies of operators that end without a typed answer, and against bodies that are applied although
+// they are malformed.
+func FuzzApply(f *testing.F) {
+	for _, body := range []string{
+		`{"base_generation":1,"text":"zone z region=r # a: b\n"}`, ``, `null`, `[]`, `{"base_generation":-1}`, `{"text":1}`,
+		`{"text":"` + "\xff" + `"}`, `{} trailing`, `{"text":"a"}{"text":"b"}`,
+	} {
+		f.Add([]byte(body))
+	}
+	sum := sha256.Sum256([]byte(credential))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		applied := 0
+		h, err := operatorapi.Handler(&backend{apply: func(operatorapi.ApplyRequest) (operatorapi.ApplyResult, error) {
+			applied++
+			return operatorapi.ApplyResult{Status: operatorapi.StatusInForce}, nil
+		}}, hex.EncodeToString(sum[:]))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := httptest.NewRequest(http.MethodPost, "/v1/config/apply", bytes.NewReader(body))
+		r.Header.Set("Authorization", "Bearer "+credential)
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		var failed operatorapi.Error
+		switch {
+		case w.Code == http.StatusOK && applied == 1 && json.Valid(body):
+		case w.Code == http.StatusBadRequest && applied == 0 && json.Unmarshal(w.Body.Bytes(), &failed) == nil && failed.Code == operatorapi.CodeMalformed:
+		default:
+			t.Fatalf("%q gave status %d, %d applies and %s", body, w.Code, applied, w.Body)
+		}
+	})
+}
--- a/internal/operatorapi/server.go
+++ b/internal/operatorapi/server.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 
@@ -27,9 +28,9 @@
 	r.Use(middleware.Recoverer, requireCredential(want))
 	r.Get("/v1/config", respond(func(req *http.Request) (any, error) { return b.File(req.Context()) }))
 	r.Post("/v1/config/apply", respond(func(req *http.Request) (any, error) {
-		var a ApplyRequest
-		if err := json.NewDecoder(http.MaxBytesReader(nil, req.Body, maxFileBytes)).Decode(&a); err != nil {
-			return nil, &Error{Code: CodeMalformed, Message: fmt.Sprintf("malformed body: %v", err), Cause: err}
+		a, err := readApply(req)
+		if err != nil {
+			return nil, err
 		}
 		return b.Apply(req.Context(), a)
 	}))
@@ -42,6 +43,20 @@
 	return r, nil
 }
 
+// readApply reads a body that holds one apply and nothing else. Text after it means that the body is damaged.
+func readApply(req *http.Request) (ApplyRequest, error) {
+	var a ApplyRequest
+	d := json.NewDecoder(http.MaxBytesReader(nil, req.Body, maxFileBytes))
+	err := d.Decode(&a)
+	if err != nil {
+		return a, &Error{Code: CodeMalformed, Message: fmt.Sprintf("malformed body: %v", err), Cause: err}
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return a, &Error{Code: CodeMalformed, Message: "the body holds more than one JSON value", Cause: err}
+	}
+	return a, nil
+}
+
 func requireCredential(want []byte) func(http.Handler) http.Handler {
 	return func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
