Pass over damaged charge batches in a trace

Cause: one batch that cannot be decoded ended a trace with an untyped error, so the records in later batches of the host could not be found. Change: the trace counts the batch and goes on. When the record is nowhere else, the error is a CorruptBatchError and not a NotFoundError, since the record may be in the damaged batch. Conclusion: a damaged batch hides only its own records.

--- a/internal/charge/encode.go
+++ b/internal/charge/encode.go
@@ -104,7 +104,7 @@
 func decode(value []byte) (*peerv1.ChargeBatch, error) {
 	b := &peerv1.ChargeBatch{}
 	if err := proto.Unmarshal(value, b); err != nil {
-		return nil, fmt.Errorf("decode charge batch: %w", err)
+		return nil, &CorruptBatchError{err}
 	}
 	return b, nil
 }
--- a/internal/charge/errors.go
+++ b/internal/charge/errors.go
@@ -59,3 +59,14 @@
 func (e *StoreAnswerError) Error() string {
 	return fmt.Sprintf("store refused a transaction of %d charge batches although all keys were absent", e.Keys)
 }
+
+// CorruptBatchError reports a stored batch that cannot be decoded.
+type CorruptBatchError struct {
+	Cause error
+}
+
+// Error implements error.
+func (e *CorruptBatchError) Error() string { return fmt.Sprintf("corrupt charge batch: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *CorruptBatchError) Unwrap() error { return e.Cause }
--- a/internal/charge/trace.go
+++ b/internal/charge/trace.go
@@ -14,7 +14,8 @@
 
 // Trace returns the charge record of a request, with the rule line, the rule's text, the person and the reason. It
 // looks at the records in this host's memory and then in the store, in the batches from the one that the request
-// id names. Errors are *RequestIDError, *NotFoundError and the store's errors.
+// id names. A batch that cannot be decoded is counted and skipped; when the record is in no other batch, the error is
+// *CorruptBatchError. Other errors are *RequestIDError, *NotFoundError and the store's errors.
 func (l *Ledger) Trace(ctx context.Context, requestID string) (Record, error) {
 	from, sequence, err := parseRequestID(requestID)
 	if err != nil {
@@ -24,6 +25,7 @@
 		return r, nil
 	}
 	searched, empty := 0, 0
+	var corrupt error
 	for page := range uint64(maxTracePages) {
 		kvs, err := l.store.List(ctx, from.page(sequence+page*pageSize))
 		if err != nil {
@@ -33,7 +35,9 @@
 			searched++
 			r, ok, err := find(kv.Value, requestID)
 			if err != nil {
-				return Record{}, err
+				l.metrics.Inc("charge_batches_corrupt_total")
+				corrupt = fmt.Errorf("trace request %s: %s: %w", requestID, kv.Key, err)
+				continue
 			}
 			if ok {
 				return r, nil
@@ -46,6 +50,9 @@
 			break
 		}
 	}
+	if corrupt != nil {
+		return Record{}, corrupt
+	}
 	return Record{}, &NotFoundError{RequestID: requestID, Host: from.name, Batches: searched}
 }
 
