Take damaged claim records and answers as unknown

Cause: a recorded answer with a status that HTTP does not have was replayed, and writing such a status panics; a claim in progress without an attempt or a host could be taken as given up. FuzzClaimRecord has these records in its seed corpus. Change: a record or a peer's answer that this package cannot have written counts as unknown. Conclusion: a damaged claim neither runs a call again nor gives a caller half an answer.

--- a/internal/claim/ask.go
+++ b/internal/claim/ask.go
@@ -54,8 +54,11 @@
 		ev.Reply = ReplyGivenUp
 	case peerv1.AskClaimResponse_STATE_DONE:
 		ev.Reply = ReplyDone
-		if r.GetAnswer() == nil {
+		switch {
+		case r.GetAnswer() == nil:
 			ev.Reply = ReplyTooLarge
+		case !isWhole(r.GetAnswer()):
+			ev.Reply = ReplyUnknown
 		}
 	}
 	return ev
--- /dev/null
+++ b/internal/claim/fuzz_test.go
@@ -0,0 +1,50 @@
+package claim
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/boragecourse/boragecourse/internal/platform"
+	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
+)
+
+// Guards against a damaged claim that gives a caller an answer which no HTTP status fits, which is taken for another
+// call's, or which lets the call run again.
+func FuzzClaimRecord(f *testing.F) {
+	c := call("key", "attempt")
+	add := func(r *peerv1.ClaimRecord) {
+		value, err := proto.Marshal(r)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(value)
+		f.Add(value[:len(value)-1])
+	}
+	h := &peerv1.HostID{Name: "h", Addr: "10.0.0.1:1", Zone: "a", Incarnation: 1}
+	add(&peerv1.ClaimRecord{State: peerv1.ClaimRecord_STATE_IN_PROGRESS, Digest: c.Digest[:], Attempt: "a", Host: h, Workspace: c.Workspace, IdempotencyKey: c.IdempotencyKey})
+	for _, status := range []int32{200, 0, -1, 99, 1000, 1 << 30} {
+		add(&peerv1.ClaimRecord{State: peerv1.ClaimRecord_STATE_DONE, Digest: c.Digest[:], Answer: &peerv1.RecordedAnswer{Status: status}})
+	}
+	add(&peerv1.ClaimRecord{State: peerv1.ClaimRecord_STATE_DONE, Digest: c.Digest[:]})
+	f.Add([]byte{0x08})
+	f.Fuzz(func(t *testing.T, value []byte) {
+		r, found := decode(platform.KeyValue{Key: storeKey(c), Value: value, ModRevision: 1}, c)
+		switch found {
+		case FoundNothing:
+			t.Fatal("a stored claim counts as absent")
+		case FoundDone:
+			if s := answerFromProto(r.GetAnswer()).Status; s < 200 || s > 999 {
+				t.Fatalf("replays an answer with status %d", s)
+			}
+		case FoundInProgress:
+			if r.GetHost().GetAddr() == "" || r.GetAttempt() == "" {
+				t.Fatalf("in progress at nobody: %v", r)
+			}
+		}
+		reply := peerEvent(&peerv1.AskClaimResponse{State: peerv1.AskClaimResponse_STATE_DONE, Answer: r.GetAnswer()}, nil)
+		if s := r.GetAnswer().GetStatus(); reply.Reply == ReplyDone && (s < 200 || s > 999) {
+			t.Fatalf("replays a peer's answer with status %d", s)
+		}
+	})
+}
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -49,7 +49,19 @@
 	return b, nil
 }
 
-// decode returns the found record and what it means for the call.
+// Statuses that a final answer can have.
+const (
+	minStatus = 200
+	maxStatus = 999
+)
+
+// isWhole reports whether an answer can be given to a caller.
+func isWhole(a *peerv1.RecordedAnswer) bool {
+	return a.GetStatus() >= minStatus && a.GetStatus() <= maxStatus
+}
+
+// decode returns the found record and what it means for the call. A record that this package cannot have written
+// is FoundUnknown: the call may have run.
 func decode(kv platform.KeyValue, c Call) (*peerv1.ClaimRecord, FoundState) {
 	if kv.ModRevision == 0 {
 		return nil, FoundNothing
@@ -61,12 +73,12 @@
 	if !bytes.Equal(r.Digest, c.Digest[:]) {
 		return r, FoundOtherDigest
 	}
-	switch r.State {
-	case peerv1.ClaimRecord_STATE_IN_PROGRESS:
+	switch {
+	case r.State == peerv1.ClaimRecord_STATE_IN_PROGRESS && r.GetAttempt() != "" && r.GetHost().GetAddr() != "":
 		return r, FoundInProgress
-	case peerv1.ClaimRecord_STATE_DONE:
+	case r.State == peerv1.ClaimRecord_STATE_DONE && isWhole(r.GetAnswer()):
 		return r, FoundDone
-	case peerv1.ClaimRecord_STATE_DONE_TOO_LARGE:
+	case r.State == peerv1.ClaimRecord_STATE_DONE_TOO_LARGE:
 		return r, FoundTooLarge
 	default:
 		return r, FoundUnknown
