Refuse damaged epoch records and registrations

Cause: an empty value or one with nameless hosts was read as an epoch, and a registration without a host, or under another host's key, was proposed for the epoch. Change: an epoch needs a number and hosts with name, address and zone, each once; otherwise the error is a RecordError. A registration must name the host of its key; others are counted in membership_registrations_damaged and ignored. Conclusion: a damaged value does not change who is in the epoch.

--- a/internal/membership/errors.go
+++ b/internal/membership/errors.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -40,6 +41,9 @@
 // Unwrap returns the cause.
 func (e *RecordError) Unwrap() error { return e.Cause }
 
+// errRecordFormat is a cause of a RecordError.
+var errRecordFormat = errors.New("no number, or hosts without a name, an address or a zone, or twice")
+
 // LeaveError reports that the host could not remove itself from the epoch. The other hosts exclude it once
 // they have proof that it stopped.
 type LeaveError struct {
--- a/internal/membership/execute.go
+++ b/internal/membership/execute.go
@@ -172,25 +172,36 @@
 		s.storeFailed(CallReadRegistry, err)
 		return
 	}
-	s.handle(RegistryRead{Registry: parseRegistry(kvs)})
+	r, damaged := parseRegistry(kvs)
+	if damaged > 0 {
+		s.opts.Metrics.Add("membership_registrations_damaged", int64(damaged))
+	}
+	s.handle(RegistryRead{Registry: r})
 }
 
-// parseRegistry skips records that it cannot read: a missing registration alone never excludes a host.
-func parseRegistry(kvs []platform.KeyValue) Registry {
-	r := Registry{Sessions: map[hostKey]int64{}}
+// parseRegistry skips and counts records that it cannot read or that do not belong to their key: a missing
+// registration alone never excludes a host.
+func parseRegistry(kvs []platform.KeyValue) (r Registry, damaged int) {
+	r = Registry{Sessions: map[hostKey]int64{}}
 	for _, kv := range kvs {
 		if suffix, ok := strings.CutPrefix(kv.Key, sessionPrefix); ok {
 			if k, ok := parseKeySuffix(suffix); ok {
 				r.Sessions[k] = kv.ModRevision
+			} else {
+				damaged++
 			}
 			continue
 		}
 		var reg peerv1.Registration
-		if strings.HasPrefix(kv.Key, registeredPrefix) && proto.Unmarshal(kv.Value, &reg) == nil {
-			r.Registered = append(r.Registered, Registration{Host: host.FromProto(reg.GetHost()), Ready: reg.GetReady()})
+		err := proto.Unmarshal(kv.Value, &reg)
+		h := host.FromProto(reg.GetHost())
+		if err != nil || !isNamed(h) || registeredKey(h) != kv.Key {
+			damaged++
+			continue
 		}
+		r.Registered = append(r.Registered, Registration{Host: h, Ready: reg.GetReady()})
 	}
-	return r
+	return r, damaged
 }
 
 // proposeEpoch does the compare-and-swap. Excluded hosts must hold no registration and must not have begun a
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -120,5 +120,24 @@
 	if err := proto.Unmarshal(b, &p); err != nil {
 		return Record{}, fmt.Errorf("read epoch: %w", &RecordError{Key: epochKey, Cause: err})
 	}
-	return recordFromProto(&p), nil
+	r := recordFromProto(&p)
+	if !r.isValid() {
+		return Record{}, fmt.Errorf("read epoch: %w", &RecordError{Key: epochKey, Cause: errRecordFormat})
+	}
+	return r, nil
 }
+
+// isValid reports whether a record can have been written by a host: it has a number, and hosts with a name, an
+// address and a zone, each name once.
+func (r Record) isValid() bool {
+	seen := make(map[string]bool, len(r.Hosts))
+	for _, h := range r.Hosts {
+		if !isNamed(h) || seen[h.Name] {
+			return false
+		}
+		seen[h.Name] = true
+	}
+	return r.Number > 0
+}
+
+func isNamed(h host.ID) bool { return h.Name != "" && h.Addr != "" && h.Zone != "" }
