Set the faults of a refused generation in one place

Cause: the test of refused keyed generations sets the same faults in two places. Conclusion: the checks are the same.

--- a/internal/request/service_test.go
+++ b/internal/request/service_test.go
@@ -198,25 +198,23 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newFixture(t)
 				defer f.Close()
-				send := func() result {
+				send := func(p1, p2 standin.Faults) result {
+					f.engines["p1"].SetFaults(p1)
+					f.engines["p2"].SetFaults(p2)
 					in := f.input(pathCompletions, completion("once", true))
 					in.IdempotencyKey = "k"
 					r := f.run(t.Context(), in)
 					f.verify(in, r)
 					return r
 				}
-				f.engines["p1"].SetFaults(c.p1)
-				f.engines["p2"].SetFaults(c.p2)
-				f.Expect(send().err.Outcome).To(Equal(c.outcome))
-				f.engines["p1"].SetFaults(standin.Faults{})
-				f.engines["p2"].SetFaults(standin.Faults{})
-				again := send()
-				if c.again != "" {
-					f.Expect(again.err).NotTo(BeNil())
-					f.Expect(again.err.Code).To(Equal(c.again))
+				f.Expect(send(c.p1, c.p2).err.Outcome).To(Equal(c.outcome))
+				again := send(standin.Faults{}, standin.Faults{})
+				if c.again == "" {
+					f.expectWhole(again, true)
 					return
 				}
-				f.expectWhole(again, true)
+				f.Expect(again.err).NotTo(BeNil())
+				f.Expect(again.err.Code).To(Equal(c.again))
 			})
 		})
 	}
