Close the router of a killed test host at once

Cause: the fleet waited for a killed host's requests, because closing the router while requests were open was a data race.

--- a/test/fleet/call.go
+++ b/test/fleet/call.go
@@ -95,9 +95,7 @@
 	f.mu.Lock()
 	f.calls = append(f.calls, c)
 	f.mu.Unlock()
-	h.requests.Add(1)
 	f.running.Go(func() {
-		defer c.process.requests.Done()
 		defer close(c.Returns)
 		defer c.cancel()
 		c.run(ctx, f)
--- a/test/fleet/host.go
+++ b/test/fleet/host.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,8 +42,6 @@
 	ctx  context.Context //nolint:containedctx // The life of the process.
 	stop context.CancelFunc
 	dead atomic.Bool
-	// requests counts those that run in the process.
-	requests sync.WaitGroup
 }
 
 // Alive reports whether a process runs on the host.
@@ -101,10 +98,7 @@
 	h.fleet.Net.Node(h.Addr).SetDown(true)
 	p.Client.SetDown(true)
 	p.stop()
-	h.fleet.running.Go(func() {
-		p.requests.Wait()
-		p.Close()
-	})
+	h.fleet.running.Go(p.Close)
 }
 
 // Leave drains the host as the daemon does on SIGTERM and ends the process.
