--- a/internal/assembly/parts.go
+++ b/internal/assembly/parts.go
@@ -14,6 +14,7 @@
 
 	"github.com/boragecourse/boragecourse/internal/charge"
 	"github.com/boragecourse/boragecourse/internal/claim"
+	"github.com/boragecourse/boragecourse/internal/command"
 	"github.com/boragecourse/boragecourse/internal/config"
 	"github.com/boragecourse/boragecourse/internal/engine"
 	"github.com/boragecourse/boragecourse/internal/events"
@@ -46,6 +47,7 @@
 	// TrustPeriod as in config.Options.
 	TrustPeriod time.Duration
 	Placement   placement.Options
+	Commands    command.Options
 	Request     request.Settings
 }
 
@@ -64,6 +66,7 @@
 	Placement *placement.Service
 	Claims    *claim.Coordinator
 	Charges   *charge.Ledger
+	Commands  *command.Service
 	Router    *request.Router
 }
 
@@ -89,6 +92,9 @@
 	}, e.Placement)
 	p.Claims = claim.New(claim.Config{}, e.Store, e.Dialer, members, e.Metrics, e.Log)
 	p.Charges = charge.New(charge.Config{}, e.Store, e.Dialer, members, e.Metrics, e.Log)
+	p.Commands = command.New(command.Deps{
+		Store: e.Store, Viewer: members, Config: p.Config, Engines: e.Engines, Metrics: e.Metrics, Log: e.Log.WithName("command"),
+	}, e.Commands)
 	p.Router = request.New(request.Deps{
 		Config: p.Config, Limiter: p.Quota, Placer: p.Placement, Claims: p.Claims, Charges: p.Charges,
 		Engines: e.Engines, Metrics: e.Metrics, Log: e.Log.WithName("request"), Self: e.Self,
@@ -125,7 +131,7 @@
 
 // Work returns the services behind requests.
 func (p *Parts) Work() []suture.Service {
-	return []suture.Service{p.Quota, p.Placement, p.Claims, p.Charges}
+	return []suture.Service{p.Quota, p.Placement, p.Claims, p.Charges, p.Commands}
 }
 
 // Ready reports why this host should get no traffic, or nil.
@@ -153,6 +159,7 @@
 		{"quota", p.Quota.Drain},
 		{"claims", p.Claims.Flush},
 		{"charges", p.Charges.Flush},
+		{"commands", p.handBackCommands},
 		{"membership", p.Members.Leave},
 	} {
 		if err := step.run(ctx); err != nil && !errors.Is(err, context.Canceled) {
@@ -166,6 +173,16 @@
 	}
 }
 
+// commandHandBackTime bounds the wait for open commands, so that the drain still leaves the epoch in time. Records
+// that are left lapse with their lease.
+const commandHandBackTime = 3 * time.Second
+
+func (p *Parts) handBackCommands(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, commandHandBackTime)
+	defer cancel()
+	return p.Commands.Drain(bounded)
+}
+
 // Close ends what the services leave behind.
 func (p *Parts) Close() {
 	p.Router.Close()
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -162,8 +162,8 @@
 	return f.services[h].Place(context.Background(), f.Current(), f.request(class))
 }
 
-func (f *fleet) homeOf(server string) string {
-	home, _ := homeOf(f.epoch, f.snap.Servers()[server])
+func (f *fleet) HomeOf(server string) string {
+	home, _ := HomeOf(f.epoch, f.snap.Servers()[server])
 	return home.Name
 }
 
@@ -253,7 +253,7 @@
 // Guards against reservations of a dead host that are held for ever.
 func TestReservationsOfSilentOwnersExpire(t *testing.T) {
 	inFleet(t, Options{}, serverRules(4, "d"), func(g *GomegaWithT, f *fleet) {
-		home := f.homeOf("d")
+		home := f.HomeOf("d")
 		dead := other(home)
 		for range 3 {
 			p, err := f.place(dead, rules.ClassLatency)
@@ -273,7 +273,7 @@
 // Guards against a silent home host stopping work, or delaying each request by a timeout.
 func TestFallbackWithoutHome(t *testing.T) {
 	inFleet(t, Options{}, serverRules(8, "d"), func(g *GomegaWithT, f *fleet) {
-		home := f.homeOf("d")
+		home := f.HomeOf("d")
 		f.net.CutBoth("a:1", "b:1")
 		began := time.Now()
 		for range 5 {
@@ -322,7 +322,7 @@
 // Guards against a new home host that grants slots twice, because it does not know the reservations of the old one.
 func TestNewHomeRebuildsItsBook(t *testing.T) {
 	inFleet(t, Options{}, serverRules(4, "d"), func(g *GomegaWithT, f *fleet) {
-		home := f.homeOf("d")
+		home := f.HomeOf("d")
 		var held []*Placement
 		for range 3 {
 			p, err := f.place(other(home), rules.ClassLatency)
@@ -400,7 +400,7 @@
 		g.Expect(f.metrics.Count(metricResyncs)).To(BeNumerically(">", 0))
 		r := f.request(rules.ClassLatency)
 		r.PromptTokens, r.PrefixBlocks = 1600, []uint64{1, 2, 3}
-		p, err := f.services[other(f.homeOf("p"))].Place(context.Background(), f.Current(), r)
+		p, err := f.services[other(f.HomeOf("p"))].Place(context.Background(), f.Current(), r)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(p.CachedTokens).To(BeEquivalentTo(1024))
 	})
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -127,7 +127,7 @@
 			s = &serverView{name: name, costs: DefaultCosts()}
 		}
 		s.rule, s.zone = rule, v.zone(rule.Zone)
-		s.home, s.hasHome = homeOf(epoch, rule)
+		s.home, s.hasHome = HomeOf(epoch, rule)
 		v.servers[name] = s
 	}
 	for name := range old {
@@ -164,9 +164,9 @@
 	return len(v.zones) - 1
 }
 
-// homeOf is the home host of a server: the rendezvous hash over the epoch hosts of its zone, or over all epoch
+// HomeOf is the home host of a server: the rendezvous hash over the epoch hosts of its zone, or over all epoch
 // hosts while its zone has none.
-func homeOf(e membership.Epoch, s *rules.Server) (host.ID, bool) {
+func HomeOf(e membership.Epoch, s *rules.Server) (host.ID, bool) {
 	key := "server " + s.Name
 	if h, ok := e.Home(s.Zone, key); ok {
 		return h, true
