Refuse an index with a chunk that ends within a line

Change: only the last chunk may end within a line; otherwise the configuration is not installed and the error is a CorruptError.

--- a/internal/config/compile.go
+++ b/internal/config/compile.go
@@ -107,11 +107,17 @@
 	return out
 }
 
-// compile returns the rules of an index whose chunks are all cached, with line numbers of the whole file.
-func (b *blobs) compile(index []Hash) []rules.Rule {
+// compile returns the rules of an index whose chunks are all cached, with line numbers of the whole file. Only the
+// last chunk may end within a line; otherwise the rules would not be those of the text, and the error is
+// *CorruptError.
+func (b *blobs) compile(index []Hash) ([]rules.Rule, error) {
 	total := 0
-	for _, h := range index {
-		total += len(b.chunks[h].rules)
+	for i, h := range index {
+		c := b.chunks[h]
+		if i < len(index)-1 && !strings.HasSuffix(c.data, "\n") {
+			return nil, &CorruptError{What: "chunk " + h.String(), Cause: errChunkEnd}
+		}
+		total += len(c.rules)
 	}
 	all, base := make([]rules.Rule, 0, total), 0
 	for _, h := range index {
@@ -119,7 +125,7 @@
 		all = append(all, c.place(base)...)
 		base += c.lines
 	}
-	return all
+	return all, nil
 }
 
 // text returns the whole file of an index whose chunks are all cached.
--- a/internal/config/errors.go
+++ b/internal/config/errors.go
@@ -110,6 +110,7 @@
 	errHashMismatch = errors.New("content does not match its hash")
 	errIndexFormat  = errors.New("index is no list of hashes")
 	errHeadFormat   = errors.New("generation or index hash is missing")
+	errChunkEnd     = errors.New("chunk ends within a line")
 	errAbsent       = errors.New("not in the store")
 	errTooLarge     = errors.New("index exceeds the platform's limit for a value")
 )
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -201,8 +201,11 @@
 		s.mu.Unlock()
 		return &MissingBlobsError{Generation: h.Generation, Count: n}
 	}
-	all := s.blobs.compile(chunks)
+	all, err := s.blobs.compile(chunks)
 	s.mu.Unlock()
+	if err != nil {
+		return err
+	}
 	next := NewSnapshot(h.Generation, all)
 
 	// The pointer is swapped before the state says so: whoever reads that a generation is installed can rely on
