--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -49,6 +49,7 @@
 	snap    *config.Snapshot
 	router  *request.Router
 	url     string
+	handler http.Handler
 	p, d    *standin.Core
 	booking *service.Service
 	metrics *metrics.Registry
@@ -58,13 +59,13 @@
 	charges []charge.Record
 }
 
-func listen(t *testing.T, h http.Handler) string {
+func listen(t testing.TB, h http.Handler) string {
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
 	return s.Listener.Addr().String()
 }
 
-func newFleet(t *testing.T, o api.Options) *fleet {
+func newFleet(t testing.TB, o api.Options) *fleet {
 	f := &fleet{GomegaWithT: NewWithT(t), booking: service.New("s"), metrics: metrics.New()}
 	serve := func(name string, role standin.Role) *standin.Core {
 		var h http.Handler
@@ -91,12 +92,13 @@
 	dir := adapter.NewDirectory(adapter.Settings{}, f.metrics)
 	t.Cleanup(dir.Close)
 	f.router = request.New(request.Deps{
-		Config: f, Limiter: f, Placer: f, Charges: f, Engines: dir, Metrics: f.metrics, Log: logr.Discard(),
+		Config: f, Limiter: f, Placer: f, Claims: f, Charges: f, Engines: dir, Metrics: f.metrics, Log: logr.Discard(),
 	}, request.Settings{})
 	t.Cleanup(f.router.Close)
 	o.Router, o.Metrics, o.Log = f.router, f.metrics, logr.Discard()
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = api.Server(o)
+	f.handler = server.Config.Handler
 	server.Start()
 	t.Cleanup(server.Close)
 	f.url = server.URL
