--- a/internal/config/rpc.go
+++ b/internal/config/rpc.go
@@ -7,9 +7,9 @@
 	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
 )
 
-// PushHead implements the Config service.
+// PushHead implements the Config service. It waits at most callTimeout, whatever the caller asks for.
 func (s *Service) PushHead(ctx context.Context, req *peerv1.PushHeadRequest) (*peerv1.PushHeadResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.WaitNanos))
+	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(req.WaitNanos), callTimeout))
 	defer cancel()
 	h := headFromProto(req.Head)
 	s.update(func(m *machine, _ time.Time) { m.announced(h) })
