Add make fuzz

Cause: fuzz targets had to be run by hand. Change: the target runs each fuzz target of the internal packages for FUZZTIME, one after the other.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,9 @@
 LINT = $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 PROTOS = $(wildcard proto/peer/v1/*.proto proto/etcd/*/*.proto)
 
+# FUZZTIME is how long each fuzz target runs; FUZZPARALLEL is how many workers it has.
+FUZZTIME ?= 30s
+FUZZPARALLEL ?= 3
 BENCH_JSON ?= out/bench-placement.json
 
 .PHONY: build programs test demo bench bench-path quota-bench faults model capacity fuzz fmt lint proto
@@ -34,6 +37,14 @@
 proto: ## Regenerate the committed protobuf code; needs protoc and the two Go plugins.
 	protoc -I . --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative $(PROTOS)
 
+fuzz: ## Run each fuzz target for FUZZTIME, one after the other.
+	@set -e; $(GO) list ./internal/... | while read -r pkg; do \
+		$(GO) test -list '^Fuzz' "$$pkg" | grep '^Fuzz' | while read -r target; do \
+			echo "$$pkg $$target"; \
+			$(GO) test -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZTIME) -parallel $(FUZZPARALLEL) "$$pkg"; \
+		done; \
+	done
+
 bench: ## Measure placement against the baselines; prints a table and writes BENCH_JSON.
 	@mkdir -p out
 	$(GO) test ./test/bench -count=1 -run 'TestPlacementBench$$' -v -placement.full -placement.json=$(abspath $(BENCH_JSON))
