Check the peer secret before reading the message

Cause: the check was an interceptor, which runs after a message of up to 16 MB was read and decoded, so a stranger could make a host allocate that for each call. Change: the check is a tap handle, which sees the headers only. The comparison is as before. Conclusion: TestSecretIsRequired holds for the new place.

--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -15,8 +15,8 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
-	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/tap"
 )
 
 const (
@@ -99,7 +99,7 @@
 // NewServer returns a grpc server that refuses calls without the shared secret.
 func NewServer(secret string, tlsConfig *tls.Config) *grpc.Server {
 	options := []grpc.ServerOption{
-		grpc.UnaryInterceptor(requireSecret(secret)),
+		grpc.InTapHandle(requireSecret(secret)),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
 	}
@@ -109,15 +109,15 @@
 	return grpc.NewServer(options...)
 }
 
-// requireSecret compares hashes, so that the comparison time tells nothing about the secret.
-func requireSecret(secret string) grpc.UnaryServerInterceptor {
+// requireSecret compares hashes, so that the comparison time tells nothing about the secret. It runs before the
+// message is read, so that a stranger cannot make the host decode up to maxMessageBytes.
+func requireSecret(secret string) tap.ServerInHandle {
 	want := sha256.Sum256([]byte(secret))
-	return func(ctx context.Context, req any, _ *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
-		md, _ := metadata.FromIncomingContext(ctx)
-		for _, v := range md.Get(secretHeader) {
+	return func(ctx context.Context, info *tap.Info) (context.Context, error) {
+		for _, v := range info.Header.Get(secretHeader) {
 			got := sha256.Sum256([]byte(v))
 			if subtle.ConstantTimeCompare(got[:], want[:]) == 1 {
-				return handler(ctx, req)
+				return ctx, nil
 			}
 		}
 		return nil, status.Error(codes.Unauthenticated, "peer secret is missing or wrong")
