Answer callers whose body never arrives

Cause: net/http reads the rest of an unread body before it sends the answer. The read deadline was only set where the body is read, and was taken back after a failure. So a caller without a key that announced a body and sent none kept its connection without an answer for ever. Change: the deadline is set with the headers and taken back only after a whole body. With two Authorization headers, the first key is noted, so that the log of the refusal is written without it. Conclusion: TestAnnouncedBodyThatNeverArrives gets each answer and the end of the connection.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -145,6 +145,9 @@
 			IdempotencyKey: r.Header.Get("Idempotency-Key"),
 		}
 		w.Header().Set("X-Request-Id", x.in.ID)
+		// net/http reads the rest of an unread body before it sends the answer. Without a deadline, a caller that
+		// announces a body and never sends it would keep its connection for ever. Recorders in tests have none.
+		_ = x.rc.SetReadDeadline(time.Now().Add(h.BodyTimeout))
 		defer x.recover()
 		if size := headerSize(r); size > h.MaxHeaderBytes {
 			x.refuse(outcome.Refuse(http.StatusRequestHeaderFieldsTooLarge, outcome.CodeHeadersTooLarge,
@@ -152,11 +155,12 @@
 			return
 		}
 		key, err := bearer(r.Header)
+		// Set before the refusal, which is logged without the key.
+		x.in.Key = key
 		if err != nil {
 			x.refuse(err)
 			return
 		}
-		x.in.Key = key
 		serve(x)
 	}
 }
@@ -226,16 +230,20 @@
 	values := h.Values("Authorization")
 	h.Del("Authorization")
 	if len(values) > 1 {
-		return "", outcome.Refuse(http.StatusBadRequest, outcome.CodeMalformedRequest, "more than one Authorization header")
+		return bearerKey(values[0]), outcome.Refuse(http.StatusBadRequest, outcome.CodeMalformedRequest, "more than one Authorization header")
 	}
 	if len(values) == 0 {
 		return "", nil
 	}
-	scheme, key, _ := strings.Cut(values[0], " ")
+	return bearerKey(values[0]), nil
+}
+
+func bearerKey(value string) string {
+	scheme, key, _ := strings.Cut(value, " ")
 	if !strings.EqualFold(scheme, "Bearer") {
-		return "", nil
+		return ""
 	}
-	return strings.TrimSpace(key), nil
+	return strings.TrimSpace(key)
 }
 
 // models lists the models that the caller may use.
--- a/internal/api/body.go
+++ b/internal/api/body.go
@@ -12,17 +12,15 @@
 // statusClientClosed is the customary status for a caller that went away; no caller sees it.
 const statusClientClosed = 499
 
-// body reads the request body within its limits of size and time.
+// body reads the request body within its limits of size and time. The deadline was set with the headers; it stays after
+// a failure, since the server reads what is left of the body before it answers.
 func (x *exchange) body() ([]byte, *outcome.Error) {
 	if x.r.ContentLength > x.MaxBodyBytes {
 		return nil, x.tooLarge()
 	}
-	rc := http.NewResponseController(x.w)
-	// Recorders in tests have no deadlines; connections always do.
-	_ = rc.SetReadDeadline(time.Now().Add(x.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, x.MaxBodyBytes))
-	_ = rc.SetReadDeadline(time.Time{})
 	if err == nil {
+		_ = x.rc.SetReadDeadline(time.Time{})
 		return body, nil
 	}
 	var large *http.MaxBytesError
