Keep secrets out of profiles and refusals

Cause: the debug pages of the operator API showed the command line, where the peer secret may stand; a refusal repeated a path that holds the caller's key. The operator listener had no limit for slow bodies and idle connections. Change: only profiles are served, without command line and exported variables; the path is repeated without the key; bodies have 2 minutes to arrive, and idle connections are closed after as long.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -32,7 +32,8 @@
 
 const (
 	callerKey  = "bc-caller"
-	credential = "operator"
+	credential = "operator-credential-1"
+	peerSecret = "0123456789abcdef"
 	// patience bounds waits for things that happen as soon as the machine gets to them.
 	patience = time.Minute
 )
@@ -57,6 +58,11 @@
 }
 
 func start(t *testing.T) *host {
+	t.Helper()
+	return startLogged(t, logr.Discard())
+}
+
+func startLogged(t *testing.T, log logr.Logger) *host {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -69,13 +75,13 @@
 	sum := sha256.Sum256([]byte(credential))
 	h := &host{signals: make(chan os.Signal, 2), ended: make(chan error, 1), settings: settings.Daemon{
 		Name: "h1", Zone: "piran-a", ListenCallers: freeAddr(t), ListenPeers: freeAddr(t), ListenOperators: freeAddr(t),
-		Store: []string{listener.Addr().String()}, PeerSecret: "0123456789abcdef",
+		Store: []string{listener.Addr().String()}, PeerSecret: peerSecret,
 		OperatorCredentialSHA256: hex.EncodeToString(sum[:]), DrainTimeout: patience, TrustPeriod: 3 * time.Second,
 		IsolationLimit: 5 * time.Minute, LeaseTTL: 5 * time.Second, FirstTokenTarget: patience, MaxBodyBytes: 1 << 20,
 		MaxHeaderBytes: 64 << 10, BodyTimeout: patience, IdleTimeout: patience, StreamTimeout: patience,
 		DefaultMaxOutput: 16, HeartbeatInterval: 500 * time.Millisecond,
 	}}
-	d, err := daemon.New(h.settings, logr.Discard())
+	d, err := daemon.New(h.settings, log)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -16,8 +16,13 @@
 	"github.com/boragecourse/boragecourse/internal/rules"
 )
 
-// operatorHeaderTimeout bounds how long an operator's connection may take to send its headers.
-const operatorHeaderTimeout = 10 * time.Second
+// Limits of operators' connections.
+const (
+	operatorHeaderTimeout = 10 * time.Second
+	// operatorReadTimeout bounds how long a rules file may take to arrive, so that idle senders do not add up.
+	operatorReadTimeout = 2 * time.Minute
+	operatorIdleTimeout = 2 * time.Minute
+)
 
 // operatorServer serves the operator API and, without a credential, metrics to the platform.
 func (d *Daemon) operatorServer() *http.Server {
@@ -33,7 +38,10 @@
 		panic(err)
 	}
 	r.Mount("/", api)
-	return &http.Server{Handler: r, ReadHeaderTimeout: operatorHeaderTimeout}
+	return &http.Server{
+		Handler: r, ReadHeaderTimeout: operatorHeaderTimeout,
+		ReadTimeout: operatorReadTimeout, IdleTimeout: operatorIdleTimeout,
+	}
 }
 
 // operators implements operatorapi.Backend.
--- a/internal/operatorapi/server.go
+++ b/internal/operatorapi/server.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/pprof" //nolint:gosec // Served only with the credential.
 	"strings"
 
 	"github.com/go-chi/chi/v5"
@@ -38,11 +39,26 @@
 	r.Get("/v1/charges/{id}", respond(func(req *http.Request) (any, error) {
 		return b.Charge(req.Context(), chi.URLParam(req, "id"))
 	}))
-	r.Mount("/debug", middleware.Profiler())
+	r.Mount("/debug/pprof", profiles())
 	r.Post("/v1/drain", respond(func(req *http.Request) (any, error) { return struct{}{}, b.Drain(req.Context()) }))
 	return r, nil
 }
 
+// profiles serves the profiles of the process. Its command line and exported variables are left out, since the peer
+// secret may be on the command line.
+func profiles() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/", pprof.Index)
+	r.Get("/profile", pprof.Profile)
+	r.Get("/symbol", pprof.Symbol)
+	r.Post("/symbol", pprof.Symbol)
+	r.Get("/trace", pprof.Trace)
+	for _, name := range []string{"goroutine", "threadcreate", "mutex", "heap", "block", "allocs"} {
+		r.Handle("/"+name, pprof.Handler(name))
+	}
+	return r
+}
+
 // readApply reads a body that holds one apply and nothing else. Text after it means that the body is damaged.
 func readApply(req *http.Request) (ApplyRequest, error) {
 	var a ApplyRequest
--- a/internal/request/admit.go
+++ b/internal/request/admit.go
@@ -55,12 +55,12 @@
 	x.route = x.snap.Route(x.in.URL.Path, model)
 	if x.route == nil {
 		if x.body == nil || !x.snap.KnownPath(x.in.URL.Path) {
-			return unknownPath(x.in.URL.Path)
+			return unknownPath(x.in)
 		}
 		return outcome.Refuse(http.StatusNotFound, outcome.CodeUnknownModel, "no route serves this model")
 	}
 	if x.route.Model != "" && x.body == nil {
-		return unknownPath(x.in.URL.Path)
+		return unknownPath(x.in)
 	}
 	if x.route.Open {
 		return nil
--- a/internal/request/refusals.go
+++ b/internal/request/refusals.go
@@ -38,8 +38,9 @@
 	return e
 }
 
-func unknownPath(path string) *outcome.Error {
-	return outcome.Refuse(http.StatusNotFound, outcome.CodeUnknownRoute, "no route serves %q", path)
+// unknownPath repeats the path without the key, which the caller may have put there.
+func unknownPath(in *Input) *outcome.Error {
+	return outcome.Refuse(http.StatusNotFound, outcome.CodeUnknownRoute, "no route serves %q", in.redact(in.URL.Path))
 }
 
 func malformed(message string, cause error) *outcome.Error {
--- a/internal/request/router.go
+++ b/internal/request/router.go
@@ -103,7 +103,7 @@
 		return r.refused(in, errNoConfiguration())
 	}
 	if !cleanPath(in.URL.Path) || !snap.KnownPath(in.URL.Path) {
-		return r.refused(in, unknownPath(in.URL.Path))
+		return r.refused(in, unknownPath(in))
 	}
 	if _, err := r.identify(snap, in); err != nil && !openPath(snap, in.URL.Path) {
 		return r.refused(in, err)
@@ -149,7 +149,7 @@
 		return errNoConfiguration()
 	}
 	if !cleanPath(x.in.URL.Path) {
-		return unknownPath(x.in.URL.Path)
+		return unknownPath(x.in)
 	}
 	if isModelPath(x.in.URL.Path) {
 		if err := x.parse(); err != nil {
