--- a/internal/api/fuzz_test.go
+++ b/internal/api/fuzz_test.go
@@ -97,7 +97,9 @@
 }
 
 // Claim implements claim.Service and grants every claim.
-func (f *fleet) Claim(context.Context, claim.Call) (claim.Ticket, *claim.Answer, error) { return ticket{}, nil, nil }
+func (f *fleet) Claim(context.Context, claim.Call) (claim.Ticket, *claim.Answer, error) {
+	return ticket{}, nil, nil
+}
 
 type ticket struct{}
 
