--- a/internal/config/fuzz_test.go
+++ b/internal/config/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"reflect"
 	"testing"
 
 	"github.com/boragecourse/boragecourse/internal/rules"
@@ -83,14 +84,9 @@
 			return
 		}
 		file, err := rules.Parse(rulesName, []byte(b.text(chunks)))
-		if err != nil || !rules.Compare(file.Rules(), all).Empty() || len(file.Rules()) != len(all) {
+		if err != nil || !reflect.DeepEqual(file.Rules(), all) && len(file.Rules())+len(all) > 0 {
 			t.Fatalf("%q compiled to other rules: %v", b.text(chunks), err)
 		}
-		for i, r := range file.Rules() {
-			if all[i].Source().Line != r.Source().Line {
-				t.Fatalf("%q: rule %d is in line %d, not %d", b.text(chunks), i, r.Source().Line, all[i].Source().Line)
-			}
-		}
 	})
 }
 
