--- a/internal/operatorapi/operatorapi_test.go
+++ b/internal/operatorapi/operatorapi_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -19,11 +20,22 @@
 
 type backend struct {
 	operatorapi.Backend
+	mu    sync.Mutex
 	file  operatorapi.File
 	apply func(operatorapi.ApplyRequest) (operatorapi.ApplyResult, error)
 }
 
-func (b *backend) File(context.Context) (operatorapi.File, error) { return b.file, nil }
+func (b *backend) File(context.Context) (operatorapi.File, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.file, nil
+}
+
+func (b *backend) setFile(f operatorapi.File) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.file = f
+}
 
 func (b *backend) Apply(_ context.Context, r operatorapi.ApplyRequest) (operatorapi.ApplyResult, error) {
 	return b.apply(r)
@@ -101,7 +113,7 @@
 		}
 		lost := hangingUp(t, func() {
 			if stored {
-				other.file = operatorapi.File{Generation: 2, Text: "new"}
+				other.setFile(operatorapi.File{Generation: 2, Text: "new"})
 			}
 		})
 		client := operatorapi.NewClient([]string{lost, start(t, other)}, credential)
