--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -33,7 +33,14 @@
 // L is short for a Label.
 func L(name, value string) Label { return Label{Name: name, Value: value} }
 
-// Inc adds one to the counter with the given name and labels.
+// totalSuffix ends the name of every counter, as Prometheus expects.
+const totalSuffix = "_total"
+
+func counterName(name string) string {
+	return strings.TrimSuffix(name, totalSuffix) + totalSuffix
+}
+
+// Inc adds one to the counter with the given name and labels. The suffix _total is added when the name lacks it.
 func (m *Registry) Inc(name string, labels ...Label) { m.Add(name, 1, labels...) }
 
 // Add adds n to the counter with the given name and labels.
@@ -41,7 +48,7 @@
 	if m == nil {
 		return
 	}
-	gometrics.GetOrRegisterCounter(key(name, labels), m.r).Inc(n)
+	gometrics.GetOrRegisterCounter(key(counterName(name), labels), m.r).Inc(n)
 }
 
 // Set sets the gauge with the given name and labels.
@@ -57,7 +64,7 @@
 	if m == nil {
 		return 0
 	}
-	if c, ok := m.r.Get(key(name, labels)).(gometrics.Counter); ok {
+	if c, ok := m.r.Get(key(counterName(name), labels)).(gometrics.Counter); ok {
 		return c.Count()
 	}
 	return 0
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -14,7 +14,7 @@
 	g := NewWithT(t)
 	m := metrics.New()
 	m.Inc("refusals_total", metrics.L("reason", "rate_exceeded"))
-	m.Add("refusals_total", 2, metrics.L("reason", `a"b`))
+	m.Add("refusals", 2, metrics.L("reason", `a"b`))
 	m.Set("open_requests", 3)
 	var out bytes.Buffer
 	_, err := m.WriteTo(&out)
