--- a/internal/assembly/parts.go
+++ b/internal/assembly/parts.go
@@ -14,6 +14,7 @@
 
 	"github.com/boragecourse/boragecourse/internal/charge"
 	"github.com/boragecourse/boragecourse/internal/claim"
+	"github.com/boragecourse/boragecourse/internal/command"
 	"github.com/boragecourse/boragecourse/internal/config"
 	"github.com/boragecourse/boragecourse/internal/engine"
 	"github.com/boragecourse/boragecourse/internal/events"
@@ -38,10 +39,15 @@
 	Metrics *metrics.Registry
 	Log     logr.Logger
 
+	// SeedPeers are peer addresses of other hosts. The platform's host list lies in the store, so a host that
+	// starts while the store is down finds its configuration only through them.
+	SeedPeers []string
+
 	Timing membership.Timing
 	// TrustPeriod as in config.Options.
 	TrustPeriod time.Duration
 	Placement   placement.Options
+	Commands    command.Options
 	Request     request.Settings
 }
 
@@ -51,6 +57,7 @@
 	Log     logr.Logger
 	Metrics *metrics.Registry
 	hosts   platform.Hosts
+	seeds   []string
 
 	Events    *events.Bus
 	Members   *membership.Service
@@ -59,12 +66,13 @@
 	Placement *placement.Service
 	Claims    *claim.Coordinator
 	Charges   *charge.Ledger
+	Commands  *command.Service
 	Router    *request.Router
 }
 
 // New builds and connects the parts. Nothing runs before the services of Control and Work do.
 func New(e Environment) (*Parts, error) {
-	p := &Parts{Self: e.Self, Log: e.Log, Metrics: e.Metrics, hosts: e.Hosts}
+	p := &Parts{Self: e.Self, Log: e.Log, Metrics: e.Metrics, hosts: e.Hosts, seeds: e.SeedPeers}
 	p.Events = events.New(e.Metrics, e.Log)
 	members, err := membership.New(p.membershipOptions(e))
 	if err != nil {
@@ -84,6 +92,9 @@
 	}, e.Placement)
 	p.Claims = claim.New(claim.Config{}, e.Store, e.Dialer, members, e.Metrics, e.Log)
 	p.Charges = charge.New(charge.Config{}, e.Store, e.Dialer, members, e.Metrics, e.Log)
+	p.Commands = command.New(command.Deps{
+		Store: e.Store, Viewer: members, Config: p.Config, Engines: e.Engines, Metrics: e.Metrics, Log: e.Log.WithName("command"),
+	}, e.Commands)
 	p.Router = request.New(request.Deps{
 		Config: p.Config, Limiter: p.Quota, Placer: p.Placement, Claims: p.Claims, Charges: p.Charges,
 		Engines: e.Engines, Metrics: e.Metrics, Log: e.Log.WithName("request"), Self: e.Self,
@@ -120,7 +131,7 @@
 
 // Work returns the services behind requests.
 func (p *Parts) Work() []suture.Service {
-	return []suture.Service{p.Quota, p.Placement, p.Claims, p.Charges}
+	return []suture.Service{p.Quota, p.Placement, p.Claims, p.Charges, p.Commands}
 }
 
 // Ready reports why this host should get no traffic, or nil.
@@ -134,6 +145,10 @@
 	return nil
 }
 
+// handOverTime is how long a host that has left the epoch still answers its successors, so that they can fetch the
+// buckets that move to them. They ask within a tick of learning the new epoch.
+const handOverTime = time.Second
+
 // HandBack gives up what other hosts can use at once, after the last request has finished. A failure costs time
 // and no promise: grants run out, and the epoch excludes this host once it has stopped.
 func (p *Parts) HandBack(ctx context.Context) {
@@ -144,6 +159,7 @@
 		{"quota", p.Quota.Drain},
 		{"claims", p.Claims.Flush},
 		{"charges", p.Charges.Flush},
+		{"commands", p.handBackCommands},
 		{"membership", p.Members.Leave},
 	} {
 		if err := step.run(ctx); err != nil && !errors.Is(err, context.Canceled) {
@@ -151,6 +167,20 @@
 			p.Log.Error(err, "hand-back failed", "part", step.name)
 		}
 	}
+	select {
+	case <-time.After(handOverTime):
+	case <-ctx.Done():
+	}
+}
+
+// commandHandBackTime bounds the wait for open commands, so that the drain still leaves the epoch in time. Records
+// that are left lapse with their lease.
+const commandHandBackTime = 3 * time.Second
+
+func (p *Parts) handBackCommands(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, commandHandBackTime)
+	defer cancel()
+	return p.Commands.Drain(bounded)
 }
 
 // Close ends what the services leave behind.
@@ -172,15 +202,26 @@
 // listedHostsTimeout bounds the read of the platform's host list, which is only a hint.
 const listedHostsTimeout = time.Second
 
-// listedHosts returns the hosts of the platform's list, for a daemon that starts without an epoch.
+// listedHosts returns the seeds, or else the hosts of the platform's list, for a daemon that starts without an
+// epoch. It is asked with every poll of the configuration, so a host that knows an epoch must not read the list:
+// that would cost the store two reads a second for each host and delay polls in an outage.
 func (p *Parts) listedHosts() []host.ID {
+	if p.Members.Epoch().Number > 0 {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), listedHostsTimeout)
 	defer cancel()
+	ids := make([]host.ID, 0, len(p.seeds))
+	for _, addr := range p.seeds {
+		ids = append(ids, host.ID{Name: addr, Addr: addr})
+	}
+	if len(ids) > 0 {
+		return ids
+	}
 	entries, err := p.hosts.ListHosts(ctx)
 	if err != nil {
 		return nil
 	}
-	ids := make([]host.ID, 0, len(entries))
 	for _, e := range entries {
 		if e.State == platform.HostLive && e.Name != p.Self.Name {
 			ids = append(ids, host.ID{Name: e.Name, Addr: e.Addr, Zone: e.Zone})
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -16,8 +16,13 @@
 	"github.com/boragecourse/boragecourse/internal/rules"
 )
 
-// operatorHeaderTimeout bounds how long an operator's connection may take to send its headers.
-const operatorHeaderTimeout = 10 * time.Second
+// Limits of operators' connections.
+const (
+	operatorHeaderTimeout = 10 * time.Second
+	// operatorReadTimeout bounds how long a rules file may take to arrive, so that idle senders do not add up.
+	operatorReadTimeout = 2 * time.Minute
+	operatorIdleTimeout = 2 * time.Minute
+)
 
 // operatorServer serves the operator API and, without a credential, metrics to the platform.
 func (d *Daemon) operatorServer() *http.Server {
@@ -33,7 +38,10 @@
 		panic(err)
 	}
 	r.Mount("/", api)
-	return &http.Server{Handler: r, ReadHeaderTimeout: operatorHeaderTimeout}
+	return &http.Server{
+		Handler: r, ReadHeaderTimeout: operatorHeaderTimeout,
+		ReadTimeout: operatorReadTimeout, IdleTimeout: operatorIdleTimeout,
+	}
 }
 
 // operators implements operatorapi.Backend.
@@ -118,18 +126,16 @@
 // Status implements operatorapi.Backend.
 func (o *operators) Status(context.Context) (operatorapi.Status, error) {
 	d := o.d
-	epoch := d.Members.Epoch()
+	members := d.Members.Status()
+	epoch := members.Epoch
 	s := operatorapi.Status{
 		Host: d.Self.Name, Zone: d.Self.Zone, Ready: d.ready() == nil, Draining: d.drainer.started(),
-		Epoch: epoch.Number, Authority: "held", Generation: d.Config.Generation(),
+		Epoch: epoch.Number, Authority: string(members.Condition), MajorityLost: members.MajorityLost, Generation: d.Config.Generation(),
 		Freshness: d.Config.FreshnessAge(time.Now()), OpenCalls: d.Router.Open(),
 	}
-	if err := d.Members.CanAdmit(time.Now()); err != nil {
-		s.Authority = "none"
-	}
 	for _, h := range epoch.Hosts {
 		s.Hosts = append(s.Hosts, operatorapi.HostStatus{
-			Name: h.Name, Zone: h.Zone, Addr: h.Addr, Reachable: h.Name == d.Self.Name || d.Members.Reachable(h),
+			Name: h.Name, Zone: h.Zone, Addr: h.Addr, Reachable: !slices.Contains(members.Silent, h),
 		})
 	}
 	if snap := d.Config.Current(); snap != nil {
--- a/internal/operatorapi/server.go
+++ b/internal/operatorapi/server.go
@@ -7,7 +7,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/pprof" //nolint:gosec // Served only with the credential.
 	"strings"
 
 	"github.com/go-chi/chi/v5"
@@ -27,9 +29,9 @@
 	r.Use(middleware.Recoverer, requireCredential(want))
 	r.Get("/v1/config", respond(func(req *http.Request) (any, error) { return b.File(req.Context()) }))
 	r.Post("/v1/config/apply", respond(func(req *http.Request) (any, error) {
-		var a ApplyRequest
-		if err := json.NewDecoder(http.MaxBytesReader(nil, req.Body, maxFileBytes)).Decode(&a); err != nil {
-			return nil, &Error{Code: CodeMalformed, Message: fmt.Sprintf("malformed body: %v", err), Cause: err}
+		a, err := readApply(req)
+		if err != nil {
+			return nil, err
 		}
 		return b.Apply(req.Context(), a)
 	}))
@@ -37,11 +39,40 @@
 	r.Get("/v1/charges/{id}", respond(func(req *http.Request) (any, error) {
 		return b.Charge(req.Context(), chi.URLParam(req, "id"))
 	}))
-	r.Mount("/debug", middleware.Profiler())
+	r.Mount("/debug/pprof", profiles())
 	r.Post("/v1/drain", respond(func(req *http.Request) (any, error) { return struct{}{}, b.Drain(req.Context()) }))
 	return r, nil
 }
 
+// profiles serves the profiles of the process. Its command line and exported variables are left out, since the peer
+// secret may be on the command line.
+func profiles() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/", pprof.Index)
+	r.Get("/profile", pprof.Profile)
+	r.Get("/symbol", pprof.Symbol)
+	r.Post("/symbol", pprof.Symbol)
+	r.Get("/trace", pprof.Trace)
+	for _, name := range []string{"goroutine", "threadcreate", "mutex", "heap", "block", "allocs"} {
+		r.Handle("/"+name, pprof.Handler(name))
+	}
+	return r
+}
+
+// readApply reads a body that holds one apply and nothing else. Text after it means that the body is damaged.
+func readApply(req *http.Request) (ApplyRequest, error) {
+	var a ApplyRequest
+	d := json.NewDecoder(http.MaxBytesReader(nil, req.Body, maxFileBytes))
+	err := d.Decode(&a)
+	if err != nil {
+		return a, &Error{Code: CodeMalformed, Message: fmt.Sprintf("malformed body: %v", err), Cause: err}
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return a, &Error{Code: CodeMalformed, Message: "the body holds more than one JSON value", Cause: err}
+	}
+	return a, nil
+}
+
 func requireCredential(want []byte) func(http.Handler) http.Handler {
 	return func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -24,6 +24,7 @@
 // Codes of refusals and failures, in the order in which a request can meet them.
 const (
 	CodeDraining          Code = "draining"
+	CodeTooManyOpen       Code = "too_many_open_requests"
 	CodeNoConfiguration   Code = "no_configuration"
 	CodeMalformedRequest  Code = "malformed_request"
 	CodeBodyTooLarge      Code = "body_too_large"
@@ -41,6 +42,7 @@
 	CodeRateExceeded      Code = "rate_exceeded"
 	CodeExceedsBurst      Code = "exceeds_burst"
 	CodeQuotaUnavailable  Code = "quota_unavailable"
+	CodeChargesFull       Code = "charges_full"
 	CodeNoServer          Code = "no_backend_server"
 	CodeDeadline          Code = "deadline_unreachable"
 	CodeQueueFull         Code = "queue_full"
--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -21,6 +21,8 @@
 	divisions  Divisions
 	workspaces map[string]*workspace
 	lastGrant  uint64
+	// leaving is set by Leave. Buckets are kept for their successors through the first epoch without this host.
+	leaving bool
 }
 
 // workspace is the state of one workspace on this host.
@@ -32,7 +34,9 @@
 
 // NewNode returns the state of a host that has just started.
 func NewNode(self host.ID) *Node {
-	return &Node{self: self, tenure: Tenure{self: self}, workspaces: map[string]*workspace{}}
+	return &Node{
+		self: self, tenure: Tenure{self: self}, divisions: Divisions{fresh: true}, workspaces: map[string]*workspace{},
+	}
 }
 
 // workspace returns the state of a workspace, made on first use.
@@ -66,7 +70,7 @@
 func (n *Node) home(now time.Time, name string) *Home {
 	standing, since := n.tenure.Of(name)
 	ready, inForce := n.divisions.Ready()
-	if standing != StandingHome || !ready {
+	if standing != StandingHome || !ready || n.leaving {
 		return nil
 	}
 	w := n.workspace(name)
@@ -181,6 +185,7 @@
 		return
 	}
 	lender.Incarnation = answer.GetLenderIncarnation()
+	n.divisions.fresh = false
 	n.workspace(name).borrower.Add(now, sent, Lender{Host: lender, GrantID: answer.GetGrantId()},
 		Grant{Amount: answer.GetAmount(), Term: time.Duration(answer.GetTermNanos())})
 }
@@ -242,12 +247,13 @@
 	}
 }
 
-// Sweep drops idle state from memory, except for workspaces in use, and returns how many are left.
+// Sweep drops idle state from memory, except for workspaces in use, and returns how many are left. A leaving host
+// keeps its buckets, since it cannot recreate them for the hand-over.
 func (n *Node) Sweep(now time.Time, inUse func(name string) bool) int {
 	ready, inForce := n.divisions.Ready()
 	for name, w := range n.workspaces {
 		standing, since := n.tenure.Of(name)
-		if w.home != nil && ready && standing == StandingHome && w.home.Idle(now, later(since, inForce)) {
+		if w.home != nil && !n.leaving && ready && standing == StandingHome && w.home.Idle(now, later(since, inForce)) {
 			w.home = nil
 		}
 		if w.home == nil && !inUse(name) && w.borrower.Idle(now) {
--- a/internal/request/router.go
+++ b/internal/request/router.go
@@ -95,15 +95,15 @@
 
 // Check refuses a request that cannot be served whatever its body is, so that the body need not be read.
 func (r *Router) Check(in *Input) error {
-	if r.Draining() {
-		return r.refused(in, errDraining())
+	if e := r.notAccepting(); e != nil {
+		return r.refused(in, e)
 	}
 	snap := r.Config.Current()
 	if snap == nil {
 		return r.refused(in, errNoConfiguration())
 	}
 	if !cleanPath(in.URL.Path) || !snap.KnownPath(in.URL.Path) {
-		return r.refused(in, unknownPath(in.URL.Path))
+		return r.refused(in, unknownPath(in))
 	}
 	if _, err := r.identify(snap, in); err != nil && !openPath(snap, in.URL.Path) {
 		return r.refused(in, err)
@@ -128,8 +128,8 @@
 // *outcome.Error otherwise. Nothing is held when it returns, apart from releases that engines have not
 // acknowledged yet, which go on in the background.
 func (r *Router) Do(ctx context.Context, in *Input, sink Sink) error {
-	if !r.begin() {
-		return r.refused(in, errDraining())
+	if e := r.begin(); e != nil {
+		return r.refused(in, e)
 	}
 	defer r.end()
 	x := &run{Router: r, in: in, sink: sink}
@@ -149,7 +149,7 @@
 		return errNoConfiguration()
 	}
 	if !cleanPath(x.in.URL.Path) {
-		return unknownPath(x.in.URL.Path)
+		return unknownPath(x.in)
 	}
 	if isModelPath(x.in.URL.Path) {
 		if err := x.parse(); err != nil {
@@ -162,6 +162,9 @@
 	if err := x.guard(); err != nil {
 		return err
 	}
+	if err := x.Charges.Accepting(); err != nil && !x.route.Open {
+		return chargesFull(err)
+	}
 	x.budget.accepted()
 	if x.route.Pool != "" {
 		return x.service(ctx)
@@ -185,14 +188,33 @@
 	pathChat        = "/v1/chat/completions"
 )
 
-func (r *Router) begin() bool {
+// begin counts a request as open unless this host takes no more.
+func (r *Router) begin() *outcome.Error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.draining {
-		return false
+	if e := r.notAcceptingLocked(); e != nil {
+		return e
 	}
 	r.open++
-	return true
+	return nil
+}
+
+// notAccepting returns the refusal of new requests, or nil while this host accepts them.
+func (r *Router) notAccepting() *outcome.Error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.notAcceptingLocked()
+}
+
+// notAcceptingLocked is notAccepting for a caller that holds the lock.
+func (r *Router) notAcceptingLocked() *outcome.Error {
+	switch {
+	case r.draining:
+		return errDraining()
+	case r.open >= r.settings.MaxOpen:
+		return errTooManyOpen(r.settings.MaxOpen)
+	}
+	return nil
 }
 
 func (r *Router) end() {
