--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -73,7 +73,7 @@
 		Store: d.store, Hosts: platform.NewHostList(d.store), Dialer: d.pool, Engines: d.engines, Metrics: reg, Log: log,
 		SeedPeers: s.SeedPeers, Timing: timing(s), TrustPeriod: s.TrustPeriod,
 		Placement: placement.Options{FirstToken: s.FirstTokenTarget},
-		Request:   request.Settings{DefaultMaxOutput: s.DefaultMaxOutput},
+		Request:   request.Settings{DefaultMaxOutput: s.DefaultMaxOutput, MaxOpen: s.MaxOpenRequests},
 	})
 }
 
--- a/internal/quota/service_test.go
+++ b/internal/quota/service_test.go
@@ -186,24 +186,30 @@
 	}
 }
 
-// A host that drains and leaves must pass its buckets on, or every rolling restart empties them.
+// A host that drains and leaves must pass its buckets on, or every rolling restart empties them. Idle buckets are
+// dropped from memory every 10 s, which must not happen between the drain and the hand-over.
 func TestHandOverOnLeave(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		all := fiveHosts()
-		home, _ := membership.Epoch{Hosts: all}.Home("za", "ws")
-		f := newFleet(t, all...)
-		defer f.stopAll()
-		time.Sleep(warmUp)
-		f.Expect(f.hosts[home.Name].svc.Drain(context.Background())).To(Succeed())
-		f.setEpoch(without(all, home.Name)...)
-		time.Sleep(time.Second)
-		f.stop(home.Name)
-		_, err := f.reserve("b1", testBurst)
-		f.Expect(err).NotTo(HaveOccurred())
-		_, err = f.reserve("b1", 100)
-		f.Expect(err).To(HaveOccurred())
-		f.expectWithinBound()
-	})
+	for _, leaving := range []time.Duration{0, 15 * time.Second} {
+		t.Run(leaving.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				all := fiveHosts()
+				home, _ := membership.Epoch{Hosts: all}.Home("za", "ws")
+				f := newFleet(t, all...)
+				defer f.stopAll()
+				time.Sleep(warmUp)
+				f.Expect(f.hosts[home.Name].svc.Drain(context.Background())).To(Succeed())
+				time.Sleep(leaving)
+				f.setEpoch(without(all, home.Name)...)
+				time.Sleep(time.Second)
+				f.stop(home.Name)
+				_, err := f.reserve("b1", testBurst)
+				f.Expect(err).NotTo(HaveOccurred())
+				_, err = f.reserve("b1", 100)
+				f.Expect(err).To(HaveOccurred())
+				f.expectWithinBound()
+			})
+		})
+	}
 }
 
 // Without authority nothing is admitted, neither on the host itself nor for a borrower that asks it.
@@ -271,14 +277,19 @@
 	})
 }
 
-// The first host of a fleet has no predecessor whose grants it must wait for. It must not refuse for longer than
-// the short term and the refill take.
-func TestFirstHostStartsSoon(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, id("za", "a1"))
-		defer f.stopAll()
-		time.Sleep(quota.ShortTerm + time.Second)
-		_, err := f.reserve("a1", testRate/2)
-		f.Expect(err).NotTo(HaveOccurred())
-	})
+// The first hosts of a fleet have no predecessors whose grants they must wait for. They must not refuse for longer
+// than the short term and the refill take.
+func TestFirstHostsStartSoon(t *testing.T) {
+	for name, hosts := range map[string][]host.ID{"one": {id("za", "a1")}, "five": fiveHosts()} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, hosts...)
+				defer f.stopAll()
+				time.Sleep(quota.ShortTerm + time.Second)
+				_, err := f.reserve("a1", testRate/2)
+				f.Expect(err).NotTo(HaveOccurred())
+				f.expectWithinBound()
+			})
+		})
+	}
 }
