--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,10 @@
 quota-bench: ## Measure wrongful refusals, overshoot and control traffic of the quota service.
 	$(GO) run ./test/quotabench
 	$(GO) test -run '^$$' -bench Reserve -benchmem ./internal/quota
-
 model: ## Check the Promela models; installs spin when it is missing.
 	spec/check.sh
+CAPACITY_JSON ?= out/capacity.json
+capacity: ## Measure how the control plane's cost grows; prints a table and writes CAPACITY_JSON.
+	@mkdir -p out
+	$(GO) test ./test/capacity -count=1 -timeout 170s -run 'TestCapacity$$' -v -capacity.full -capacity.json=$(abspath $(CAPACITY_JSON))
 
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -79,7 +79,7 @@
 		OperatorCredentialSHA256: hex.EncodeToString(sum[:]), DrainTimeout: patience, TrustPeriod: 3 * time.Second,
 		IsolationLimit: 5 * time.Minute, LeaseTTL: 5 * time.Second, FirstTokenTarget: patience, MaxBodyBytes: 1 << 20,
 		MaxHeaderBytes: 64 << 10, BodyTimeout: patience, IdleTimeout: patience, StreamTimeout: patience,
-		DefaultMaxOutput: 16, HeartbeatInterval: 500 * time.Millisecond,
+		DefaultMaxOutput: 16, MaxOpenRequests: 1000, HeartbeatInterval: 500 * time.Millisecond,
 	}}
 	d, err := daemon.New(h.settings, log)
 	if err != nil {
