Compute the turn of a check for silent hosts only

Cause: each check of silent hosts computed this host's turn for every host of the epoch, and the turn hashes every host: the square of the fleet's size each second. In a profile of 176 hosts isSilent took 30% of all samples. Change: the silence is compared with the fence time first. The turn is never negative, so the result is the same. Conclusion: idle processor time no longer grows with the square of the fleet through this check.

--- a/internal/membership/report.go
+++ b/internal/membership/report.go
@@ -43,11 +43,12 @@
 // isSilent reports whether it is this host's turn to check on a host that has been silent. Hosts take turns so
 // that not all of them read the registry and ask for reports at once.
 func (m *Machine) isSilent(now time.Time, id host.ID) bool {
-	wait := m.timing.observed(m.timing.Fence)
-	if !m.hinted[id.Name] {
-		wait += m.turn(id)
+	silence, fence := m.silence(now, id), m.timing.observed(m.timing.Fence)
+	if keyOf(id) == keyOf(m.self) || silence < fence {
+		return false
 	}
-	return keyOf(id) != keyOf(m.self) && m.silence(now, id) >= wait
+	// The turn takes a hash of every host, so it is computed for silent hosts only.
+	return m.hinted[id.Name] || silence >= fence+m.turn(id)
 }
 
 // turn returns how long this host waits before it checks on a silent host.
