--- a/internal/claim/batch.go
+++ b/internal/claim/batch.go
@@ -9,6 +9,7 @@
 
 	"github.com/boragecourse/boragecourse/internal/metrics"
 	"github.com/boragecourse/boragecourse/internal/platform"
+	"github.com/boragecourse/boragecourse/internal/wait"
 )
 
 const (
@@ -159,7 +160,7 @@
 			finish(batch, err)
 			return
 		}
-		if !sleep(ctx, pause) {
+		if wait.For(ctx, pause) != nil {
 			finish(batch, lost)
 			return
 		}
@@ -214,14 +215,3 @@
 		w.result <- writeResult{err: err}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/claim/sweep.go
+++ b/internal/claim/sweep.go
@@ -9,6 +9,7 @@
 	"github.com/boragecourse/boragecourse/internal/host"
 	"github.com/boragecourse/boragecourse/internal/membership"
 	"github.com/boragecourse/boragecourse/internal/platform"
+	"github.com/boragecourse/boragecourse/internal/wait"
 	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
 )
 
@@ -43,7 +44,7 @@
 		if unrecorded == 0 {
 			return nil
 		}
-		if !sleep(ctx, c.cfg.RetryInterval) {
+		if wait.For(ctx, c.cfg.RetryInterval) != nil {
 			return &UnavailableError{Op: "flush", Cause: ctx.Err()}
 		}
 	}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -13,6 +13,7 @@
 	"sync"
 	"testing"
 
+	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
 
 	"github.com/boragecourse/boragecourse/internal/cli"
@@ -64,7 +65,7 @@
 func run(t *testing.T, f *fleet, input string, args ...string) result {
 	t.Helper()
 	sum := sha256.Sum256([]byte("op"))
-	h, err := operatorapi.Handler(f, hex.EncodeToString(sum[:]))
+	h, err := operatorapi.Handler(f, hex.EncodeToString(sum[:]), logr.Discard())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/boragecourse/boragecourse/internal/platform"
+	"github.com/boragecourse/boragecourse/internal/wait"
 )
 
 const (
@@ -207,7 +208,7 @@
 		case !isUnknown(err) || time.Now().After(deadline):
 			return &NotStoredError{Cause: err}
 		}
-		if !sleep(ctx, resolveRetry) {
+		if wait.For(ctx, resolveRetry) != nil {
 			return &NotStoredError{Cause: ctx.Err()}
 		}
 	}
@@ -238,7 +239,7 @@
 		case !unknown:
 			return &NotStoredError{Cause: err}
 		}
-		if time.Now().After(deadline) || !sleep(ctx, resolveRetry) {
+		if time.Now().After(deadline) || wait.For(ctx, resolveRetry) != nil {
 			if unknown {
 				return &UnknownOutcomeError{Head: h, Cause: err}
 			}
--- a/internal/config/fetch.go
+++ b/internal/config/fetch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/boragecourse/boragecourse/internal/host"
+	"github.com/boragecourse/boragecourse/internal/wait"
 	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
 )
 
@@ -50,7 +51,7 @@
 				s.o.Metrics.Inc("config_fetch_errors")
 				s.o.Log.Error(err, "configuration not fetched", "generation", target.Generation)
 			}
-			if !sleep(ctx, jitter(fetchRetryMin, fetchRetryMax)) {
+			if wait.For(ctx, jitter(fetchRetryMin, fetchRetryMax)) != nil {
 				return
 			}
 		}
@@ -104,7 +105,7 @@
 		if reader || round == peerRounds-1 || len(lacking()) == 0 {
 			break
 		}
-		if !sleep(ctx, jitter(roundMin, roundMax)) {
+		if wait.For(ctx, jitter(roundMin, roundMax)) != nil {
 			return ctx.Err()
 		}
 	}
--- a/internal/config/poll.go
+++ b/internal/config/poll.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/boragecourse/boragecourse/internal/host"
+	"github.com/boragecourse/boragecourse/internal/wait"
 	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
 )
 
@@ -23,25 +24,13 @@
 // jitter returns a random duration in [low, high).
 func jitter(low, high time.Duration) time.Duration { return low + rand.N(high-low) }
 
-// sleep waits and reports whether the context is still active.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // watchHead follows the head in the store. After each gap it reads the head before it watches again.
 func (s *Service) watchHead(ctx context.Context) {
 	for {
 		if revision, err := s.readHead(ctx); err == nil {
 			s.followHead(ctx, revision+1)
 		}
-		if !sleep(ctx, jitter(watchRetryMin, watchRetryMax)) {
+		if wait.For(ctx, jitter(watchRetryMin, watchRetryMax)) != nil {
 			return
 		}
 	}
--- a/internal/config/push.go
+++ b/internal/config/push.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/boragecourse/boragecourse/internal/host"
+	"github.com/boragecourse/boragecourse/internal/wait"
 	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
 )
 
@@ -116,7 +117,7 @@
 		if err == nil && resp.InstalledGeneration >= p.head.Generation {
 			return
 		}
-		if !sleep(ctx, pushRetry) {
+		if wait.For(ctx, pushRetry) != nil {
 			return
 		}
 	}
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -32,7 +32,7 @@
 		d.Metrics.Set("open_requests", int64(d.Router.Open()))
 		_, _ = d.Metrics.WriteTo(w)
 	})
-	api, err := operatorapi.Handler(&operators{d}, d.settings.OperatorCredentialSHA256)
+	api, err := operatorapi.Handler(&operators{d}, d.settings.OperatorCredentialSHA256, d.Log.WithName("operators"))
 	if err != nil {
 		// The credential's hash was checked with the settings.
 		panic(err)
--- a/internal/operatorapi/errors.go
+++ b/internal/operatorapi/errors.go
@@ -55,6 +55,14 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
+// PanicError is a panic in the handling of an operator call.
+type PanicError struct {
+	Value any
+}
+
+// Error implements error.
+func (e *PanicError) Error() string { return fmt.Sprintf("panic: %v", e.Value) }
+
 // UnreachableError reports that no host answered.
 type UnreachableError struct {
 	// Failures has one error for each host that was tried.
--- a/internal/operatorapi/fuzz_test.go
+++ b/internal/operatorapi/fuzz_test.go
@@ -9,6 +9,8 @@
 	"net/http/httptest"
 	"testing"
 
+	"github.com/go-logr/logr"
+
 	"github.com/boragecourse/boragecourse/internal/operatorapi"
 )
 
@@ -27,7 +29,7 @@
 		h, err := operatorapi.Handler(&backend{apply: func(operatorapi.ApplyRequest) (operatorapi.ApplyResult, error) {
 			applied++
 			return operatorapi.ApplyResult{Status: operatorapi.StatusInForce}, nil
-		}}, hex.EncodeToString(sum[:]))
+		}}, hex.EncodeToString(sum[:]), logr.Discard())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/operatorapi/operatorapi_test.go
+++ b/internal/operatorapi/operatorapi_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"testing"
 
+	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
 
 	"github.com/boragecourse/boragecourse/internal/operatorapi"
@@ -44,7 +45,7 @@
 func start(t *testing.T, b operatorapi.Backend) string {
 	t.Helper()
 	sum := sha256.Sum256([]byte(credential))
-	h, err := operatorapi.Handler(b, hex.EncodeToString(sum[:]))
+	h, err := operatorapi.Handler(b, hex.EncodeToString(sum[:]), logr.Discard())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -126,3 +127,13 @@
 		}
 	}
 }
+
+// Guards against a panic that ends the connection without a typed answer.
+func TestPanicIsAnswered(t *testing.T) {
+	g := NewWithT(t)
+	addr := start(t, &backend{apply: func(operatorapi.ApplyRequest) (operatorapi.ApplyResult, error) { panic("fault") }})
+	_, err := operatorapi.NewClient([]string{addr}, credential).Apply(t.Context(), operatorapi.ApplyRequest{})
+	var e *operatorapi.Error
+	g.Expect(errors.As(err, &e)).To(BeTrue())
+	g.Expect(e.Code).To(Equal(operatorapi.CodeInternal))
+}
--- a/internal/operatorapi/server.go
+++ b/internal/operatorapi/server.go
@@ -13,20 +13,20 @@
 	"strings"
 
 	"github.com/go-chi/chi/v5"
-	"github.com/go-chi/chi/v5/middleware"
+	"github.com/go-logr/logr"
 )
 
 // maxFileBytes bounds an uploaded rules file: 47,000 workspaces with a key each take about 12 MB.
 const maxFileBytes = 64 << 20
 
 // Handler returns the operator API. Every call needs the credential whose SHA-256 is given in hex.
-func Handler(b Backend, credentialSHA256 string) (http.Handler, error) {
+func Handler(b Backend, credentialSHA256 string, log logr.Logger) (http.Handler, error) {
 	want, err := hex.DecodeString(credentialSHA256)
 	if err != nil || len(want) != sha256.Size {
 		return nil, &Error{Code: CodeMalformed, Message: "the operator credential's hash is not a SHA-256 in hex", Cause: err}
 	}
 	r := chi.NewRouter()
-	r.Use(middleware.Recoverer, requireCredential(want))
+	r.Use(recoverer(log), requireCredential(want))
 	r.Get("/v1/config", respond(func(req *http.Request) (any, error) { return b.File(req.Context()) }))
 	r.Post("/v1/config/apply", respond(func(req *http.Request) (any, error) {
 		a, err := readApply(req)
@@ -73,6 +73,27 @@
 	return a, nil
 }
 
+// recoverer answers a call whose handler panicked, and logs it.
+func recoverer(log logr.Logger) func(http.Handler) http.Handler {
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			defer func() {
+				v := recover()
+				if v == nil {
+					return
+				}
+				if err, ok := v.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+					panic(v)
+				}
+				err := &PanicError{Value: v}
+				log.Error(err, "operator call failed", "path", r.URL.Path)
+				writeError(w, &Error{Code: CodeInternal, Message: "internal failure", Cause: err})
+			}()
+			next.ServeHTTP(w, r)
+		})
+	}
+}
+
 func requireCredential(want []byte) func(http.Handler) http.Handler {
 	return func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
