Bound the import of a KV cache by the predicted transfer time

Cause: the life cycle gave up every import after a fixed 400 ms. Long prompts on a saturated link only waited, were cut, and used up their retries.

Change: placement.Placement carries the predicted transfer time, also from the fallback. The life cycle gives up an import after that time and 400 ms, cut so that another decode server can still take the KV cache, and at most after the KV cache's lifetime. Resuming a stream keeps its own limit of 400 ms.

--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -133,3 +134,26 @@
 		p.ReleaseDecode()
 	}
 }
+
+// Guards against an expected transfer time that leaves out the prompt's size or the transfers already planned on the
+// link: the life cycle would give up imports that only wait.
+func TestPlacementTellsTheTransferTime(t *testing.T) {
+	inFleet(t, Options{}, serverRules(8, "d"), func(g *GomegaWithT, f *fleet) {
+		const tokens = 40_000
+		alone := stageBase + tokens*DefaultTransferPerToken
+		for i, want := range []time.Duration{alone, alone + tokens*DefaultTransferPerToken} {
+			r := f.request(rules.ClassWait)
+			r.PromptTokens = tokens
+			p, err := f.services["a"].Place(context.Background(), f.Current(), r)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(p.Transfer).To(Equal(want), "placement %d", i)
+			p.ReleasePrefill()
+			if i == 0 {
+				again, err := f.services["b"].PlaceDecode(context.Background(), f.Current(), r, p.Prefill)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(again.Transfer).To(Equal(alone))
+				again.ReleaseDecode()
+			}
+		}
+	})
+}
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -33,6 +33,9 @@
 	Prefill, Decode *rules.Server
 	// CachedTokens is the expected prefix-cache hit on Prefill, in tokens.
 	CachedTokens int64
+	// Transfer is the predicted time of the KV transfer from its start to its end, behind what this host has on the
+	// link. It is zero when both servers are the same, or when there is no prediction.
+	Transfer time.Duration
 	// ReleasePrefill and ReleaseDecode free the reservations; they may be called repeatedly.
 	ReleasePrefill, ReleaseDecode func()
 }
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -280,6 +280,7 @@
 			p, err := f.place(other(home), rules.ClassLatency)
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(p.Decode.Name).To(Equal("d"))
+			g.Expect(p.Transfer).To(BeNumerically(">", stageBase))
 		}
 		g.Expect(time.Since(began)).To(BeNumerically("<", 200*time.Millisecond))
 		g.Expect(f.metrics.Count(metricFallbacks, metrics.L("reason", reasonHomeSilent))).To(BeEquivalentTo(5))
--- a/internal/request/fakes_test.go
+++ b/internal/request/fakes_test.go
@@ -155,7 +155,9 @@
 	if decode == nil {
 		return nil, &placement.NoServerError{Model: r.Model}
 	}
-	return &placement.Placement{Prefill: prefill, Decode: decode, ReleasePrefill: func() {}, ReleaseDecode: release}, nil
+	return &placement.Placement{
+		Prefill: prefill, Decode: decode, ReleasePrefill: func() {}, ReleaseDecode: release, Transfer: f.transfer,
+	}, nil
 }
 
 // PlaceService implements placement.Placer.
--- a/internal/request/fixture_test.go
+++ b/internal/request/fixture_test.go
@@ -54,6 +54,7 @@
 	quotaErr, placeErr   error
 	chargesErr           error
 	block                chan struct{}
+	transfer             time.Duration
 	openQuota, openSlots int
 	charges              []charge.Record
 	log                  strings.Builder
--- a/internal/request/generate.go
+++ b/internal/request/generate.go
@@ -144,7 +144,7 @@
 	defer second.abort()
 	if p.Prefill.Name == p.Decode.Name {
 		defer first.abort()
-		return g.decode(ctx, p.Decode, second, first)
+		return g.decode(ctx, p, second, first)
 	}
 	if g.kv == nil {
 		if err := g.prefill(ctx, p.Prefill, first); err != nil {
@@ -153,7 +153,7 @@
 	} else {
 		first.done()
 	}
-	return g.decode(ctx, p.Decode, second, nil)
+	return g.decode(ctx, p, second, nil)
 }
 
 func (g *generation) prefill(ctx context.Context, server *rules.Server, h *hold) error {
@@ -216,12 +216,12 @@
 
 // decode starts the answer and follows it to its end. On an engine with both roles it prefills as well; prefill
 // is then the hold of that reservation.
-func (g *generation) decode(ctx context.Context, server *rules.Server, h, prefill *hold) error {
-	a := g.newAttempt()
+func (g *generation) decode(ctx context.Context, p *placement.Placement, h, prefill *hold) error {
+	a, server := g.newAttempt(), p.Decode
 	h.attempt = a.ID
 	dctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	limit := g.settings.ImportTimeout
+	limit := g.importLimit(p.Transfer)
 	if g.kv == nil {
 		limit = g.settings.PrefillTimeout
 		if g.ran.prompt == 0 {
@@ -260,6 +260,20 @@
 	return g.follow(ctx, &answering{server: server, attempt: a, hold: h, stream: s, cancel: cancel})
 }
 
+// switchTime is the part of a KV cache's lifetime that is kept for placing it on another decode server.
+const switchTime = 50 * time.Millisecond
+
+// importLimit is the time after which an import is given up: the predicted time and a margin, at most the lifetime of
+// a KV cache. The margin is cut short so that another decode server can still take the KV cache, but not when the
+// prediction itself leaves no time for that.
+func (g *generation) importLimit(predicted time.Duration) time.Duration {
+	limit := min(predicted+g.settings.ImportMargin, g.settings.KVLifetime)
+	if left := g.settings.KVLifetime - time.Since(g.kvAt) - switchTime; left > predicted+switchTime {
+		limit = min(limit, left)
+	}
+	return limit
+}
+
 // importFailed reports a failure that may be the exporting engine's or the link's.
 func importFailed(err error) bool {
 	var imported *engine.ImportError
--- a/internal/request/settings.go
+++ b/internal/request/settings.go
@@ -10,9 +10,12 @@
 	DefaultMaxOutput int64
 	// PrefillTimeout bounds one prefill, the engine's own queue included. Default 30 s.
 	PrefillTimeout time.Duration
-	// ImportTimeout bounds the import of a KV cache. Default 400 ms: a stalled transfer must be given up while
-	// the KV cache, which lives for less than a second, can still be imported elsewhere.
-	ImportTimeout time.Duration
+	// ImportMargin is how much longer than predicted the import of a KV cache may take. Default 400 ms: it covers
+	// transfers of other hosts on the link, which the prediction does not know, and leaves a stalled import time to be
+	// repeated elsewhere before the KV cache ends.
+	ImportMargin time.Duration
+	// ResumeTimeout bounds the call that resumes a stream. Default 400 ms.
+	ResumeTimeout time.Duration
 	// KVLifetime is how long after a prefill its KV cache is offered to another decode engine. Default 700 ms.
 	KVLifetime time.Duration
 	// StreamIdle is the longest silence of a decode stream. Default 10 s.
@@ -47,7 +50,8 @@
 	setDefault(&s.BytesPerToken, 4)
 	setDefault(&s.DefaultMaxOutput, 1024)
 	setDefault(&s.PrefillTimeout, 30*time.Second)
-	setDefault(&s.ImportTimeout, 400*time.Millisecond)
+	setDefault(&s.ImportMargin, 400*time.Millisecond)
+	setDefault(&s.ResumeTimeout, 400*time.Millisecond)
 	setDefault(&s.KVLifetime, 700*time.Millisecond)
 	setDefault(&s.StreamIdle, 10*time.Second)
 	setDefault(&s.MaxRetries, 4)
--- a/internal/request/stream.go
+++ b/internal/request/stream.go
@@ -102,7 +102,7 @@
 		return nil, lost
 	}
 	sctx, cancel := context.WithCancelCause(ctx)
-	limit := time.AfterFunc(g.settings.ImportTimeout, func() { cancel(errStreamIdle) })
+	limit := time.AfterFunc(g.settings.ResumeTimeout, func() { cancel(errStreamIdle) })
 	s, err := g.Engines.Server(d.server.Name, d.server.Addr).Resume(sctx, d.attempt, d.offset)
 	if !limit.Stop() && err == nil {
 		_ = s.Close()
