Let the daemon's tests wait for the epoch before the first apply

Cause: an apply before the first epoch waits 5 s for hosts that it cannot count yet. Change: the fixture waits for the epoch.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -106,6 +106,10 @@
 route /v1/completions model=keeper-llm repeatable=yes class=wait # ana: answers
 `, hex.EncodeToString(sum[:]), strings.TrimPrefix(server.URL, "http://"))
 	g := NewWithT(t)
+	g.Eventually(func() (uint64, error) {
+		status, err := h.client.StatusOf(t.Context(), h.settings.ListenOperators)
+		return status.Epoch, err
+	}).WithTimeout(patience).ShouldNot(BeZero())
 	g.Eventually(func() error {
 		f, err := h.client.File(t.Context())
 		if err != nil {
