Skip the wait for older grants unless somebody gave or held one

Change: a host reports that it never held, gave or inherited a grant, instead of that it never had a division in force. Its own admissions need no wait, since a decrease of its share takes effect before it acknowledges.

--- a/internal/quota/division.go
+++ b/internal/quota/division.go
@@ -72,7 +72,7 @@
 	pending []*pendingDivision
 	epoch   membership.Epoch
 	version uint64
-	// fresh is set while this run of the host has never held a grant.
+	// fresh is set while this run of the host has never held a grant, nor given or inherited one.
 	fresh bool
 }
 
@@ -109,7 +109,7 @@
 }
 
 // Reset forgets everything, when other hosts may have brought divisions into force without this one. fresh tells
-// that this run of the host has never held a grant.
+// that this run of the host has never held or given a grant.
 func (d *Divisions) Reset(fresh bool) {
 	*d = Divisions{version: d.version + 1, fresh: fresh}
 }
@@ -151,9 +151,10 @@
 	return names
 }
 
-// Unused reports that this run of the host never held a grant, and that no older division was or may come into
-// force here, so that it never gave one either.
-func (d *Divisions) Unused() bool { return d.fresh && d.base == nil && len(d.pending) == 1 }
+// Unused reports that this run of the host never held or gave a grant, and that no division but the newest may
+// come into force here. What it admits from its own buckets needs no wait, since a decrease of its share takes
+// effect before it acknowledges.
+func (d *Divisions) Unused() bool { return d.fresh && len(d.pending) == 1 }
 
 // Acked notes a host's newest division in the given epoch.
 func (d *Divisions) Acked(now time.Time, name string, epoch, hash uint64, established, unused bool) {
@@ -176,7 +177,7 @@
 	}
 	last.complete = true
 	last.effectiveAt = now
-	// When no host of the epoch ever used a division, as in a new fleet, there are no older grants to wait for.
+	// When no host of the epoch ever held or gave a grant, as in a new fleet, there are none to wait for.
 	if !last.skipTerm && (last.used || !d.Unused()) {
 		last.effectiveAt = now.Add(withMargin(GrantTerm))
 	}
--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -172,6 +172,7 @@
 	}
 	n.lastGrant++
 	g := home.Draw(now, n.lastGrant, need, want)
+	n.divisions.fresh = n.divisions.fresh && g.Amount == 0
 	answer.GrantId, answer.Amount, answer.TermNanos = n.lastGrant, g.Amount, int64(g.Term)
 	if missing := need - g.Amount; missing > 0 {
 		answer.RetryAfterNanos = int64(wait(missing, home.share.Rate))
--- a/internal/quota/node_handover.go
+++ b/internal/quota/node_handover.go
@@ -144,6 +144,7 @@
 		w.home = NewHome(now, n.share(name))
 		return 0
 	}
+	n.divisions.fresh = n.divisions.fresh && b.GetOutstanding() == 0
 	w.home = NewHomeFrom(now, n.share(name), Handed{
 		Level: b.GetLevel(), Outstanding: b.GetOutstanding(), Remaining: time.Duration(b.GetRemainingTermNanos()),
 	})
@@ -160,6 +161,7 @@
 	if home == nil {
 		return n.install(now, b)
 	}
+	n.divisions.fresh = n.divisions.fresh && b.GetOutstanding() == 0
 	home.Merge(now, Handed{
 		Level: b.GetLevel(), Outstanding: b.GetOutstanding(), Remaining: time.Duration(b.GetRemainingTermNanos()),
 	})
