--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -10,6 +10,7 @@
 	"github.com/boragecourse/boragecourse/internal/config"
 	"github.com/boragecourse/boragecourse/internal/metrics"
 	"github.com/boragecourse/boragecourse/internal/rules"
+	"github.com/boragecourse/boragecourse/internal/wait"
 )
 
 const (
@@ -63,7 +64,7 @@
 			return nil, s.refused(err)
 		}
 		s.metrics.Inc(metricRetries, metrics.L("reason", reasonOf(err)))
-		if err := pause(ctx, retryPause); err != nil {
+		if err := wait.For(ctx, retryPause); err != nil {
 			return nil, s.refused(fmt.Errorf("place request %s: %w", r.ID, err))
 		}
 	}
@@ -79,17 +80,6 @@
 	return len(usable(engines, StagePrefill, r.Exclude)) > 0 && len(usable(engines, StageDecode, r.Exclude)) > 0
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func (s *Service) enqueue() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/request/recover.go
+++ b/internal/request/recover.go
@@ -9,6 +9,7 @@
 	"github.com/boragecourse/boragecourse/internal/engine"
 	"github.com/boragecourse/boragecourse/internal/outcome"
 	"github.com/boragecourse/boragecourse/internal/placement"
+	"github.com/boragecourse/boragecourse/internal/wait"
 )
 
 // retryWait is the wait before a request returns to servers that failed it, because no others are left. It
@@ -101,7 +102,7 @@
 	p, err := g.Placer.Place(ctx, g.snap, g.placeRequest(time.Now()))
 	var none *placement.NoServerError
 	if errors.As(err, &none) && len(g.exclude) > 0 {
-		if pause(ctx, retryWait<<g.retries) == nil {
+		if wait.For(ctx, retryWait<<g.retries) == nil {
 			g.exclude = nil
 			p, err = g.Placer.Place(ctx, g.snap, g.placeRequest(time.Now()))
 		}
--- a/internal/request/service.go
+++ b/internal/request/service.go
@@ -12,6 +12,7 @@
 	"github.com/boragecourse/boragecourse/internal/outcome"
 	"github.com/boragecourse/boragecourse/internal/placement"
 	"github.com/boragecourse/boragecourse/internal/rules"
+	"github.com/boragecourse/boragecourse/internal/wait"
 )
 
 // bufferedAnswer is how much of a service's answer is read before the caller gets the first byte, in bytes. An
@@ -86,7 +87,7 @@
 func (c *serviceCall) place(ctx context.Context) (*rules.Server, func(), error) {
 	server, release, err := c.Placer.PlaceService(ctx, c.snap, c.route.Pool, c.exclude)
 	var none *placement.NoServerError
-	if errors.As(err, &none) && len(c.exclude) > 0 && pause(ctx, retryWait<<c.retries) == nil {
+	if errors.As(err, &none) && len(c.exclude) > 0 && wait.For(ctx, retryWait<<c.retries) == nil {
 		c.exclude = nil
 		return c.Placer.PlaceService(ctx, c.snap, c.route.Pool, nil)
 	}
--- a/internal/request/stream.go
+++ b/internal/request/stream.go
@@ -11,6 +11,7 @@
 	"github.com/boragecourse/boragecourse/internal/engine/openai"
 	"github.com/boragecourse/boragecourse/internal/placement"
 	"github.com/boragecourse/boragecourse/internal/rules"
+	"github.com/boragecourse/boragecourse/internal/wait"
 )
 
 // resumeWait is the first wait before a lost stream is resumed; it doubles with each try.
@@ -98,7 +99,7 @@
 	if err := g.retry("resume", lost); err != nil {
 		return nil, err
 	}
-	if err := pause(ctx, resumeWait<<tries); err != nil {
+	if err := wait.For(ctx, resumeWait<<tries); err != nil {
 		return nil, lost
 	}
 	sctx, cancel := context.WithCancelCause(ctx)
@@ -116,17 +117,6 @@
 	return cancel, nil
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
-
 // take passes one chunk on to the caller, unless it was passed on before.
 func (g *generation) take(d *answering, ch engine.Chunk) error {
 	if ch.Tokens == 0 && ch.Text == "" && ch.FinishReason == "" {
