Use the terms of the field for wait-class requests and unknown holders

Cause: some names were figurative (patient, stranger, patience, strike). Conclusion: names follow the design page.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 test: ## Run all tests.
 	$(GO) test $(TESTFLAGS) ./...
 
-faults: ## Strike each fault at each step over whole hosts, and print what was checked.
+faults: ## Inject each fault at each step over whole hosts, and print what was checked.
 	$(GO) test -count=1 -v ./test/faults -args -ginkgo.v -ginkgo.no-color
 
 fmt: ## Format the tree.
--- a/internal/config/majority_test.go
+++ b/internal/config/majority_test.go
@@ -55,7 +55,7 @@
 		{"two of three others", three, 4, []reply{from("b", 3, nil), from("c", 4, nil)}, 3, 0},
 		{"the oldest of the majority counts", []string{"a", "b", "c", "d", "e"}, 5, []reply{from("b", 4, nil), from("c", 2, nil)}, 2, 0},
 		{"the oldest beyond the majority does not", []string{"a", "b", "c", "d", "e"}, 5, []reply{from("b", 4, nil), from("c", 2, nil), from("d", 3, nil)}, 3, 0},
-		{"a stranger's reply", three, 5, []reply{from("x", 3, nil)}, -1, 0},
+		{"a reply of an unknown host", three, 5, []reply{from("x", 3, nil)}, -1, 0},
 		{"a newer generation is known", three, 5, []reply{from("b", 3, func(r *reply) { r.generation = 3 })}, -1, 0},
 	}
 	for _, tt := range tests {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -34,8 +34,8 @@
 	callerKey  = "bc-caller"
 	credential = "operator-credential-1"
 	peerSecret = "0123456789abcdef"
-	// patience bounds waits for things that happen as soon as the machine gets to them.
-	patience = time.Minute
+	// testTimeout bounds waits for things that happen as soon as the machine gets to them.
+	testTimeout = time.Minute
 )
 
 func freeAddr(t *testing.T) string {
@@ -76,9 +76,9 @@
 	h := &host{signals: make(chan os.Signal, 2), ended: make(chan error, 1), settings: settings.Daemon{
 		Name: "h1", Zone: "piran-a", ListenCallers: freeAddr(t), ListenPeers: freeAddr(t), ListenOperators: freeAddr(t),
 		Store: []string{listener.Addr().String()}, PeerSecret: peerSecret,
-		OperatorCredentialSHA256: hex.EncodeToString(sum[:]), DrainTimeout: patience, TrustPeriod: 3 * time.Second,
-		IsolationLimit: 5 * time.Minute, LeaseTTL: 5 * time.Second, FirstTokenTarget: patience, MaxBodyBytes: 1 << 20,
-		MaxHeaderBytes: 64 << 10, BodyTimeout: patience, IdleTimeout: patience, StreamTimeout: patience,
+		OperatorCredentialSHA256: hex.EncodeToString(sum[:]), DrainTimeout: testTimeout, TrustPeriod: 3 * time.Second,
+		IsolationLimit: 5 * time.Minute, LeaseTTL: 5 * time.Second, FirstTokenTarget: testTimeout, MaxBodyBytes: 1 << 20,
+		MaxHeaderBytes: 64 << 10, BodyTimeout: testTimeout, IdleTimeout: testTimeout, StreamTimeout: testTimeout,
 		DefaultMaxOutput: 16, MaxOpenRequests: 1000, HeartbeatInterval: 500 * time.Millisecond,
 	}}
 	d, err := daemon.New(h.settings, log)
@@ -109,7 +109,7 @@
 	g.Eventually(func() (uint64, error) {
 		status, err := h.client.StatusOf(t.Context(), h.settings.ListenOperators)
 		return status.Epoch, err
-	}).WithTimeout(patience).ShouldNot(BeZero())
+	}).WithTimeout(testTimeout).ShouldNot(BeZero())
 	g.Eventually(func() error {
 		f, err := h.client.File(t.Context())
 		if err != nil {
@@ -117,8 +117,8 @@
 		}
 		_, err = h.client.Apply(t.Context(), operatorapi.ApplyRequest{BaseGeneration: f.Generation, Text: text})
 		return err
-	}).WithTimeout(patience).Should(Succeed())
-	g.Eventually(func() (int, error) { status, _, err := h.complete(1); return status, err }).WithTimeout(patience).Should(Equal(http.StatusOK))
+	}).WithTimeout(testTimeout).Should(Succeed())
+	g.Eventually(func() (int, error) { status, _, err := h.complete(1); return status, err }).WithTimeout(testTimeout).Should(Equal(http.StatusOK))
 }
 
 // complete sends a completion of n tokens and reads the whole answer.
@@ -142,7 +142,7 @@
 	g.Eventually(func() (int, error) {
 		s, err := h.client.StatusOf(ctx, h.settings.ListenOperators)
 		return s.OpenCalls, err
-	}).WithTimeout(patience).Should(Equal(n))
+	}).WithTimeout(testTimeout).Should(Equal(n))
 }
 
 // Guards against a drain that cuts a request, takes new ones, loses its charge, or does not end by itself (I11).
@@ -155,13 +155,13 @@
 	g.Eventually(func() (string, error) {
 		ch, err := h.client.Charge(t.Context(), id)
 		return fmt.Sprintf("%s %d %s", ch.Who, ch.RuleLine, ch.Workspace), err
-	}).WithTimeout(patience).Should(Equal("bojan 2 guests"))
+	}).WithTimeout(testTimeout).Should(Equal("bojan 2 guests"))
 
 	open := make(chan int, 1)
 	go func() { status, _, _ := h.complete(100); open <- status }()
 	h.awaitOpen(g, t.Context(), 1)
 	h.signals <- syscall.SIGTERM
-	g.Eventually(func() int { status, _, _ := h.complete(1); return status }).WithTimeout(patience).
+	g.Eventually(func() int { status, _, _ := h.complete(1); return status }).WithTimeout(testTimeout).
 		Should(Equal(http.StatusServiceUnavailable))
 	g.Expect(<-open).To(Equal(http.StatusOK))
 	g.Expect(<-h.ended).To(Succeed())
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -110,7 +110,7 @@
 }
 
 // requireSecret compares hashes, so that the comparison time tells nothing about the secret. It runs before the
-// message is read, so that a stranger cannot make the host decode up to maxMessageBytes.
+// message is read, so that a caller without the secret cannot make the host decode up to maxMessageBytes.
 func requireSecret(secret string) tap.ServerInHandle {
 	want := sha256.Sum256([]byte(secret))
 	return func(ctx context.Context, info *tap.Info) (context.Context, error) {
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -53,7 +53,7 @@
 		return Answer{ID: a.ID, RetryAfter: b.opt.WaitRound}, nil
 	}
 	l.shares.Ask(now, a.Workspace, a.Weight, a.Tokens)
-	if !a.Patient {
+	if !a.WaitClass {
 		l.lastLatency = now
 	}
 	over := l.shares.Over(now, a.Workspace)
@@ -74,7 +74,7 @@
 	if len(l.waiting) >= b.opt.ServerQueueLimit {
 		return Answer{ID: a.ID, QueueFull: true, RetryAfter: wait}, nil
 	}
-	if !a.Deadline.After(now) || (!a.Patient && now.Add(wait).After(a.Deadline)) {
+	if !a.Deadline.After(now) || (!a.WaitClass && now.Add(wait).After(a.Deadline)) {
 		return Answer{ID: a.ID, RetryAfter: max(wait, time.Millisecond)}, nil
 	}
 	l.waiting = append(l.waiting, a)
@@ -181,7 +181,7 @@
 type Load struct {
 	Slots, Busy, Waiting int
 	// SlotWait and PrefillWait are the predicted waits of a new ask of the latency class, SlotQueue and PrefillQueue
-	// those of a patient one, which goes behind it.
+	// those of a wait-class one, which goes behind it.
 	SlotWait, PrefillWait   time.Duration
 	SlotQueue, PrefillQueue time.Duration
 	Down                    bool
@@ -206,10 +206,10 @@
 // rankKey orders waiting asks: workspaces within their share first, then the latency class, then the virtual
 // token counter, the priority and the deadline.
 type rankKey struct {
-	over, patient bool
-	counter       float64
-	priority      int
-	deadline      time.Time
+	over, waitClass bool
+	counter         float64
+	priority        int
+	deadline        time.Time
 }
 
 // counterStep is the difference of virtual counters, in seconds of a workspace's rate, that counts as equal.
@@ -218,7 +218,7 @@
 func (b *Book) rank(now time.Time, l *lane) func(Ask) rankKey {
 	return func(a Ask) rankKey {
 		return rankKey{
-			over: l.shares.Over(now, a.Workspace), patient: a.Patient,
+			over: l.shares.Over(now, a.Workspace), waitClass: a.WaitClass,
 			counter:  float64(int64(l.shares.Counter(a.Workspace) / counterStep)),
 			priority: a.Priority, deadline: a.Deadline,
 		}
@@ -227,7 +227,7 @@
 
 func (k rankKey) compare(o rankKey) int {
 	return cmp.Or(
-		compareBool(k.over, o.over), compareBool(k.patient, o.patient), cmp.Compare(k.counter, o.counter),
+		compareBool(k.over, o.over), compareBool(k.waitClass, o.waitClass), cmp.Compare(k.counter, o.counter),
 		cmp.Compare(o.priority, k.priority), k.deadline.Compare(o.deadline),
 	)
 }
--- a/internal/placement/book_test.go
+++ b/internal/placement/book_test.go
@@ -18,10 +18,10 @@
 	return NewBook(&rules.Server{Name: "d", Role: rules.RoleDecode, Slots: slots}, o, NewShared())
 }
 
-func ask(n int, workspace string, stage Stage, patient bool) Ask {
+func ask(n int, workspace string, stage Stage, waitClass bool) Ask {
 	return Ask{
 		ID: ReservationID{Owner: OwnerID{Host: "h"}, ID: fmt.Sprint(n)}, Workspace: workspace, Weight: 100, Stage: stage,
-		Tokens: 100, Patient: patient, Start: epochStart, Deadline: epochStart.Add(time.Hour), Duration: time.Second,
+		Tokens: 100, WaitClass: waitClass, Start: epochStart, Deadline: epochStart.Add(time.Hour), Duration: time.Second,
 	}
 }
 
@@ -45,7 +45,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"reserve": func(t *rapid.T) {
 				next++
-				a := ask(next, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "workspace"), StageDecode, rapid.Bool().Draw(t, "patient"))
+				a := ask(next, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "workspace"), StageDecode, rapid.Bool().Draw(t, "waitClass"))
 				// Every start is now, so that no slot is granted on a prediction.
 				a.Start, a.Deadline = now, now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "wait"))*time.Millisecond)
 				answer, err := b.Reserve(now, a)
@@ -92,10 +92,10 @@
 		waiting []Ask
 		first   string
 	}{
-		"latency class before patient": {[]Ask{ask(4, "a", StageDecode, true), ask(5, "a", StageDecode, false)}, "5"},
-		"less served workspace":        {[]Ask{ask(4, "heavy", StageDecode, false), ask(5, "a", StageDecode, false)}, "5"},
-		"priority":                     {[]Ask{ask(5, "a", StageDecode, false), important}, "7"},
-		"deadline":                     {[]Ask{ask(5, "a", StageDecode, false), early}, "6"},
+		"latency class before waitClass": {[]Ask{ask(4, "a", StageDecode, true), ask(5, "a", StageDecode, false)}, "5"},
+		"less served workspace":          {[]Ask{ask(4, "heavy", StageDecode, false), ask(5, "a", StageDecode, false)}, "5"},
+		"priority":                       {[]Ask{ask(5, "a", StageDecode, false), important}, "7"},
+		"deadline":                       {[]Ask{ask(5, "a", StageDecode, false), early}, "6"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -39,14 +39,14 @@
 
 // query is what the chooser needs to know of a request.
 type query struct {
-	now      time.Time
-	tokens   int64
-	blocks   []uint64
-	exclude  []string
-	zone     int
-	patient  bool
-	noPre    []*serverView
-	noDecode []*serverView
+	now       time.Time
+	tokens    int64
+	blocks    []uint64
+	exclude   []string
+	zone      int
+	waitClass bool
+	noPre     []*serverView
+	noDecode  []*serverView
 	// fixed is the prefill server that holds the KV cache already.
 	fixed *serverView
 	// keep is the decode server where a slot is reserved already.
@@ -126,14 +126,14 @@
 	}
 	return candidate{
 		server: s, zone: s.zone, cached: cached, ok: true,
-		ready: s.prefillWait(q.now, q.patient) + s.costs.Prefill(uncached(q.tokens, cached)),
+		ready: s.prefillWait(q.now, q.waitClass) + s.costs.Prefill(uncached(q.tokens, cached)),
 	}
 }
 
 func (v *view) bestPrefill(pre []candidate, s *serverView, q *query) {
 	best := &pre[s.zone]
 	// The cache can save at most the whole prompt, so a server that is too far behind needs no look-up.
-	if best.ok && s.prefillWait(q.now, q.patient) >= best.ready {
+	if best.ok && s.prefillWait(q.now, q.waitClass) >= best.ready {
 		return
 	}
 	if c := v.prefillCandidate(s, q); !best.ok || c.ready < best.ready {
@@ -142,7 +142,7 @@
 }
 
 func decodeCandidate(s *serverView, q *query) candidate {
-	wait, load := s.slotWait(q.patient)
+	wait, load := s.slotWait(q.waitClass)
 	return candidate{server: s, zone: s.zone, ready: wait, load: load, ok: true}
 }
 
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -81,7 +81,7 @@
 		From: s.viewer.Self().Proto(), Server: server, ReservationId: a.ID.ID, Workspace: a.Workspace, Weight: a.Weight,
 		Stage: protoStage(a.Stage), Tokens: a.Tokens, StartAfterNanos: int64(max(0, a.Start.Sub(now))),
 		MaxWaitNanos: int64(wait), ExpectedDurationNanos: int64(a.Duration), Priority: int32(a.Priority), //nolint:gosec // Priorities are small.
-		Patient: a.Patient, PrefixBlocks: blocks,
+		WaitClass: a.WaitClass, PrefixBlocks: blocks,
 	})
 	if err != nil {
 		// The answer may be lost after the grant.
--- a/internal/placement/grpc.go
+++ b/internal/placement/grpc.go
@@ -20,7 +20,7 @@
 	r, err := s.reserveHere(ctx, q.GetServer(), Ask{
 		ID:        ReservationID{Owner: ownerOf(host.FromProto(q.GetFrom())), ID: q.GetReservationId()},
 		Workspace: q.GetWorkspace(), Weight: q.GetWeight(), Stage: stageFrom(q.GetStage()), Tokens: q.GetTokens(),
-		Priority: int(q.GetPriority()), Patient: q.GetPatient(), Duration: time.Duration(q.GetExpectedDurationNanos()),
+		Priority: int(q.GetPriority()), WaitClass: q.GetWaitClass(), Duration: time.Duration(q.GetExpectedDurationNanos()),
 		Start: now.Add(time.Duration(q.GetStartAfterNanos())), Deadline: now.Add(time.Duration(q.GetMaxWaitNanos())),
 	}, q.GetPrefixBlocks())
 	if err != nil {
--- a/internal/placement/lane.go
+++ b/internal/placement/lane.go
@@ -26,8 +26,8 @@
 	Stage    Stage
 	Tokens   int64
 	Priority int
-	// Patient asks wait until Deadline for their turn; others are refused when the predicted wait passes it.
-	Patient bool
+	// Wait-class requests wait until Deadline for their turn; others are refused when the predicted wait passes it.
+	WaitClass bool
 	// Start is when the slot is needed, Deadline the latest useful grant.
 	Start, Deadline time.Time
 	// Duration is how long the slot will be held.
@@ -155,7 +155,7 @@
 // queued returns the number and the durations of waiting asks, all of them or those of the latency class.
 func (l *lane) queued(all bool) (n int, work time.Duration) {
 	for _, a := range l.waiting {
-		if all || !a.Patient {
+		if all || !a.WaitClass {
 			n++
 			work += a.Duration
 		}
@@ -166,7 +166,7 @@
 // grantable reports whether the ask can be granted now.
 func (l *lane) grantable(now time.Time, a Ask, over bool) bool {
 	if l.stage == StagePrefill {
-		if a.Patient && l.kept(now) > 0 {
+		if a.WaitClass && l.kept(now) > 0 {
 			return l.backlog(now) <= l.opt.PrefillAhead/8
 		}
 		return l.backlog(now) <= l.opt.PrefillAhead
@@ -175,7 +175,7 @@
 	if over {
 		need += l.opt.FairReserve
 	}
-	if over || a.Patient {
+	if over || a.WaitClass {
 		need += l.kept(now)
 	}
 	start := a.Start
@@ -185,7 +185,7 @@
 	return l.free(now, start) >= need
 }
 
-// kept is the number of slots that are kept back from patient asks: none while only they come.
+// kept is the number of slots that are kept back from wait-class requests: none while only they come.
 func (l *lane) kept(now time.Time) int {
 	if now.Sub(l.lastLatency) >= latencySeen {
 		return 0
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -27,9 +27,9 @@
 	maxRoundShift = 2
 	// retryPause is how long a wait-class request pauses after an attempt that could not wait at a home host.
 	retryPause = 100 * time.Millisecond
-	// patientPrefill is how long a wait-class request with a decode slot waits for a prefill server. The slot is
+	// waitClassPrefill is how long a wait-class request with a decode slot waits for a prefill server. The slot is
 	// idle meanwhile, so it is short.
-	patientPrefill = 300 * time.Millisecond
+	waitClassPrefill = 300 * time.Millisecond
 )
 
 // Place implements Placer. Wait-class requests wait until they are placed or the context ends; its error is then
@@ -44,8 +44,8 @@
 }
 
 func (s *Service) place(ctx context.Context, snap *config.Snapshot, r Request, fixed *rules.Server) (*Placement, error) {
-	patient := r.Class == rules.ClassWait && fixed == nil
-	if patient {
+	waitClass := r.Class == rules.ClassWait && fixed == nil
+	if waitClass {
 		if err := s.enqueue(); err != nil {
 			return nil, s.refused(err)
 		}
@@ -60,7 +60,7 @@
 		if ctx.Err() != nil {
 			return nil, s.refused(fmt.Errorf("place request %s: %w", r.ID, ctx.Err()))
 		}
-		if !patient || !s.configured(snap, r) {
+		if !waitClass || !s.configured(snap, r) {
 			return nil, s.refused(err)
 		}
 		s.metrics.Inc(metricRetries, metrics.L("reason", reasonOf(err)))
@@ -134,7 +134,7 @@
 }
 
 func (s *Service) attempt(ctx context.Context, snap *config.Snapshot, r Request, fixed *rules.Server, round int) (*Placement, error) {
-	a := &attempt{s: s, round: round, snap: snap, r: r, q: query{tokens: r.PromptTokens, blocks: r.PrefixBlocks, exclude: r.Exclude, patient: r.Class == rules.ClassWait && fixed == nil}}
+	a := &attempt{s: s, round: round, snap: snap, r: r, q: query{tokens: r.PromptTokens, blocks: r.PrefixBlocks, exclude: r.Exclude, waitClass: r.Class == rules.ClassWait && fixed == nil}}
 	if r.Class != rules.ClassWait && fixed == nil {
 		a.last = r.Arrived.Add(s.opt.FirstToken)
 	}
@@ -205,17 +205,17 @@
 
 // try asks for the decode slot, then for the prefill. It reports whether another pair may be tried.
 func (a *attempt) try(ctx context.Context, p pair) (*Placement, bool) {
-	s, patient := a.s, a.q.patient
+	s, waitClass := a.s, a.q.waitClass
 	now := a.q.now
 	if a.decode == nil {
 		deadline := now.Add(s.opt.WaitRound << min(a.round, maxRoundShift))
 		if !a.last.IsZero() {
 			deadline = earlier(a.last.Add(-p.transfer-p.step), now.Add(p.decode.ready+askSlack))
-		} else if !patient {
+		} else if !waitClass {
 			deadline = now.Add(s.opt.KVLife / 2)
 		}
 		res, rep := s.reserve(ctx, p.decode.server, Ask{
-			Workspace: a.r.Workspace, Weight: a.r.Weight, Stage: StageDecode, Priority: a.r.Priority, Patient: patient,
+			Workspace: a.r.Workspace, Weight: a.r.Weight, Stage: StageDecode, Priority: a.r.Priority, WaitClass: waitClass,
 			Tokens: a.r.MaxOutputTokens, Start: now.Add(p.prefill.ready), Deadline: deadline,
 			Duration: p.hold,
 		}, nil)
@@ -224,7 +224,7 @@
 			if a.seenBefore(p.decode.server, rep.load.SlotWait > p.decode.ready) {
 				a.q.noDecode = append(a.q.noDecode, p.decode.server)
 			}
-			return nil, !patient || !rep.asked()
+			return nil, !waitClass || !rep.asked()
 		}
 		a.decode, a.q.keep = res, p.decode.server
 		if a.q.fixed == nil && time.Since(now) > staleChoice {
@@ -234,12 +234,12 @@
 	if a.q.fixed != nil {
 		return a.placement(p, nil, 0), false
 	}
-	deadline := time.Now().Add(patientPrefill)
+	deadline := time.Now().Add(waitClassPrefill)
 	if !a.last.IsZero() {
 		deadline = earlier(a.last.Add(-p.transfer-p.step-p.need), time.Now().Add(p.prefill.ready-p.need+askSlack))
 	}
 	res, rep := s.reserve(ctx, p.prefill.server, Ask{
-		Workspace: a.r.Workspace, Weight: a.r.Weight, Stage: StagePrefill, Priority: a.r.Priority, Patient: patient,
+		Workspace: a.r.Workspace, Weight: a.r.Weight, Stage: StagePrefill, Priority: a.r.Priority, WaitClass: waitClass,
 		Tokens: a.r.PromptTokens, Start: now, Deadline: deadline, Duration: p.need,
 	}, a.r.PrefixBlocks)
 	if res == nil {
--- a/internal/placement/poll.go
+++ b/internal/placement/poll.go
@@ -16,9 +16,9 @@
 	downAfter = 2
 	// holdingsEvery is how many load polls pass between two looks at what an engine holds.
 	holdingsEvery = 4
-	// strangerGrace is how long an engine must hold memory for an incarnation that is in no known epoch before it
+	// unknownHolderGrace is how long an engine must hold memory for an incarnation that is in no known epoch before it
 	// is released. A host admits only while it is in the epoch, and epochs spread within seconds.
-	strangerGrace = 30 * time.Second
+	unknownHolderGrace = 30 * time.Second
 )
 
 type pollState struct {
@@ -56,7 +56,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.syncLocked(now, nil)
-	maps.DeleteFunc(s.strangers, func(_ OwnerID, first time.Time) bool { return now.Sub(first) > 2*strangerGrace })
+	maps.DeleteFunc(s.unknownHolders, func(_ OwnerID, first time.Time) bool { return now.Sub(first) > 2*unknownHolderGrace })
 	if n := s.homes.expire(now, s.viewer.Self(), s.gone); n > 0 {
 		s.metrics.Add(metricReleased, int64(n), metrics.L("reason", reasonOwnerGone))
 	}
@@ -176,7 +176,7 @@
 	now := time.Now()
 	s.syncLocked(now, nil)
 	if _, known := s.seen[id]; known {
-		delete(s.strangers, id)
+		delete(s.unknownHolders, id)
 		// Authority implies that this host's epoch is current, so a host that came back is not taken for dead.
 		if s.gone(id) && s.viewer.CanAdmit(now) == nil {
 			return reasonHostExcluded
@@ -186,12 +186,12 @@
 	if s.viewer.CanAdmit(now) != nil {
 		return ""
 	}
-	first, waiting := s.strangers[id]
+	first, waiting := s.unknownHolders[id]
 	if !waiting {
-		s.strangers[id] = now
+		s.unknownHolders[id] = now
 		return ""
 	}
-	if now.Sub(first) < strangerGrace {
+	if now.Sub(first) < unknownHolderGrace {
 		return ""
 	}
 	return reasonUnknownHolder
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -47,10 +47,10 @@
 	homes *homes
 	// held are this host's open reservations by ID.
 	held map[string]*holding
-	// seen holds the incarnations of all epochs known so far, strangers the unknown holders at engines.
-	seen      map[OwnerID]time.Time
-	strangers map[OwnerID]time.Time
-	lastID    uint64
+	// seen holds the incarnations of all epochs known so far, unknownHolders those at engines that are in none.
+	seen           map[OwnerID]time.Time
+	unknownHolders map[OwnerID]time.Time
+	lastID         uint64
 	// waiting counts the wait-class requests in Place.
 	waiting int
 }
@@ -67,7 +67,7 @@
 	o = o.withDefaults()
 	s := &Service{
 		opt: o, viewer: d.Viewer, dialer: d.Dialer, config: d.Config, engines: d.Engines, metrics: d.Metrics, log: d.Log,
-		homes: newHomes(o), held: map[string]*holding{}, seen: map[OwnerID]time.Time{}, strangers: map[OwnerID]time.Time{},
+		homes: newHomes(o), held: map[string]*holding{}, seen: map[OwnerID]time.Time{}, unknownHolders: map[OwnerID]time.Time{},
 	}
 	s.view = newView(&s.opt)
 	return s
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -315,7 +315,7 @@
 		f.setEpoch(2, hostA)
 		time.Sleep(5 * time.Second)
 		g.Expect(left()).To(Equal([]string{"0", "2"}), "the excluded incarnation is released, repeated after failed aborts")
-		time.Sleep(strangerGrace + 5*time.Second)
+		time.Sleep(unknownHolderGrace + 5*time.Second)
 		g.Expect(left()).To(Equal([]string{"0"}), "an incarnation of no known epoch is released after the grace period")
 	})
 }
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -35,9 +35,9 @@
 func (s *serverView) down(now time.Time) bool { return s.load.Down || s.downUntil.After(now) }
 
 // prefillWait predicts the wait for the prefill engine; a backlog shrinks as time passes.
-func (s *serverView) prefillWait(now time.Time, patient bool) time.Duration {
+func (s *serverView) prefillWait(now time.Time, waitClass bool) time.Duration {
 	wait := s.load.PrefillWait + s.ownPrefill
-	if patient {
+	if waitClass {
 		wait = s.load.PrefillQueue + s.ownPrefill
 	}
 	if wait <= 0 {
@@ -47,14 +47,14 @@
 }
 
 // slotWait predicts the wait for a decode slot and the share of slots in use.
-func (s *serverView) slotWait(patient bool) (time.Duration, float64) {
+func (s *serverView) slotWait(waitClass bool) (time.Duration, float64) {
 	slots := s.load.Slots
 	if slots == 0 {
 		slots = max(s.rule.Slots, 1)
 	}
 	busy := s.load.Busy + s.ownBusy
 	wait := s.load.SlotWait
-	if patient {
+	if waitClass {
 		wait = s.load.SlotQueue
 	}
 	if busy < slots && wait == 0 {
--- a/test/bench/fleet.go
+++ b/test/bench/fleet.go
@@ -41,16 +41,16 @@
 const (
 	firstTokenTarget = 310 * time.Millisecond
 	tokenTarget      = 40 * time.Millisecond
-	// patience is when callers of the latency class give up without a first token.
-	patience    = 2 * time.Second
-	warmUp      = 10 * time.Second
-	runLength   = 60 * time.Second
-	faultAt     = 25 * time.Second
-	epochDelay  = 5 * time.Second
-	redirect    = time.Second
-	model       = "keeper-llm"
-	documents   = 30
-	systemBlock = 1
+	// callerTimeout is when callers of the latency class give up without a first token.
+	callerTimeout = 2 * time.Second
+	warmUp        = 10 * time.Second
+	runLength     = 60 * time.Second
+	faultAt       = 25 * time.Second
+	epochDelay    = 5 * time.Second
+	redirect      = time.Second
+	model         = "keeper-llm"
+	documents     = 30
+	systemBlock   = 1
 )
 
 // Fleet describes one of the fleets of the design page.
--- a/test/bench/life.go
+++ b/test/bench/life.go
@@ -111,10 +111,10 @@
 
 type firstKey struct{}
 
-// untilFirst ends the context when no first token came within the caller's patience.
+// untilFirst ends the context when no first token came within the caller's timeout.
 func untilFirst(ctx context.Context, j *Job) (context.Context, func()) {
 	ctx, cancel := context.WithCancel(ctx)
-	timer := time.AfterFunc(patience-time.Since(j.Arrived), cancel)
+	timer := time.AfterFunc(callerTimeout-time.Since(j.Arrived), cancel)
 	stop := func() { timer.Stop(); cancel() }
 	return context.WithValue(ctx, firstKey{}, timer), stop
 }
--- a/test/faults/injections_test.go
+++ b/test/faults/injections_test.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// short is for faults that strike once.
+	// short is for faults that injectFault once.
 	short = 2 * time.Second
 	// outage outlasts the lease (5 s), the fence time (4 s) and the trust period (3 s).
 	outage = 11 * time.Second
@@ -31,7 +31,7 @@
 	options          fleet.Options
 }
 
-// Faults of hosts, of the store, of links and by operators; they strike every kind of work.
+// Faults of hosts, of the store, of links and by operators; they injectFault every kind of work.
 var (
 	noFault     = fault{name: "no fault", inject: func(*trial) {}, lasts: short, survives: true, always: true}
 	hostDies    = fault{name: "serving host dies", inject: func(t *trial) { t.serving.Kill() }, lasts: outage}
@@ -143,7 +143,7 @@
 	}}
 )
 
-// hostFaults strike every kind of work.
+// hostFaults injectFault every kind of work.
 var hostFaults = []fault{
 	noFault, hostDies, hostRestart, homeDies, hostCut, zoneCut, leaseLapse, storeDown, storeSlow, answersLost,
 	drained, watchGap, race,
@@ -173,7 +173,7 @@
 	t.StoreDown(true, t.InZone("a")...)
 }
 
-// both combines two faults that strike at the same moment.
+// both combines two faults that injectFault at the same moment.
 func both(one, other fault) fault {
 	return fault{
 		name: one.name + " and " + other.name, lasts: max(one.lasts, other.lasts), survives: one.survives && other.survives,
@@ -181,7 +181,7 @@
 	}
 }
 
-// twice lets the second fault strike while the first one goes on.
+// twice lets the second fault injectFault while the first one goes on.
 func twice(one, other fault, gap time.Duration) fault {
 	return fault{
 		name: one.name + ", then " + other.name, lasts: max(one.lasts, other.lasts), options: one.options,
--- a/test/faults/pairs_test.go
+++ b/test/faults/pairs_test.go
@@ -9,7 +9,7 @@
 	atHead, atSwapped, atSome                             = changeSteps[1], changeSteps[2], changeSteps[3]
 )
 
-// pairs are faults that strike together, or one during the other. They were chosen where the second fault takes
+// pairs are faults that injectFault together, or one during the other. They were chosen where the second fault takes
 // away what the first one's recovery relies on.
 var pairs = []struct {
 	step  step
--- a/test/faults/steps_test.go
+++ b/test/faults/steps_test.go
@@ -7,7 +7,7 @@
 	"github.com/boragecourse/boragecourse/test/standin/service"
 )
 
-// inStep is how long after the begin of a step of about 100 ms its fault strikes.
+// inStep is how long after the begin of a step of about 100 ms its fault injects.
 const inStep = 50 * time.Millisecond
 
 // step brings the work to a step and injects the fault there.
@@ -16,7 +16,7 @@
 	run  func(*trial, fault)
 }
 
-func (t *trial) strike(f fault) {
+func (t *trial) injectFault(f fault) {
 	f.inject(t)
 	t.pass(f.lasts)
 }
@@ -49,7 +49,7 @@
 		t.pass(300 * time.Millisecond)
 		t.check("step", t.ranOf(t.target.ID).calls == 0 && !t.target.Returned(), "the request does not wait: %v", t.target.Seen().Err)
 		t.mustBeWhole = f.always
-		t.strike(f)
+		t.injectFault(f)
 	}},
 	{"prefill", func(t *trial, f fault) { t.during("prefill", 1, f) }},
 	{"KV transfer", func(t *trial, f fault) { t.during("transfer", 1, f) }},
@@ -58,7 +58,7 @@
 		t.target = t.request()
 		<-t.target.Returns
 		t.check("step", t.target.Seen().Err == nil, "the request failed before the fault: %v", t.target.Seen().Err)
-		t.strike(f)
+		t.injectFault(f)
 	}},
 }
 
@@ -67,7 +67,7 @@
 	t.reach(name, n, t.send(t.request))
 	time.Sleep(inStep)
 	t.mustBeWhole = f.survives
-	t.strike(f)
+	t.injectFault(f)
 }
 
 // bookingSteps are the steps of a booking with an idempotency key. The booking is repeated on another host while
@@ -144,11 +144,11 @@
 		t.serving.Client.SetDelay(2 * inStep)
 		t.reach("head", 1, t.withdraw)
 		time.Sleep(inStep)
-		t.strike(f)
+		t.injectFault(f)
 	}},
 	{"head swapped but not pushed", func(t *trial, f fault) {
 		t.reach("head written", 1, t.withdraw)
-		t.strike(f)
+		t.injectFault(f)
 	}},
 	{"in force on some hosts", func(t *trial, f fault) {
 		// Pushes to zone b and what its hosts read from the store arrive late.
@@ -177,7 +177,7 @@
 			}
 		}
 		t.check("step", reached, "the change was not in force on some hosts only")
-		t.strike(f)
+		t.injectFault(f)
 	}},
 }
 
