--- a/cmd/boragecoursed/main.go
+++ b/cmd/boragecoursed/main.go
@@ -20,27 +20,42 @@
 // more often keeps the memory per stream under its target of 64 KB. GOGC in the environment overrides it.
 const gcPercent = 30
 
+type commands struct {
+	Serve serveCommand `cmd:"" default:"withargs" help:"Serve a deployment that is described by a rules file."`
+	Front frontCommand `cmd:"" help:"Serve on the users' platform; its settings file names the addresses."`
+}
+
+type serveCommand struct {
+	settings.Daemon `embed:""`
+}
+
 func main() {
-	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(gcPercent)
-	}
-	var s settings.Daemon
-	kong.Parse(&s, kong.Name("boragecoursed"),
+	var c commands
+	ctx := kong.Parse(&c, kong.Name("boragecoursed"),
 		kong.Description("Routes requests to backend servers. Every flag can be set in the environment."))
-	if err := run(s); err != nil {
+	if err := ctx.Run(); err != nil {
 		fmt.Fprintf(os.Stderr, "boragecoursed: %v\n", err)
 		os.Exit(1)
 	}
 }
 
-func run(s settings.Daemon) error {
-	// Room for two: the second signal ends a drain.
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	defer signal.Stop(signals)
-	d, err := daemon.New(s, logging.New(os.Stderr, s.LogVerbosity))
+// Run serves until a signal ends it.
+func (c *serveCommand) Run() error {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
+	signals, stop := notify(syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	d, err := daemon.New(c.Daemon, logging.New(os.Stderr, c.LogVerbosity))
 	if err != nil {
 		return err
 	}
 	return d.Run(context.Background(), signals)
 }
+
+// notify returns the signals, with room for two: the second one ends a drain.
+func notify(sigs ...os.Signal) (<-chan os.Signal, func()) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, sigs...)
+	return signals, func() { signal.Stop(signals) }
+}
--- /dev/null
+++ b/internal/dispatch/queue.go
@@ -0,0 +1,87 @@
+// Package dispatch decides which waiting request gets a slot, at which backend server, and which are refused. It does
+// no I/O.
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// RefusedError reports that no slot can be had in time.
+type RefusedError struct {
+	Stats  Stats
+	Waited time.Duration
+	// Ahead is the number of waiting jobs that were preferred.
+	Ahead int
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("no slot in time: %d of %d slots of %d backend servers in use, %d waiting ahead",
+		e.Stats.Used, e.Stats.Slots, e.Stats.Servers, e.Ahead)
+}
+
+type result struct {
+	grant *Grant
+	err   error
+}
+
+type waiter struct {
+	job   Job
+	since time.Time
+	done  chan result
+}
+
+// queue holds waiting jobs by falling value; equal ones in order of arrival.
+type queue struct {
+	waiters []*waiter
+}
+
+func (q *queue) Len() int { return len(q.waiters) }
+
+func (q *queue) add(w *waiter) {
+	i, _ := slices.BinarySearchFunc(q.waiters, w, func(a, b *waiter) int {
+		if a.job.Value >= b.job.Value {
+			return -1
+		}
+		return 1
+	})
+	q.waiters = slices.Insert(q.waiters, i, w)
+}
+
+func (q *queue) remove(w *waiter) bool {
+	i := slices.Index(q.waiters, w)
+	if i < 0 {
+		return false
+	}
+	q.waiters = slices.Delete(q.waiters, i, i+1)
+	return true
+}
+
+// ordered returns a copy, so that the caller may remove entries while it goes through them.
+func (q *queue) ordered() []*waiter { return slices.Clone(q.waiters) }
+
+// rate counts events over a sliding window.
+type rate struct {
+	window time.Duration
+	times  []time.Time
+}
+
+func (r *rate) add(now time.Time) {
+	r.drop(now)
+	r.times = append(r.times, now)
+}
+
+func (r *rate) perSecond(now time.Time) float64 {
+	r.drop(now)
+	return float64(len(r.times)) / r.window.Seconds()
+}
+
+func (r *rate) drop(now time.Time) {
+	i := 0
+	for i < len(r.times) && now.Sub(r.times[i]) > r.window {
+		i++
+	}
+	r.times = slices.Delete(r.times, 0, i)
+}
--- /dev/null
+++ b/internal/front/generation.go
@@ -0,0 +1,257 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/boragecourse/boragecourse/internal/dispatch"
+	"github.com/boragecourse/boragecourse/internal/fleet"
+	"github.com/boragecourse/boragecourse/internal/metrics"
+	"github.com/boragecourse/boragecourse/internal/outlier"
+	"github.com/boragecourse/boragecourse/platform"
+)
+
+const (
+	// prefillEstimate is what the stages before the first event take without a queue; a stream that waits longer than
+	// its objective less this for a slot is late anyway.
+	prefillEstimate = 300 * time.Millisecond
+	// holdTTL is how long a reservation at a decode engine waits for its prefill.
+	holdTTL = 1500 * time.Millisecond
+	// releaseTimeout bounds calls that free memory at engines after the request is over.
+	releaseTimeout = 2 * time.Second
+)
+
+// place is a reserved slot at a decode engine.
+type place struct {
+	grant  *dispatch.Grant
+	server fleet.Server
+	hold   string
+}
+
+// forwardGeneration reserves a slot at a decode engine, has the prompt processed at a prefill engine, and streams
+// the events from the decode engine.
+func (f *Front) forwardGeneration(ctx context.Context, x *exchange) error {
+	s := &stream{front: f, x: x, lastEvent: x.request.LastEventID}
+	avoid := map[string]bool{}
+	runs := 0
+	for {
+		before := s.events
+		key, err := f.runGeneration(ctx, x, s, avoid)
+		if err == nil {
+			return nil
+		}
+		if key == "" || ctx.Err() != nil {
+			return err
+		}
+		var notRun *platform.NotRunError
+		unrun := errors.As(err, &notRun)
+		if !unrun {
+			runs++
+		}
+		if reason := f.repeatRefused(x, unrun, runs); reason != "" {
+			return &RetriesExhaustedError{Reason: reason, Cause: err}
+		}
+		avoid[key] = true
+		f.metrics.Inc("repeats", metrics.L("service", x.group.service), metrics.L("reason", repeatReason(err)))
+		f.log.Info("stream goes on at another backend server", "request", x.request.ID, "from", key, "events", s.events,
+			"sinceLast", s.events-before, "cause", err)
+	}
+}
+
+// runGeneration makes one run, from the reservation to the end of the stream. The key of the decode engine is empty
+// when none was reserved.
+func (f *Front) runGeneration(ctx context.Context, x *exchange, s *stream, avoid map[string]bool) (string, error) {
+	p, err := f.reserve(ctx, x, avoid)
+	if err != nil {
+		return "", err
+	}
+	defer p.grant.Release()
+	result, err := f.prefill(ctx, x, s.lastEvent)
+	if err != nil {
+		f.dropHold(p)
+		return "", err
+	}
+	settle := x.sending()
+	x.trace.server = p.server.ID
+	answer, err := f.backends.Run(ctx, platform.Send{
+		Request: x.request, Server: p.server, TimeLeft: x.deadline.Sub(f.now()), Workspace: x.workspaceName(),
+		LastEventID: s.lastEvent, Hold: p.hold, Result: result,
+	})
+	if err != nil {
+		settle(err)
+		f.noteFailure(ctx, x, p.grant.Key, err)
+		f.dropHold(p)
+		f.dropResult(result)
+		return p.grant.Key, err
+	}
+	if answer.Status != http.StatusOK {
+		return p.grant.Key, f.passFailure(x, s, answer, p.grant.Key)
+	}
+	err = s.relay(ctx, answer)
+	if err != nil {
+		var undelivered *DeliveryError
+		if !errors.As(err, &undelivered) {
+			f.noteFailure(ctx, x, p.grant.Key, err)
+		}
+		return p.grant.Key, err
+	}
+	x.group.observe(p.grant.Key, outlier.Answered)
+	return p.grant.Key, nil
+}
+
+// reserve waits for a slot at a decode engine and has it reserved there.
+func (f *Front) reserve(ctx context.Context, x *exchange, avoid map[string]bool) (*place, error) {
+	job := dispatch.Job{ID: x.request.ID, Value: f.value(x), Latest: f.latestStart(x), Avoid: avoid}
+	for {
+		grant, err := x.group.decode.Acquire(ctx, job)
+		if err != nil {
+			return nil, err
+		}
+		x.trace.waited = f.now().Sub(x.request.Arrived)
+		server, known := x.group.server(grant.Key)
+		if !known {
+			grant.Rejected()
+			continue
+		}
+		hold, err := f.backends.TakeHold(ctx, server, x.request.Tokens.Prompt+x.request.Tokens.MaxOutput, holdTTL)
+		if err == nil {
+			return &place{grant: grant, server: server, hold: hold}, nil
+		}
+		if ctx.Err() != nil {
+			grant.Release()
+			return nil, context.Cause(ctx)
+		}
+		grant.Rejected()
+		f.metrics.Inc("holds_refused", metrics.L("reason", holdReason(err)))
+		f.log.Info("reservation refused", "request", x.request.ID, "server", server.ID, "occupied", grant.Occupied,
+			"slots", grant.Slots, "cause", err)
+		var full *platform.FullError
+		if !errors.As(err, &full) {
+			f.noteFailure(ctx, x, grant.Key, err)
+		}
+	}
+}
+
+func holdReason(err error) string {
+	var full *platform.FullError
+	if errors.As(err, &full) {
+		return "full"
+	}
+	return repeatReason(err)
+}
+
+// latestStart is when a stream must have its slot so that its first event is on time.
+func (f *Front) latestStart(x *exchange) time.Time {
+	if x.started || x.route.LatencyObjective <= 0 {
+		return x.deadline
+	}
+	return x.request.Arrived.Add(max(x.route.LatencyObjective-prefillEstimate, x.route.LatencyObjective/3))
+}
+
+// value is what a caller gains from a stream for each unit of decode time: generations are worth more the larger they
+// are, prompts included, while their time in a slot goes with their output.
+func (f *Front) value(x *exchange) float64 {
+	t := x.request.Tokens
+	if x.started {
+		// A stream that is under way goes before those that have not begun.
+		return maxValue
+	}
+	output := max(t.MaxOutput, 1)
+	if h := x.request.LengthHint; h > 0 && h < output {
+		output = h
+	}
+	size := float64(t.Prompt) + outputWeight*float64(t.MaxOutput)
+	return (fixedWorth*meanSize + (1-fixedWorth)*size) / float64(output+fixedDecode)
+}
+
+const (
+	// fixedWorth is the part of a generation's worth that does not depend on its size, outputWeight what an output
+	// token counts against a prompt token; both are the users' measure of worth.
+	fixedWorth   = 0.3
+	outputWeight = 10
+	// meanSize is the size of a usual generation in the same unit.
+	meanSize = 5700
+	// fixedDecode is the time in a slot before the first token, in output tokens.
+	fixedDecode = 5
+	maxValue    = 1e12
+)
+
+// prefill has the prompt processed and returns where the result lies. The call may be repeated.
+func (f *Front) prefill(ctx context.Context, x *exchange, lastEvent string) (*platform.PrefillResult, error) {
+	avoid := map[string]bool{}
+	for first := true; ; first = false {
+		grant, err := x.group.prefill.Acquire(ctx, dispatch.Job{ID: x.request.ID, Value: f.value(x), Latest: x.deadline, Avoid: avoid})
+		if err != nil {
+			return nil, err
+		}
+		result, err := f.prefillAt(ctx, x, grant, lastEvent)
+		if err == nil {
+			return result, nil
+		}
+		if ctx.Err() != nil {
+			return nil, context.Cause(ctx)
+		}
+		avoid[grant.Key] = true
+		if !x.group.mayRepeat(f.hosts()) {
+			f.metrics.Inc("repeats_refused", metrics.L("service", x.group.service))
+			return nil, &RetriesExhaustedError{Reason: "budget", Cause: err}
+		}
+		f.metrics.Inc("prefill_repeats", metrics.L("service", x.group.service), metrics.L("reason", repeatReason(err)))
+		f.log.Info("prefill goes to another backend server", "request", x.request.ID, "from", grant.Key, "first", first, "cause", err)
+	}
+}
+
+func (f *Front) prefillAt(ctx context.Context, x *exchange, grant *dispatch.Grant, lastEvent string) (*platform.PrefillResult, error) {
+	defer grant.Release()
+	server, known := x.group.server(grant.Key)
+	if !known {
+		return nil, &platform.NotRunError{Cause: &StaleServerError{Key: grant.Key}}
+	}
+	x.trace.prefill = server.ID
+	result, err := f.backends.Prefill(ctx, platform.Send{
+		Request: x.request, Server: server, TimeLeft: x.deadline.Sub(f.now()), Workspace: x.workspaceName(), LastEventID: lastEvent,
+	})
+	if err != nil {
+		f.noteFailure(ctx, x, grant.Key, err)
+		return nil, err
+	}
+	x.group.observe(grant.Key, outlier.Answered)
+	return result, nil
+}
+
+// passFailure passes an engine's failure on, unless the stream has begun.
+func (f *Front) passFailure(x *exchange, s *stream, a *platform.Answer, key string) error {
+	read, err := readAnswer(a)
+	if err != nil {
+		return err
+	}
+	f.noteAnswer(x, key, a.Status)
+	if x.started || x.route.Repeatable() {
+		return &platform.LostError{Cause: &platform.StatusError{Status: a.Status}}
+	}
+	return f.writeAnswer(x, read)
+}
+
+// dropHold frees a reservation that was not used. A decode call that was not run leaves it.
+func (f *Front) dropHold(p *place) {
+	f.release(func(ctx context.Context) error { return f.backends.DropHold(ctx, p.server, p.hold) }, "hold", p.server.ID)
+}
+
+// dropResult frees a prefill result that was not taken.
+func (f *Front) dropResult(r *platform.PrefillResult) {
+	f.release(func(ctx context.Context) error { return f.backends.DropResult(ctx, r) }, "prefill result", r.Server.ID)
+}
+
+// release frees memory at an engine in the background; it lapses by itself if that fails.
+func (f *Front) release(call func(context.Context) error, what, server string) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		if err := call(ctx); err != nil {
+			f.metrics.Inc("releases_failed")
+			f.log.Error(err, "release failed", "what", what, "server", server)
+		}
+	}()
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -7,6 +7,7 @@
 	"io"
 	"sort"
 	"strings"
+	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 )
@@ -59,6 +60,22 @@
 	gometrics.GetOrRegisterGauge(key(name, labels), m.r).Update(v)
 }
 
+// sampleSize is how many of the newest values a histogram keeps.
+const sampleSize = 512
+
+// Observe adds a duration to the histogram with the given name and labels. It is printed in seconds.
+func (m *Registry) Observe(name string, d time.Duration, labels ...Label) {
+	if m == nil {
+		return
+	}
+	series := key(name+"_seconds", labels)
+	h, ok := m.r.Get(series).(gometrics.Histogram)
+	if !ok {
+		h = gometrics.GetOrRegisterHistogram(series, m.r, gometrics.NewExpDecaySample(sampleSize, 0.015))
+	}
+	h.Update(int64(d))
+}
+
 // Count returns the present value of a counter, zero when it was never used.
 func (m *Registry) Count(name string, labels ...Label) int64 {
 	if m == nil {
@@ -80,6 +97,12 @@
 			lines = append(lines, line{series, "counter", fmt.Sprint(v.Count())})
 		case gometrics.Gauge:
 			lines = append(lines, line{series, "gauge", fmt.Sprint(v.Value())})
+		case gometrics.Histogram:
+			for _, q := range []float64{0.5, 0.9, 0.99} {
+				value := time.Duration(v.Percentile(q)).Seconds()
+				lines = append(lines, line{withLabel(series, "quantile", fmt.Sprint(q)), "summary", fmt.Sprint(value)})
+			}
+			lines = append(lines, line{suffixed(series, "_count"), "summary", fmt.Sprint(v.Count())})
 		}
 	})
 	sort.Slice(lines, func(i, j int) bool { return lines[i].series < lines[j].series })
@@ -102,6 +125,23 @@
 	return written, nil
 }
 
+// withLabel adds a label to a series.
+func withLabel(series, name, value string) string {
+	label := fmt.Sprintf("%s=%q", name, value)
+	if base, rest, found := strings.Cut(series, "{"); found {
+		return base + "{" + label + "," + rest
+	}
+	return series + "{" + label + "}"
+}
+
+// suffixed adds a suffix to the name of a series.
+func suffixed(series, suffix string) string {
+	if base, rest, found := strings.Cut(series, "{"); found {
+		return base + suffix + "{" + rest
+	}
+	return series + suffix
+}
+
 // key is the series name in the Prometheus text format, labels in the given order.
 func key(name string, labels []Label) string {
 	if len(labels) == 0 {
--- /dev/null
+++ b/internal/outlier/median.go
@@ -0,0 +1,12 @@
+package outlier
+
+import "slices"
+
+func medianOf(v []float64) float64 {
+	slices.Sort(v)
+	n := len(v)
+	if n%2 == 1 {
+		return v[n/2]
+	}
+	return (v[n/2-1] + v[n/2]) / 2
+}
