--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -187,6 +187,7 @@
 	if s := p.servers[key]; s != nil {
 		s.own = max(s.own-1, 0)
 		s.fullUntil = p.now().Add(fullPause)
+		p.grants.undo()
 	}
 	p.dispatch()
 }
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -73,6 +73,13 @@
 	r.times = append(r.times, now)
 }
 
+// undo takes back the newest event.
+func (r *rate) undo() {
+	if n := len(r.times); n > 0 {
+		r.times = r.times[:n-1]
+	}
+}
+
 func (r *rate) perSecond(now time.Time) float64 {
 	r.drop(now)
 	return float64(len(r.times)) / r.window.Seconds()
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"hash/fnv"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -289,10 +290,22 @@
 	}
 }
 
-// defaultRetryAfter is when a caller may come back after a refusal for lack of a backend server.
-const defaultRetryAfter = 300 * time.Millisecond
+const (
+	// plainRetryAfter is when a caller of a plain service may come back; these requests are short.
+	plainRetryAfter = 100 * time.Millisecond
+	// streamRetryAfter and streamRetrySpread say when refused streams return: after the mean time of a stream in its
+	// slot, spread over as long again, so that they do not return together.
+	streamRetryAfter  = 1500 * time.Millisecond
+	streamRetrySpread = 2500 * time.Millisecond
+)
 
-func (f *Front) retryAfter(x *exchange) time.Duration { return defaultRetryAfter }
+// retryAfter tells a refused caller when to come back.
+func (f *Front) retryAfter(x *exchange) time.Duration {
+	if x.route == nil || x.route.Kind != fleet.Generation {
+		return plainRetryAfter
+	}
+	return streamRetryAfter + time.Duration(rand.Int64N(int64(streamRetrySpread)))
+}
 
 func (f *Front) writeFailure(x *exchange, failure *outcome.Error) {
 	h := x.w.Header()
@@ -325,7 +338,7 @@
 	}
 	if x.route != nil && x.route.Kind == fleet.Generation {
 		kv = append(kv, "prefill", x.trace.prefill, "prompt", x.request.Tokens.Prompt, "output", x.request.Tokens.MaxOutput,
-			"waited", ms(x.trace.waited), "first", ms(x.trace.first), "events", x.trace.events)
+			"hint", x.request.LengthHint, "patience", x.request.Patience, "waited", ms(x.trace.waited), "first", ms(x.trace.first), "events", x.trace.events)
 	}
 	kv = append(kv, "elapsed", ms(elapsed))
 	if err != nil {
--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -17,6 +17,8 @@
 	// prefillEstimate is what the stages before the first event take without a queue; a stream that waits longer than
 	// its objective less this for a slot is late anyway.
 	prefillEstimate = 300 * time.Millisecond
+	// lateWait is how long a stream waits for a slot that is late already.
+	lateWait = 3 * time.Second
 	// holdTTL is how long a reservation at a decode engine waits for its prefill.
 	holdTTL = 1500 * time.Millisecond
 	// releaseTimeout bounds calls that free memory at engines after the request is over.
@@ -147,34 +149,46 @@
 	if x.started || x.route.LatencyObjective <= 0 {
 		return x.deadline
 	}
+	if f.isLate(x) {
+		return x.request.Arrived.Add(lateWait)
+	}
 	return x.request.Arrived.Add(max(x.route.LatencyObjective-prefillEstimate, x.route.LatencyObjective/3))
 }
 
-// value is what a caller gains from a stream for each unit of decode time: generations are worth more the larger they
-// are, prompts included, while their time in a slot goes with their output.
+// value is what a caller gains from a stream for each unit of decode time. The declared sizes hardly differ, so that
+// the worth of a stream depends on whether it is still on time, and its cost on its length.
 func (f *Front) value(x *exchange) float64 {
-	t := x.request.Tokens
 	if x.started {
 		// A stream that is under way goes before those that have not begun.
 		return maxValue
 	}
-	output := max(t.MaxOutput, 1)
-	if h := x.request.LengthHint; h > 0 && h < output {
-		output = h
+	worth := 1.0
+	if f.isLate(x) {
+		worth = lateWorth
+	}
+	return worth / float64(expectedOutput(x)+fixedDecode)
+}
+
+// expectedOutput is the caller's estimate of the output tokens, or the declared limit.
+func expectedOutput(x *exchange) int64 {
+	if h := x.request.LengthHint; h > 0 && h < x.request.Tokens.MaxOutput {
+		return h
 	}
-	size := float64(t.Prompt) + outputWeight*float64(t.MaxOutput)
-	return (fixedWorth*meanSize + (1-fixedWorth)*size) / float64(output+fixedDecode)
+	return x.request.Tokens.MaxOutput
+}
+
+// isLate tells whether a request comes too late for its objective: a caller that returns after a refusal has less time
+// left than the route allows.
+func (f *Front) isLate(x *exchange) bool {
+	spent := x.route.Timeout - x.request.Patience
+	return x.request.Patience > 0 && spent > max(x.route.LatencyObjective-prefillEstimate, 0) && spent < x.route.Timeout
 }
 
 const (
-	// fixedWorth is the part of a generation's worth that does not depend on its size, outputWeight what an output
-	// token counts against a prompt token; both are the users' measure of worth.
-	fixedWorth   = 0.3
-	outputWeight = 10
-	// meanSize is the size of a usual generation in the same unit.
-	meanSize = 5700
+	// lateWorth is what a late answer and the caller's second refusal together weigh against an answer on time.
+	lateWorth = 0.5
 	// fixedDecode is the time in a slot before the first token, in output tokens.
-	fixedDecode = 5
+	fixedDecode = 300
 	maxValue    = 1e12
 )
 
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -35,6 +35,9 @@
 		if err == nil && a.Status < http.StatusInternalServerError {
 			return f.writeAnswer(x, a)
 		}
+		if err == nil && ctx.Err() != nil {
+			return f.writeAnswer(x, a)
+		}
 		if key == "" || ctx.Err() != nil {
 			return err
 		}
