--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 )
@@ -23,6 +25,8 @@
 	Latest time.Time
 	// Avoid holds backend servers that already failed this job.
 	Avoid map[string]bool
+	// Take reserves what the job needs beside a slot, and tells whether there was room. Nil means that it needs nothing.
+	Take func(key string) bool
 }
 
 // Grant is a slot for a job.
@@ -211,10 +215,14 @@
 	p.schedule(now)
 }
 
-// choose returns the least occupied backend server with a free slot, with a preference for the host's own zone.
+// choose returns the least occupied backend server with a free slot and room for the job, with a preference for the
+// host's own zone.
 func (p *Pool) choose(job Job, now time.Time) *server {
-	var best *server
-	bestScore := 0.0
+	type scored struct {
+		server *server
+		score  float64
+	}
+	free := make([]scored, 0, len(p.order))
 	for _, key := range p.order {
 		s := p.servers[key]
 		if s.own+s.others >= s.Slots || now.Before(s.fullUntil) || job.Avoid[key] {
@@ -224,11 +232,15 @@
 		if s.Zone != p.zone {
 			score += crossZonePenalty
 		}
-		if best == nil || score < bestScore {
-			best, bestScore = s, score
+		free = append(free, scored{s, score})
+	}
+	slices.SortStableFunc(free, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
+	for _, c := range free {
+		if job.Take == nil || job.Take(c.server.Key) {
+			return c.server
 		}
 	}
-	return best
+	return nil
 }
 
 // refuseHopeless refuses the jobs that the recent rate of grants will not reach before their time.
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -67,11 +67,16 @@
 
 // Engine describes the model engines of a service.
 type Engine struct {
-	Slots           int
-	KVCapacity      int64
+	Slots int
+	// KVCapacity is the memory of one engine, in tokens.
+	KVCapacity int64
+	// TokensPerEvent is how many output tokens one event of a stream holds.
+	TokensPerEvent int64
+	// ResultTTL is how long an engine keeps a prefill result.
 	ResultTTL       time.Duration
 	StageChangeTime time.Duration
-	MaxHold         time.Duration
+	// MaxHold is the longest reservation.
+	MaxHold time.Duration
 }
 
 // Limits bound what callers may send.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -4,9 +4,12 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,10 +17,13 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/go-logr/logr"
 	"github.com/thejerf/suture/v4"
+	"google.golang.org/grpc"
 
 	"github.com/boragecourse/boragecourse/internal/allotment"
+	"github.com/boragecourse/boragecourse/internal/exchange"
 	"github.com/boragecourse/boragecourse/internal/fleet"
 	"github.com/boragecourse/boragecourse/internal/metrics"
+	"github.com/boragecourse/boragecourse/internal/peer"
 	"github.com/boragecourse/boragecourse/internal/registry"
 	"github.com/boragecourse/boragecourse/platform"
 )
@@ -48,18 +54,33 @@
 	bookMu sync.Mutex
 	book   *allotment.Book
 
+	ledger   *ledger
+	exchange *exchange.Exchange
+	pool     *peer.Pool
+	peers    *grpc.Server
+
+	heardMu sync.Mutex
+	heard   map[uint64]heardReport
+
 	open     atomic.Int64
 	draining atomic.Bool
 
-	callers, readiness, metricsPage net.Listener
+	callers, readiness, metricsPage, peersListener net.Listener
 }
 
 // New opens the listeners and builds the parts. Nothing runs before Run. Errors are *ListenError.
 func New(settings fleet.HostSettings, store Store, log logr.Logger, reg *metrics.Registry) (*Front, error) {
 	f := &Front{
 		settings: settings, log: log, metrics: reg, now: time.Now, backends: platform.NewBackends(),
-		groups: map[string]*group{}, book: allotment.New(settings.Limits.Quota),
+		groups: map[string]*group{}, book: allotment.New(settings.Limits.Quota), heard: map[uint64]heardReport{},
+		pool: peer.NewPool("", nil), peers: peer.NewServer("", nil),
 	}
+	f.ledger = newLedger(f.now)
+	f.exchange = exchange.New(exchange.Options{
+		Name: settings.Name, Address: settings.Peers, Incarnation: rand.Uint64(), Seeds: settings.Seeds, Local: f, Pool: f.pool,
+		Log: log, Metrics: reg, Now: f.now,
+	})
+	f.exchange.Register(f.peers)
 	f.state = newState(store, log, reg, f.now)
 	f.state.onServers = f.setServers
 	f.state.onConfig = f.configure
@@ -70,7 +91,7 @@
 	for _, l := range []struct {
 		into *net.Listener
 		addr string
-	}{{&f.callers, f.settings.Callers}, {&f.readiness, f.settings.Readiness}} {
+	}{{&f.callers, f.settings.Callers}, {&f.readiness, f.settings.Readiness}, {&f.peersListener, f.settings.Peers}} {
 		opened, err := net.Listen("tcp", l.addr)
 		if err != nil {
 			return &ListenError{Addr: l.addr, Cause: err}
@@ -91,8 +112,12 @@
 	defer cancel()
 	tree := suture.New("front", suture.Spec{EventHook: func(e suture.Event) { f.log.Info("supervisor", "event", e.String()) }})
 	tree.Add(f.state)
+	tree.Add(f.exchange)
 	stopped := tree.ServeBackground(ctx)
 	servers := f.serve()
+	go func() { _ = f.peers.Serve(f.peersListener) }()
+	defer f.pool.Close()
+	defer f.peers.Stop()
 	f.log.Info("started", "host", f.settings.Name, "zone", f.settings.Zone, "callers", f.settings.Callers,
 		"peers", f.settings.Peers, "store", f.settings.Store, "memory", f.settings.MemoryBytes)
 	f.drain(ctx, signals, servers)
@@ -140,7 +165,7 @@
 }
 
 // hosts is the largest number of hosts that may be taking requests.
-func (f *Front) hosts() int { return 5 }
+func (f *Front) hosts() int { return f.exchange.Hosts() }
 
 func (f *Front) configure(c *fleet.Configuration) {
 	f.bookMu.Lock()
@@ -148,6 +173,12 @@
 	f.book.Configure(c.Workspaces, f.now())
 }
 
+func (f *Front) allGroups() []*group {
+	f.groupsMu.Lock()
+	defer f.groupsMu.Unlock()
+	return slices.Collect(maps.Values(f.groups))
+}
+
 // group returns the backend servers of a service.
 func (f *Front) group(service string) *group {
 	f.groupsMu.Lock()
--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -8,6 +8,7 @@
 
 	"github.com/boragecourse/boragecourse/internal/dispatch"
 	"github.com/boragecourse/boragecourse/internal/fleet"
+	"github.com/boragecourse/boragecourse/internal/kvmemory"
 	"github.com/boragecourse/boragecourse/internal/metrics"
 	"github.com/boragecourse/boragecourse/internal/outlier"
 	"github.com/boragecourse/boragecourse/platform"
@@ -19,6 +20,9 @@
 	prefillEstimate = 300 * time.Millisecond
 	// lateWait is how long a stream waits for a slot that is late already.
 	lateWait = 3 * time.Second
+	// holdOutput is the output that a reservation covers beside the prompt, in tokens. The engine's own count is a guard
+	// against hosts that have not heard of each other; how far an engine is filled is decided by the forecast.
+	holdOutput = 1000
 	// holdTTL is how long a reservation at a decode engine waits for its prefill.
 	holdTTL = 1500 * time.Millisecond
 	// releaseTimeout bounds calls that free memory at engines after the request is over.
@@ -30,11 +34,19 @@
 	grant  *dispatch.Grant
 	server fleet.Server
 	hold   string
+	run    *run
+}
+
+// free gives the slot and the memory back on this host.
+func (p *place) free(f *Front) {
+	f.ledger.end(p.run)
+	p.grant.Release()
+	f.exchange.Notify()
 }
 
 // forwardGeneration reserves a slot at a decode engine, has the prompt processed at a prefill engine, and streams
 // the events from the decode engine.
-func (f *Front) forwardGeneration(ctx context.Context, x *exchange) error {
+func (f *Front) forwardGeneration(ctx context.Context, x *call) error {
 	s := &stream{front: f, x: x, lastEvent: x.request.LastEventID}
 	avoid := map[string]bool{}
 	runs := 0
@@ -64,12 +76,12 @@
 
 // runGeneration makes one run, from the reservation to the end of the stream. The key of the decode engine is empty
 // when none was reserved.
-func (f *Front) runGeneration(ctx context.Context, x *exchange, s *stream, avoid map[string]bool) (string, error) {
+func (f *Front) runGeneration(ctx context.Context, x *call, s *stream, avoid map[string]bool) (string, error) {
 	p, err := f.reserve(ctx, x, avoid)
 	if err != nil {
 		return "", err
 	}
-	defer p.grant.Release()
+	defer p.free(f)
 	result, err := f.prefill(ctx, x, s.lastEvent)
 	if err != nil {
 		f.dropHold(p)
@@ -91,6 +103,7 @@
 	if answer.Status != http.StatusOK {
 		return p.grant.Key, f.passFailure(x, s, answer, p.grant.Key)
 	}
+	s.run, s.firstOfRun = p.run, f.now()
 	err = s.relay(ctx, answer)
 	if err != nil {
 		var undelivered *DeliveryError
@@ -100,27 +113,55 @@
 		return p.grant.Key, err
 	}
 	x.group.observe(p.grant.Key, outlier.Answered)
+	f.ledger.finished(int64(s.events)*f.tokensPerEvent(x), f.now().Sub(s.firstOfRun))
 	return p.grant.Key, nil
 }
 
+// tokensPerEvent is how many output tokens one event of the stream holds.
+func (f *Front) tokensPerEvent(x *call) int64 {
+	if e := f.engineOf(x); e != nil {
+		return e.TokensPerEvent
+	}
+	return 1
+}
+
+// engineOf describes the engines that serve the request, nil when the configuration does not.
+func (f *Front) engineOf(x *call) *fleet.Engine {
+	if s := x.config.Services[x.group.service]; s != nil {
+		return s.Engine
+	}
+	return nil
+}
+
 // reserve waits for a slot at a decode engine and has it reserved there.
-func (f *Front) reserve(ctx context.Context, x *exchange, avoid map[string]bool) (*place, error) {
-	job := dispatch.Job{ID: x.request.ID, Value: f.value(x), Latest: f.latestStart(x), Avoid: avoid}
+func (f *Front) reserve(ctx context.Context, x *call, avoid map[string]bool) (*place, error) {
+	r := &run{Run: kvmemory.Run{Prompt: x.request.Tokens.Prompt, Output: f.ledger.forecast(x.request.LengthHint, x.request.Tokens.MaxOutput)}}
+	capacity := int64(0)
+	if e := f.engineOf(x); e != nil {
+		capacity = e.KVCapacity
+	}
+	job := dispatch.Job{
+		ID: x.request.ID, Value: f.value(x, r.Output), Latest: f.latestStart(x), Avoid: avoid,
+		Take: func(key string) bool { return f.ledger.take(r, key, capacity) },
+	}
 	for {
 		grant, err := x.group.decode.Acquire(ctx, job)
 		if err != nil {
 			return nil, err
 		}
+		f.exchange.Notify()
 		x.trace.waited = f.now().Sub(x.request.Arrived)
 		server, known := x.group.server(grant.Key)
 		if !known {
+			f.ledger.end(r)
 			grant.Rejected()
 			continue
 		}
-		hold, err := f.backends.TakeHold(ctx, server, x.request.Tokens.Prompt+x.request.Tokens.MaxOutput, holdTTL)
+		hold, err := f.backends.TakeHold(ctx, server, x.request.Tokens.Prompt+holdOutput, holdTTL)
 		if err == nil {
-			return &place{grant: grant, server: server, hold: hold}, nil
+			return &place{grant: grant, server: server, hold: hold, run: r}, nil
 		}
+		f.ledger.end(r)
 		if ctx.Err() != nil {
 			grant.Release()
 			return nil, context.Cause(ctx)
@@ -145,7 +186,7 @@
 }
 
 // latestStart is when a stream must have its slot so that its first event is on time.
-func (f *Front) latestStart(x *exchange) time.Time {
+func (f *Front) latestStart(x *call) time.Time {
 	if x.started || x.route.LatencyObjective <= 0 {
 		return x.deadline
 	}
@@ -157,7 +198,7 @@
 
 // value is what a caller gains from a stream for each unit of decode time. The declared sizes hardly differ, so that
 // the worth of a stream depends on whether it is still on time, and its cost on its length.
-func (f *Front) value(x *exchange) float64 {
+func (f *Front) value(x *call, output kvmemory.Output) float64 {
 	if x.started {
 		// A stream that is under way goes before those that have not begun.
 		return maxValue
@@ -166,22 +207,13 @@
 	if f.isLate(x) {
 		worth = lateWorth
 	}
-	return worth / float64(expectedOutput(x)+fixedDecode)
-}
-
-// expectedOutput is the caller's estimate of the output tokens, or the declared limit.
-func expectedOutput(x *exchange) int64 {
-	if h := x.request.LengthHint; h > 0 && h < x.request.Tokens.MaxOutput {
-		return h
-	}
-	return x.request.Tokens.MaxOutput
+	return worth / (output.Median() + fixedDecode)
 }
 
 // isLate tells whether a request comes too late for its objective: a caller that returns after a refusal has less time
 // left than the route allows.
-func (f *Front) isLate(x *exchange) bool {
-	spent := x.route.Timeout - x.request.Patience
-	return x.request.Patience > 0 && spent > max(x.route.LatencyObjective-prefillEstimate, 0) && spent < x.route.Timeout
+func (f *Front) isLate(x *call) bool {
+	return x.request.Patience > 0 && float64(x.request.Patience) < firstPatience*float64(x.route.Timeout)
 }
 
 const (
@@ -190,13 +222,15 @@
 	// fixedDecode is the time in a slot before the first token, in output tokens.
 	fixedDecode = 300
 	maxValue    = 1e12
+	// firstPatience is the least part of the route's time that callers wait at their first attempt.
+	firstPatience = 0.85
 )
 
 // prefill has the prompt processed and returns where the result lies. The call may be repeated.
-func (f *Front) prefill(ctx context.Context, x *exchange, lastEvent string) (*platform.PrefillResult, error) {
+func (f *Front) prefill(ctx context.Context, x *call, lastEvent string) (*platform.PrefillResult, error) {
 	avoid := map[string]bool{}
 	for first := true; ; first = false {
-		grant, err := x.group.prefill.Acquire(ctx, dispatch.Job{ID: x.request.ID, Value: f.value(x), Latest: x.deadline, Avoid: avoid})
+		grant, err := x.group.prefill.Acquire(ctx, dispatch.Job{ID: x.request.ID, Latest: x.deadline, Avoid: avoid})
 		if err != nil {
 			return nil, err
 		}
@@ -217,7 +251,7 @@
 	}
 }
 
-func (f *Front) prefillAt(ctx context.Context, x *exchange, grant *dispatch.Grant, lastEvent string) (*platform.PrefillResult, error) {
+func (f *Front) prefillAt(ctx context.Context, x *call, grant *dispatch.Grant, lastEvent string) (*platform.PrefillResult, error) {
 	defer grant.Release()
 	server, known := x.group.server(grant.Key)
 	if !known {
@@ -236,7 +270,7 @@
 }
 
 // passFailure passes an engine's failure on, unless the stream has begun.
-func (f *Front) passFailure(x *exchange, s *stream, a *platform.Answer, key string) error {
+func (f *Front) passFailure(x *call, s *stream, a *platform.Answer, key string) error {
 	read, err := readAnswer(a)
 	if err != nil {
 		return err
--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -73,7 +73,7 @@
 		}
 	}
 	g.mu.Unlock()
-	for stage, pool := range []*dispatch.Pool{g.plain, g.prefill, g.decode} {
+	for stage, pool := range g.pools() {
 		if len(active[stage]) == 0 {
 			active[stage] = all[stage]
 		}
@@ -101,6 +101,27 @@
 	}
 }
 
+// pools returns the pools of all stages.
+func (g *group) pools() []*dispatch.Pool { return []*dispatch.Pool{g.plain, g.prefill, g.decode} }
+
+// own returns the slots that this host uses, by backend server.
+func (g *group) own() map[string]int {
+	used := map[string]int{}
+	for _, p := range g.pools() {
+		for key, n := range p.Own() {
+			used[key] += n
+		}
+	}
+	return used
+}
+
+// setOthers takes over the slots that other hosts use.
+func (g *group) setOthers(used map[string]int) {
+	for _, p := range g.pools() {
+		p.SetOthers(used)
+	}
+}
+
 // server returns the backend server of a candidate.
 func (g *group) server(key string) (fleet.Server, bool) {
 	g.mu.Lock()
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -27,7 +27,7 @@
 
 // forwardPlain sends a request to a backend server of a plain service, and again where its kind, the route's attempts
 // and the budget allow.
-func (f *Front) forwardPlain(ctx context.Context, x *exchange) error {
+func (f *Front) forwardPlain(ctx context.Context, x *call) error {
 	avoid := map[string]bool{}
 	runs := 0
 	for {
@@ -61,7 +61,7 @@
 }
 
 // repeatRefused returns why a request may not be sent again, or "".
-func (f *Front) repeatRefused(x *exchange, unrun bool, runs int) string {
+func (f *Front) repeatRefused(x *call, unrun bool, runs int) string {
 	switch {
 	case !unrun && !x.route.Repeatable():
 		return "not idempotent"
@@ -93,7 +93,7 @@
 }
 
 // sendPlain makes one send. The key of the backend server is empty when none was found.
-func (f *Front) sendPlain(ctx context.Context, x *exchange, avoid map[string]bool) (*answer, string, error) {
+func (f *Front) sendPlain(ctx context.Context, x *call, avoid map[string]bool) (*answer, string, error) {
 	latest := x.deadline
 	if o := x.route.LatencyObjective; o > 0 {
 		latest = x.request.Arrived.Add(max(o, (x.deadline.Sub(x.request.Arrived))/2))
@@ -126,7 +126,7 @@
 	return read, grant.Key, nil
 }
 
-func (f *Front) noteAnswer(x *exchange, key string, status int) {
+func (f *Front) noteAnswer(x *call, key string, status int) {
 	result := outlier.Answered
 	if status >= http.StatusInternalServerError {
 		result = outlier.Failed
@@ -138,7 +138,7 @@
 
 // noteFailure tells the detector of a failed send. A caller that left or a time that is over says nothing about the
 // backend server, unless it stayed silent for long.
-func (f *Front) noteFailure(ctx context.Context, x *exchange, key string, err error) {
+func (f *Front) noteFailure(ctx context.Context, x *call, key string, err error) {
 	var notRun *platform.NotRunError
 	result := outlier.Failed
 	switch {
@@ -182,7 +182,7 @@
 }
 
 // writeAnswer passes a backend server's answer on. Errors are *DeliveryError and *BrokenStreamError.
-func (f *Front) writeAnswer(x *exchange, a *answer) error {
+func (f *Front) writeAnswer(x *call, a *answer) error {
 	h := x.w.Header()
 	platform.CopyAnswerHeader(h, a.Header)
 	switch {
@@ -208,6 +208,6 @@
 }
 
 // observeLatency counts a request's time to its first byte.
-func (f *Front) observeLatency(x *exchange, d time.Duration) {
+func (f *Front) observeLatency(x *call, d time.Duration) {
 	f.metrics.Observe("first_byte", d, metrics.L("service", x.group.service))
 }
--- a/internal/front/exchange.go
+++ b/internal/front/request.go
@@ -23,8 +23,8 @@
 	unreadyRetry = 500 * time.Millisecond
 )
 
-// exchange is one request of a caller on its way to an answer.
-type exchange struct {
+// call is one request of a caller on its way to an answer.
+type call struct {
 	w         http.ResponseWriter
 	request   *fleet.Request
 	config    *fleet.Configuration
@@ -53,7 +53,7 @@
 	events  int
 }
 
-func (x *exchange) workspaceName() string {
+func (x *call) workspaceName() string {
 	if x.workspace == nil {
 		return ""
 	}
@@ -62,7 +62,7 @@
 
 // sending counts a send that may run the request. The returned function takes back that it may have run when the
 // backend server did not run it.
-func (x *exchange) sending() (settle func(error)) {
+func (x *call) sending() (settle func(error)) {
 	before := x.ran
 	x.sends++
 	x.ran = true
@@ -78,7 +78,7 @@
 func (f *Front) handle(w http.ResponseWriter, r *http.Request) {
 	f.open.Add(1)
 	defer f.open.Add(-1)
-	x := &exchange{w: w}
+	x := &call{w: w}
 	ctx, cancel, err := f.admit(r, x)
 	if err == nil {
 		err = f.forward(ctx, x)
@@ -88,7 +88,7 @@
 }
 
 // admit reads a request and decides whether it may run.
-func (f *Front) admit(r *http.Request, x *exchange) (context.Context, context.CancelFunc, error) {
+func (f *Front) admit(r *http.Request, x *call) (context.Context, context.CancelFunc, error) {
 	arrived := f.now()
 	request, err := platform.ReadHead(r, arrived)
 	if err != nil {
@@ -120,7 +120,7 @@
 }
 
 // authorize finds the route and the workspace.
-func (f *Front) authorize(x *exchange) error {
+func (f *Front) authorize(x *call) error {
 	x.route = x.config.Route(x.request.Host, pathOf(x.request.Target))
 	if x.route == nil {
 		return outcome.Refuse(http.StatusNotFound, outcome.CodeUnknownRoute, "no route")
@@ -141,7 +141,7 @@
 	return target
 }
 
-func readBody(r *http.Request, x *exchange) error {
+func readBody(r *http.Request, x *call) error {
 	limit := x.config.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBodyLimit
@@ -166,7 +166,7 @@
 const defaultBodyLimit = 4 << 20
 
 // setDeadline is the end of the caller's patience or of the route's time, whichever comes first.
-func (f *Front) setDeadline(x *exchange, arrived time.Time) {
+func (f *Front) setDeadline(x *call, arrived time.Time) {
 	patience := x.request.Patience
 	if patience <= 0 {
 		patience = defaultPatience
@@ -179,7 +179,7 @@
 }
 
 // charge takes the request's cost from the workspace's account.
-func (f *Front) charge(x *exchange) error {
+func (f *Front) charge(x *call) error {
 	if x.workspace == nil || x.workspace.Rate <= 0 {
 		return nil
 	}
@@ -197,7 +197,7 @@
 }
 
 // refund gives back what was charged for a request that did not run.
-func (f *Front) refund(x *exchange) {
+func (f *Front) refund(x *call) {
 	if x.charged == 0 || x.ran {
 		return
 	}
@@ -208,7 +208,7 @@
 }
 
 // destination chooses the service of a split route by a hash of the request, so that the shares hold on every host.
-func (f *Front) destination(x *exchange) string {
+func (f *Front) destination(x *call) string {
 	d := x.route.Destinations
 	if len(d) == 1 {
 		return d[0].Service
@@ -231,7 +231,7 @@
 	return d[0].Service
 }
 
-func (f *Front) forward(ctx context.Context, x *exchange) error {
+func (f *Front) forward(ctx context.Context, x *call) error {
 	if x.route.Kind == fleet.Generation {
 		return f.forwardGeneration(ctx, x)
 	}
@@ -239,7 +239,7 @@
 }
 
 // finish answers a request that failed, and logs and counts every request.
-func (f *Front) finish(r *http.Request, x *exchange, err error) {
+func (f *Front) finish(r *http.Request, x *call, err error) {
 	f.refund(x)
 	elapsed := time.Duration(0)
 	if x.request != nil {
@@ -266,7 +266,7 @@
 }
 
 // failureOf turns any error into what the caller is told. "Not run" is said only when no send can have run.
-func (f *Front) failureOf(x *exchange, err error) *outcome.Error {
+func (f *Front) failureOf(x *call, err error) *outcome.Error {
 	var failure *outcome.Error
 	if errors.As(err, &failure) {
 		return failure
@@ -295,19 +295,19 @@
 	plainRetryAfter = 100 * time.Millisecond
 	// streamRetryAfter and streamRetrySpread say when refused streams return: after the mean time of a stream in its
 	// slot, spread over as long again, so that they do not return together.
-	streamRetryAfter  = 1500 * time.Millisecond
-	streamRetrySpread = 2500 * time.Millisecond
+	streamRetryAfter  = 2300 * time.Millisecond
+	streamRetrySpread = 2000 * time.Millisecond
 )
 
 // retryAfter tells a refused caller when to come back.
-func (f *Front) retryAfter(x *exchange) time.Duration {
+func (f *Front) retryAfter(x *call) time.Duration {
 	if x.route == nil || x.route.Kind != fleet.Generation {
 		return plainRetryAfter
 	}
 	return streamRetryAfter + time.Duration(rand.Int64N(int64(streamRetrySpread)))
 }
 
-func (f *Front) writeFailure(x *exchange, failure *outcome.Error) {
+func (f *Front) writeFailure(x *call, failure *outcome.Error) {
 	h := x.w.Header()
 	id := ""
 	if x.request != nil {
@@ -322,7 +322,7 @@
 	}
 }
 
-func (f *Front) logRequest(x *exchange, event string, err error, elapsed time.Duration) {
+func (f *Front) logRequest(x *call, event string, err error, elapsed time.Duration) {
 	kv := make([]any, 0, 32)
 	if x.request != nil {
 		kv = append(kv, "request", x.request.ID)
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -241,3 +241,42 @@
 	s.take()
 	s.log.Info("another backend server or stage answers at the address", "server", server.ID, "address", server.Address)
 }
+
+// staleAfter is the age of the copy above which another host's newer copy is asked for; a watch that answers keeps the
+// copy younger.
+const staleAfter = watchWait + watchPause + 250*time.Millisecond
+
+// Version returns the revision of the copy and when it was last known to be current.
+func (s *State) Version() (int64, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.copy.Revision(), s.copy.Confirmed()
+}
+
+// Copy returns the copy of the store.
+func (s *State) Copy() ([]kv.KeyValue, int64, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.copy.Items(), s.copy.Revision(), s.copy.Confirmed()
+}
+
+// Behind tells whether a copy with the given revision and age is to be asked for: it is newer, and the store has not
+// confirmed this one for a while.
+func (s *State) Behind(revision int64, age time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	return revision > s.copy.Revision() && now.Sub(s.copy.Confirmed()) > staleAfter && now.Add(-age).After(s.copy.Confirmed())
+}
+
+// TakeCopy takes over another host's copy if it is newer.
+func (s *State) TakeCopy(from string, items []kv.KeyValue, revision int64, confirmed time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if revision <= s.copy.Revision() || !s.copy.Replace(items, revision, confirmed) {
+		return
+	}
+	s.log.Info("copy of the store taken from another host", "from", from, "revision", revision, "age", s.now().Sub(confirmed))
+	s.metrics.Inc("state_transfers")
+	s.take()
+}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/boragecourse/boragecourse/platform"
 )
@@ -19,10 +20,13 @@
 // whole events are passed on, so that another run can go on after the last one.
 type stream struct {
 	front *Front
-	x     *exchange
+	x     *call
 	// lastEvent is the id of the last event that was passed on.
 	lastEvent string
 	events    int
+	// run is the present run in the ledger; firstOfRun is when it began.
+	run        *run
+	firstOfRun time.Time
 }
 
 // EventTooLargeError reports an event above the limit.
@@ -86,6 +90,7 @@
 	}
 	s.events++
 	s.x.trace.events = s.events
+	s.front.ledger.progress(s.run, int64(s.events)*s.front.tokensPerEvent(s.x))
 	if _, err := s.x.w.Write(event); err != nil {
 		return &DeliveryError{Cause: err}
 	}
