--- a/internal/exchange/directory.go
+++ b/internal/exchange/directory.go
@@ -1,16 +1,23 @@
-// Package exchange lets the entry hosts tell each other what they use and what they know of the store. Every host
-// reports to every other one: soon after a change, and at least once in a while. Nothing is agreed; a host acts on the
-// newest reports that it has.
+// Package exchange lets the entry hosts tell each other what they use and what they know of the store: soon after a
+// change, and at least once in a while. In a small fleet every host reports to every other one. In a larger one a host
+// reports to those of its zone, and one host of each zone, the relay, passes the zone's reports on to the relays of the
+// other zones and theirs to its zone. Messages then grow with the hosts of a zone and with the zones, not with the
+// square of the hosts. Nothing is agreed; a host acts on the newest reports that it has.
 package exchange
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
 const (
+	// meshLimit is the number of hosts up to which every host reports to every other one.
+	meshLimit = 8
 	// silentAfter is how long a host may say nothing before it counts as out of contact: a few reports.
 	silentAfter = time.Second
+	// silentAfterRelayed allows for a relay that fails and is replaced.
+	silentAfterRelayed = 2500 * time.Millisecond
 	// forgetAfter is how long a silent host may still take requests in the view of the others. A host that is cut off
 	// from all others takes requests for as long as callers reach it; this bounds what is set aside for it.
 	forgetAfter = 15 * time.Second
@@ -40,6 +47,7 @@
 }
 
 type host struct {
+	zone                  string
 	incarnation, sequence uint64
 	heardAt               time.Time
 	silent                bool
@@ -48,6 +56,7 @@
 // Directory is the set of other hosts that are known. It is not safe for concurrent use.
 type Directory struct {
 	self  string
+	zone  string
 	peers map[string]*host
 	// left holds incarnations that said they leave, so that a late report does not bring them back.
 	left map[uint64]bool
@@ -56,8 +65,8 @@
 }
 
 // NewDirectory returns a directory that knows only addresses to try.
-func NewDirectory(self string, seeds []string) *Directory {
-	d := &Directory{self: self, peers: map[string]*host{}, left: map[uint64]bool{}, tried: map[string]time.Time{}}
+func NewDirectory(self, zone string, seeds []string) *Directory {
+	d := &Directory{self: self, zone: zone, peers: map[string]*host{}, left: map[uint64]bool{}, tried: map[string]time.Time{}}
 	for _, s := range seeds {
 		d.Learn(s)
 	}
@@ -75,7 +84,7 @@
 }
 
 // Hear takes note of a report. It returns whether the report is newer than the last one of its host, and what changed.
-func (d *Directory) Hear(address string, incarnation, sequence uint64, leaving bool, now time.Time) (bool, []Transition) {
+func (d *Directory) Hear(address, zone string, incarnation, sequence uint64, leaving bool, now time.Time) (bool, []Transition) {
 	if address == d.self || address == "" || d.left[incarnation] {
 		return false, nil
 	}
@@ -101,13 +110,17 @@
 	case sequence <= p.sequence:
 		return false, nil
 	}
-	p.sequence, p.heardAt, p.silent = max(sequence, p.sequence), now, false
+	p.zone, p.sequence, p.heardAt, p.silent = zone, max(sequence, p.sequence), now, false
 	return true, changes
 }
 
 // Check returns the hosts that fell silent and those that are given up.
 func (d *Directory) Check(now time.Time) []Transition {
 	var changes []Transition
+	limit := silentAfter
+	if d.relayed() {
+		limit = silentAfterRelayed
+	}
 	for address, p := range d.peers {
 		quiet := now.Sub(p.heardAt)
 		switch {
@@ -115,7 +128,7 @@
 			delete(d.peers, address)
 			d.Learn(address)
 			changes = append(changes, Transition{Address: address, Incarnation: p.incarnation, State: Forgotten, Quiet: quiet})
-		case quiet > silentAfter && !p.silent:
+		case quiet > limit && !p.silent:
 			p.silent = true
 			changes = append(changes, Transition{Address: address, Incarnation: p.incarnation, State: Silent, Quiet: quiet})
 		}
@@ -123,20 +136,62 @@
 	return changes
 }
 
-// Targets returns the addresses to report to now.
-func (d *Directory) Targets(now time.Time) []string {
-	var targets []string
-	for address := range d.peers {
-		targets = append(targets, address)
+// relayed tells whether the fleet is too large for every host to report to every other one.
+func (d *Directory) relayed() bool { return len(d.peers)+1 > meshLimit }
+
+// Route is whom to report to, and whose reports.
+type Route struct {
+	Address string
+	// Relay names the zones whose hosts' reports are passed on beside the own report; nil passes on none.
+	Relay func(zone string) bool
+}
+
+// Routes returns whom to report to now.
+func (d *Directory) Routes(now time.Time) []Route {
+	var routes []Route
+	relay := d.relayOf(d.zone)
+	for address, p := range d.peers {
+		switch {
+		case !d.relayed() || p.silent:
+			routes = append(routes, Route{Address: address})
+		case p.zone == d.zone && relay == d.self:
+			routes = append(routes, Route{Address: address, Relay: func(zone string) bool { return zone != d.zone }})
+		case p.zone == d.zone:
+			routes = append(routes, Route{Address: address})
+		case relay == d.self && d.relayOf(p.zone) == address:
+			routes = append(routes, Route{Address: address, Relay: func(zone string) bool { return zone == d.zone }})
+		}
 	}
 	for address, last := range d.tried {
 		if now.Sub(last) >= seedPause || last.IsZero() {
 			d.tried[address] = now
-			targets = append(targets, address)
+			routes = append(routes, Route{Address: address})
+		}
+	}
+	slices.SortFunc(routes, func(a, b Route) int { return strings.Compare(a.Address, b.Address) })
+	return routes
+}
+
+// relayOf is the host of a zone that passes reports on: the first by address that is heard.
+func (d *Directory) relayOf(zone string) string {
+	relay := ""
+	if zone == d.zone {
+		relay = d.self
+	}
+	for address, p := range d.peers {
+		if p.zone == zone && !p.silent && (relay == "" || address < relay) {
+			relay = address
 		}
 	}
-	slices.Sort(targets)
-	return targets
+	return relay
+}
+
+// ZoneOf returns the zone of a known host.
+func (d *Directory) ZoneOf(address string) string {
+	if p := d.peers[address]; p != nil {
+		return p.zone
+	}
+	return ""
 }
 
 // Contacts returns the addresses of the hosts that are in contact.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/boragecourse/boragecourse/internal/metrics"
 	"github.com/boragecourse/boragecourse/internal/peer"
+	"github.com/boragecourse/boragecourse/internal/wait"
 	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
 )
 
@@ -20,6 +21,9 @@
 	interval = 250 * time.Millisecond
 	// spacing is the shortest time between two reports, so that changes that come together are told together.
 	spacing = 20 * time.Millisecond
+	// relayedInterval and relayedSpacing hold in fleets with relays; each host has fewer streams there.
+	relayedInterval = 500 * time.Millisecond
+	relayedSpacing  = 80 * time.Millisecond
 	// reportTimeout bounds one report. It is below silentAfter, so that a lost connection is noticed in time.
 	reportTimeout = 700 * time.Millisecond
 	// maxTimeouts is how many reports in a row may time out before the connection is given up: it may be silent
@@ -56,6 +60,7 @@
 	peerv1.UnimplementedFrontsServer
 
 	name, self  string
+	zone        string
 	incarnation uint64
 	local       Local
 	pool        Pool
@@ -72,11 +77,15 @@
 	busy      map[string]bool
 	timeouts  map[string]int
 	fetching  bool
+	// newest holds the newest report of each known host; sent is what each address was last told of them.
+	newest map[string]*peerv1.FrontReport
+	sent   map[string]map[string]uint64
 }
 
 // Options are the parts of an exchange.
 type Options struct {
 	Name, Address string
+	Zone          string
 	Incarnation   uint64
 	Seeds         []string
 	Local         Local
@@ -89,9 +98,9 @@
 // New returns an exchange that does nothing until Serve.
 func New(o Options) *Exchange {
 	return &Exchange{
-		name: o.Name, self: o.Address, incarnation: o.Incarnation, local: o.Local, pool: o.Pool, log: o.Log, metrics: o.Metrics,
-		now: o.Now, wake: make(chan struct{}, 1), directory: NewDirectory(o.Address, o.Seeds),
-		busy: map[string]bool{}, timeouts: map[string]int{},
+		name: o.Name, self: o.Address, zone: o.Zone, incarnation: o.Incarnation, local: o.Local, pool: o.Pool, log: o.Log, metrics: o.Metrics,
+		now: o.Now, wake: make(chan struct{}, 1), directory: NewDirectory(o.Address, o.Zone, o.Seeds),
+		busy: map[string]bool{}, timeouts: map[string]int{}, newest: map[string]*peerv1.FrontReport{}, sent: map[string]map[string]uint64{},
 	}
 }
 
@@ -122,26 +131,35 @@
 
 // Serve reports until ctx ends. It implements suture.Service.
 func (e *Exchange) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
 	for {
 		e.round(ctx)
-		pause := time.NewTimer(spacing)
-		select {
-		case <-pause.C:
-		case <-ctx.Done():
-			pause.Stop()
-			return ctx.Err()
+		longest, shortest := e.pace()
+		if err := wait.For(ctx, shortest); err != nil {
+			return err
 		}
+		timer := time.NewTimer(longest - shortest)
 		select {
 		case <-e.wake:
-		case <-ticker.C:
+		case <-timer.C:
 		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 	}
 }
 
+// pace returns the longest and the shortest time between two reports.
+func (e *Exchange) pace() (longest, shortest time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.directory.relayed() {
+		return relayedInterval, relayedSpacing
+	}
+	return interval, spacing
+}
+
 // Leave tells every known host that this one takes no more requests.
 func (e *Exchange) Leave(ctx context.Context) {
 	e.mu.Lock()
@@ -149,7 +167,7 @@
 	e.mu.Unlock()
 	var group sync.WaitGroup
 	for _, address := range e.Contacts() {
-		group.Go(func() { e.send(ctx, address) })
+		group.Go(func() { e.send(ctx, Route{Address: address}) })
 	}
 	group.Wait()
 }
@@ -158,44 +176,54 @@
 	e.mu.Lock()
 	now := e.now()
 	changes := e.directory.Check(now)
-	var targets []string
-	for _, t := range e.directory.Targets(now) {
-		if !e.busy[t] {
-			e.busy[t] = true
-			targets = append(targets, t)
+	var routes []Route
+	for _, r := range e.directory.Routes(now) {
+		if !e.busy[r.Address] {
+			e.busy[r.Address] = true
+			routes = append(routes, r)
 		}
 	}
 	e.mu.Unlock()
 	e.changed(changes)
-	for _, address := range targets {
+	for _, r := range routes {
 		go func() {
 			defer func() {
 				e.mu.Lock()
-				delete(e.busy, address)
+				delete(e.busy, r.Address)
 				e.mu.Unlock()
 			}()
-			e.send(ctx, address)
+			e.send(ctx, r)
 		}()
 	}
 }
 
 func (e *Exchange) changed(changes []Transition) {
 	for _, c := range changes {
+		if c.State == Forgotten {
+			e.mu.Lock()
+			delete(e.newest, c.Address)
+			delete(e.sent, c.Address)
+			e.mu.Unlock()
+		}
 		e.log.Info("host "+string(c.State), "address", c.Address, "incarnation", fmt.Sprintf("%x", c.Incarnation), "quiet", c.Quiet)
 		e.metrics.Inc("host_changes", metrics.L("state", string(c.State)))
 		e.local.Changed(c)
 	}
 }
 
-func (e *Exchange) send(ctx context.Context, address string) {
+func (e *Exchange) send(ctx context.Context, r Route) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	answer, err := peerv1.NewFrontsClient(e.pool.Conn(address)).Report(ctx, e.report())
+	request, told := e.request(r)
+	answer, err := peerv1.NewFrontsClient(e.pool.Conn(r.Address)).Report(ctx, request)
 	if err == nil {
 		e.mu.Lock()
-		delete(e.timeouts, address)
+		delete(e.timeouts, r.Address)
+		e.sent[r.Address] = told
+		for _, address := range answer.Peers {
+			e.directory.Learn(address)
+		}
 		e.mu.Unlock()
-		e.hear(answer)
 		return
 	}
 	e.metrics.Inc("reports_failed")
@@ -203,23 +231,45 @@
 		return
 	}
 	e.mu.Lock()
-	e.timeouts[address]++
-	giveUp := e.timeouts[address] >= maxTimeouts
+	e.timeouts[r.Address]++
+	giveUp := e.timeouts[r.Address] >= maxTimeouts
 	if giveUp {
-		delete(e.timeouts, address)
+		delete(e.timeouts, r.Address)
 	}
 	e.mu.Unlock()
 	if giveUp {
-		e.pool.Prune(func(a string) bool { return a != address })
+		e.pool.Prune(func(a string) bool { return a != r.Address })
 	}
 }
 
+// request builds the message for a route: the own report, and those to relay that are newer than what the address was
+// told. It also returns what the address will have been told.
+func (e *Exchange) request(r Route) (*peerv1.ReportRequest, map[string]uint64) {
+	own := e.report()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	request := &peerv1.ReportRequest{Reports: []*peerv1.FrontReport{own}, Contacts: int32(len(e.directory.Contacts()))}
+	if r.Relay == nil {
+		return request, nil
+	}
+	told := map[string]uint64{}
+	for address, report := range e.newest {
+		if address == r.Address || !r.Relay(report.Zone) {
+			continue
+		}
+		told[address] = report.Sequence ^ report.Incarnation
+		if e.sent[r.Address][address] != told[address] {
+			request.Reports = append(request.Reports, report)
+		}
+	}
+	return request, told
+}
+
 func (e *Exchange) report() *peerv1.FrontReport {
 	e.mu.Lock()
 	e.sequence++
 	r := &peerv1.FrontReport{
-		Name: e.name, Address: e.self, Incarnation: e.incarnation, Sequence: e.sequence, Leaving: e.leaving,
-		Peers: e.directory.Contacts(),
+		Name: e.name, Address: e.self, Zone: e.zone, Incarnation: e.incarnation, Sequence: e.sequence, Leaving: e.leaving,
 	}
 	e.mu.Unlock()
 	e.local.Fill(r)
@@ -227,9 +277,17 @@
 }
 
 // Report implements the service.
-func (e *Exchange) Report(_ context.Context, r *peerv1.FrontReport) (*peerv1.FrontReport, error) {
-	e.hear(r)
-	return e.report(), nil
+func (e *Exchange) Report(_ context.Context, r *peerv1.ReportRequest) (*peerv1.ReportResponse, error) {
+	for _, report := range r.Reports {
+		e.hear(report)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	answer := &peerv1.ReportResponse{}
+	if contacts := e.directory.Contacts(); len(contacts) > int(r.Contacts) {
+		answer.Peers = contacts
+	}
+	return answer, nil
 }
 
 // FetchState implements the service.
@@ -239,9 +297,12 @@
 
 func (e *Exchange) hear(r *peerv1.FrontReport) {
 	e.mu.Lock()
-	newer, changes := e.directory.Hear(r.Address, r.Incarnation, r.Sequence, r.Leaving, e.now())
-	for _, address := range r.Peers {
-		e.directory.Learn(address)
+	newer, changes := e.directory.Hear(r.Address, r.Zone, r.Incarnation, r.Sequence, r.Leaving, e.now())
+	if newer {
+		e.newest[r.Address] = r
+	}
+	if r.Leaving {
+		delete(e.newest, r.Address)
 	}
 	e.mu.Unlock()
 	e.changed(changes)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -77,7 +77,7 @@
 	}
 	f.ledger = newLedger(f.now)
 	f.exchange = exchange.New(exchange.Options{
-		Name: settings.Name, Address: settings.Peers, Incarnation: rand.Uint64(), Seeds: settings.Seeds, Local: f, Pool: f.pool,
+		Name: settings.Name, Address: settings.Peers, Zone: settings.Zone, Incarnation: rand.Uint64(), Seeds: settings.Seeds, Local: f, Pool: f.pool,
 		Log: log, Metrics: reg, Now: f.now,
 	})
 	f.exchange.Register(f.peers)
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -24,6 +24,9 @@
 	secretHeader = "boragecourse-peer-secret"
 	// maxMessageBytes holds a configuration chunk answer of several chunks.
 	maxMessageBytes = 16 << 20
+	// windowBytes is the flow-control window. A fixed one saves the pings by which grpc estimates it, which would
+	// outnumber the small messages between hosts.
+	windowBytes = 1 << 20
 	// connectTimeout is below the time in which contact counts as recent, so that a dead host does not
 	// hold up a live one.
 	connectTimeout = time.Second
@@ -59,6 +62,8 @@
 			grpc.WithPerRPCCredentials(sharedSecret(secret)),
 			grpc.WithConnectParams(grpc.ConnectParams{Backoff: b, MinConnectTimeout: connectTimeout}),
 			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
+			grpc.WithInitialWindowSize(windowBytes),
+			grpc.WithInitialConnWindowSize(windowBytes),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		},
 	}
@@ -101,6 +106,8 @@
 	options := []grpc.ServerOption{
 		grpc.InTapHandle(requireSecret(secret)),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.InitialWindowSize(windowBytes),
+		grpc.InitialConnWindowSize(windowBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
 	}
 	if tlsConfig != nil {
