--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -57,6 +57,9 @@
 	fullPause = 150 * time.Millisecond
 	// crossZonePenalty is the occupied share that a backend server of another zone must have less to be preferred.
 	crossZonePenalty = 0.12
+	// outbidMargin is by how much the jobs of more value must outnumber the recent grants before a job is refused at its
+	// arrival: both are counted over a short time.
+	outbidMargin = 1.0
 	// rateWindow is the time over which the grants per second are averaged.
 	rateWindow = 2 * time.Second
 )
@@ -73,7 +76,9 @@
 	order   []string
 	queue   queue
 	grants  rate
-	timer   *time.Timer
+	// arrivals holds the values of the jobs that came lately.
+	arrivals values
+	timer    *time.Timer
 }
 
 type server struct {
@@ -84,7 +89,7 @@
 
 // NewPool returns a pool without backend servers. zone is that of this host.
 func NewPool(zone string, now func() time.Time) *Pool {
-	return &Pool{zone: zone, now: now, servers: map[string]*server{}, grants: rate{window: rateWindow}}
+	return &Pool{zone: zone, now: now, servers: map[string]*server{}, grants: rate{window: rateWindow}, arrivals: values{window: rateWindow}}
 }
 
 // SetCandidates replaces the group. Slots in use of backend servers that stay are kept.
@@ -156,8 +161,10 @@
 func (p *Pool) Acquire(ctx context.Context, job Job) (*Grant, error) {
 	w := &waiter{job: job, since: p.now(), done: make(chan result, 1)}
 	p.mu.Lock()
+	p.arrivals.add(w.since, job.Value)
 	p.queue.add(w)
 	p.dispatch()
+	p.refuseOutbid(w)
 	p.mu.Unlock()
 	select {
 	case r := <-w.done:
@@ -257,6 +264,18 @@
 	}
 }
 
+// refuseOutbid refuses a job at its arrival when jobs of more value come faster than slots become free, so that it
+// would wait only to be refused.
+func (p *Pool) refuseOutbid(w *waiter) {
+	now := p.now()
+	ahead := p.arrivals.above(now, w.job.Value)
+	granted := p.grants.perSecond(now) * rateWindow.Seconds()
+	if float64(ahead) <= granted*outbidMargin+1 || !p.queue.remove(w) {
+		return
+	}
+	w.done <- result{err: &RefusedError{Stats: p.stats(), Ahead: ahead}}
+}
+
 // schedule wakes the pool when a full backend server may be tried again or a waiting job's time is over.
 func (p *Pool) schedule(now time.Time) {
 	if p.timer != nil {
--- /dev/null
+++ b/internal/dispatch/pool_test.go
@@ -0,0 +1,169 @@
+package dispatch_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/boragecourse/boragecourse/internal/dispatch"
+)
+
+const (
+	objective = 600 * time.Millisecond
+	slotCount = 12
+	engines   = 6
+)
+
+func newPool(slots int, keys ...string) *dispatch.Pool {
+	p := dispatch.NewPool("a", time.Now)
+	var candidates []dispatch.Candidate
+	for _, k := range keys {
+		candidates = append(candidates, dispatch.Candidate{Key: k, Zone: "a", Slots: slots})
+	}
+	p.SetCandidates(candidates)
+	return p
+}
+
+// result is what the callers of a load got.
+type result struct {
+	served, inTime, refusedAtOnce, refusedLate int
+	worth                                      float64
+}
+
+// overload plays streams at a multiple of the capacity for twenty seconds: they hold a slot for 1 to 6 s, and are of
+// worth 1 when they get one within the objective.
+func overload(multiple float64, value func(length time.Duration) float64, latest time.Duration) (out result) {
+	p := newPool(slotCount, "1", "2", "3", "4", "5", "6")
+	rng := rand.New(rand.NewPCG(7, 7))
+	const meanLength = 3 * time.Second
+	gap := time.Duration(float64(meanLength) / (slotCount * engines * multiple))
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for range int(20 * time.Second / gap) {
+		time.Sleep(gap)
+		length := time.Second + time.Duration(rng.Int64N(int64(2*(meanLength-time.Second))))
+		group.Go(func() {
+			arrived := time.Now()
+			grant, err := p.Acquire(context.Background(), dispatch.Job{Value: value(length), Latest: arrived.Add(latest)})
+			waited := time.Since(arrived)
+			mu.Lock()
+			switch {
+			case err != nil && waited <= objective/8:
+				out.refusedAtOnce++
+			case err != nil:
+				out.refusedLate++
+			case waited <= objective:
+				out.inTime++
+				out.worth++
+				out.served++
+			default:
+				out.worth += 0.2
+				out.served++
+			}
+			mu.Unlock()
+			if err == nil {
+				time.Sleep(length)
+				grant.Release()
+			}
+		})
+	}
+	group.Wait()
+	return out
+}
+
+// Guards against an order of service in which, at two to three times the capacity, callers get less than from serving
+// in order of arrival or from refusing whatever does not find a slot at once.
+func TestOverloadServesMoreThanArrivalOrderAndPlainRefusal(t *testing.T) {
+	byLength := func(length time.Duration) float64 { return 1 / length.Seconds() }
+	equal := func(time.Duration) float64 { return 1 }
+	for _, multiple := range []float64{2, 3} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			ours := overload(multiple, byLength, objective)
+			arrival := overload(multiple, equal, 10*time.Second)
+			plain := overload(multiple, equal, 0)
+			t.Logf("%.0f times the capacity: by value %+v, by arrival %+v, plain refusal %+v", multiple, ours, arrival, plain)
+			g.Expect(ours.worth).To(BeNumerically(">", 1.15*arrival.worth))
+			g.Expect(ours.worth).To(BeNumerically(">", 1.15*plain.worth))
+			g.Expect(ours.served).To(Equal(ours.inTime), "nothing is served late")
+			g.Expect(ours.refusedAtOnce).To(BeNumerically(">", 3*ours.refusedLate), "what cannot be served is refused at once")
+		})
+	}
+}
+
+// Guards against a refusal while a slot is free, and against a job that waits although no slot can come in time.
+func TestRefusesAtOnceOnlyWithoutFreeSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := newPool(1, "1")
+		late := dispatch.Job{Latest: time.Now().Add(-time.Second)}
+		grant, err := p.Acquire(t.Context(), late)
+		g.Expect(err).NotTo(HaveOccurred())
+		started := time.Now()
+		_, err = p.Acquire(t.Context(), late)
+		var refused *dispatch.RefusedError
+		g.Expect(errors.As(err, &refused)).To(BeTrue())
+		g.Expect(time.Since(started)).To(BeZero())
+		g.Expect(refused.Stats.Used).To(Equal(1))
+		grant.Release()
+		grant.Release()
+		g.Expect(p.Stats().Used).To(BeZero())
+	})
+}
+
+// Guards against a slot that is lost when its caller leaves, waiting or just granted.
+func TestCallersThatLeaveFreeTheirPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := newPool(1, "1")
+		first, err := p.Acquire(t.Context(), dispatch.Job{Latest: time.Now().Add(time.Minute)})
+		g.Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithCancel(t.Context())
+		left := make(chan error, 1)
+		go func() {
+			_, err := p.Acquire(ctx, dispatch.Job{Latest: time.Now().Add(time.Minute)})
+			left <- err
+		}()
+		synctest.Wait()
+		cancel()
+		g.Expect(<-left).To(MatchError(context.Canceled))
+		first.Release()
+		g.Expect(p.Stats()).To(HaveField("Used", 0))
+		g.Expect(p.Stats()).To(HaveField("Waiting", 0))
+	})
+}
+
+// Guards against sends to a backend server that just refused for lack of room, that other hosts filled, that the job
+// is to avoid, or that has no memory for it.
+func TestChoiceOfBackendServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := dispatch.NewPool("a", time.Now)
+		p.SetCandidates([]dispatch.Candidate{{Key: "far", Zone: "b", Slots: 12}, {Key: "near", Zone: "a", Slots: 12}})
+		acquire := func(j dispatch.Job) string {
+			j.Latest = time.Now().Add(50 * time.Millisecond)
+			grant, err := p.Acquire(t.Context(), j)
+			if err != nil {
+				return "refused"
+			}
+			defer grant.Release()
+			return grant.Key
+		}
+		g.Expect(acquire(dispatch.Job{})).To(Equal("near"))
+		g.Expect(acquire(dispatch.Job{Avoid: map[string]bool{"near": true}})).To(Equal("far"))
+		g.Expect(acquire(dispatch.Job{Take: func(key string) bool { return key == "far" }})).To(Equal("far"))
+		p.SetOthers(map[string]int{"near": 6})
+		g.Expect(acquire(dispatch.Job{})).To(Equal("far"))
+		p.SetOthers(map[string]int{"near": 6, "far": 12})
+		grant, err := p.Acquire(t.Context(), dispatch.Job{Latest: time.Now().Add(time.Second)})
+		g.Expect(err).NotTo(HaveOccurred())
+		grant.Rejected()
+		g.Expect(acquire(dispatch.Job{})).To(Equal("refused"))
+	})
+}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -92,3 +92,39 @@
 	}
 	r.times = slices.Delete(r.times, 0, i)
 }
+
+// values holds the values of jobs over a sliding window.
+type values struct {
+	window  time.Duration
+	entries []arrival
+}
+
+type arrival struct {
+	at    time.Time
+	value float64
+}
+
+func (v *values) add(now time.Time, value float64) {
+	v.drop(now)
+	v.entries = append(v.entries, arrival{now, value})
+}
+
+// above counts the jobs of more value.
+func (v *values) above(now time.Time, value float64) int {
+	v.drop(now)
+	n := 0
+	for _, e := range v.entries {
+		if e.value > value {
+			n++
+		}
+	}
+	return n
+}
+
+func (v *values) drop(now time.Time) {
+	i := 0
+	for i < len(v.entries) && now.Sub(v.entries[i].at) > v.window {
+		i++
+	}
+	v.entries = slices.Delete(v.entries, 0, i)
+}
--- /dev/null
+++ b/internal/exchange/directory_test.go
@@ -0,0 +1,119 @@
+package exchange_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/boragecourse/boragecourse/internal/exchange"
+)
+
+var start = time.Unix(1000, 0)
+
+func states(changes []exchange.Transition) []exchange.PeerState {
+	var out []exchange.PeerState
+	for _, c := range changes {
+		out = append(out, c.State)
+	}
+	return out
+}
+
+// Guards against a host that is believed alive after it fell silent, given up too soon, or brought back by a late
+// report of a process that left or was replaced.
+func TestLifeOfAnotherHost(t *testing.T) {
+	g := NewWithT(t)
+	d := exchange.NewDirectory("self", "a", nil)
+	newer, changes := d.Hear("h1", "a", 1, 1, false, start)
+	g.Expect(newer).To(BeTrue())
+	g.Expect(states(changes)).To(Equal([]exchange.PeerState{exchange.Heard}))
+	newer, _ = d.Hear("h1", "a", 1, 1, false, start)
+	g.Expect(newer).To(BeFalse(), "the same report again")
+	g.Expect(d.Check(start.Add(900 * time.Millisecond))).To(BeEmpty())
+	g.Expect(states(d.Check(start.Add(1100 * time.Millisecond)))).To(Equal([]exchange.PeerState{exchange.Silent}))
+	g.Expect(d.Contacts()).To(BeEmpty())
+	g.Expect(d.Hosts()).To(Equal(2), "a silent host may still take requests")
+	_, changes = d.Hear("h1", "a", 2, 1, false, start.Add(2*time.Second))
+	g.Expect(states(changes)).To(Equal([]exchange.PeerState{exchange.Restarted, exchange.Heard}))
+	_, changes = d.Hear("h1", "a", 2, 2, true, start.Add(3*time.Second))
+	g.Expect(states(changes)).To(Equal([]exchange.PeerState{exchange.Left}))
+	newer, _ = d.Hear("h1", "a", 2, 3, false, start.Add(4*time.Second))
+	g.Expect(newer).To(BeFalse(), "a late report of a process that left")
+	d.Hear("h2", "a", 3, 1, false, start)
+	g.Expect(states(d.Check(start.Add(16 * time.Second)))).To(Equal([]exchange.PeerState{exchange.Forgotten}))
+	g.Expect(d.Hosts()).To(Equal(1))
+}
+
+// spread plays reports over a fleet until nothing changes and returns how many messages a round takes.
+func spread(t *testing.T, hosts, zones int, down map[int]bool) (perRound int) {
+	t.Helper()
+	g := NewWithT(t)
+	directories := make([]*exchange.Directory, hosts)
+	address := func(i int) string { return fmt.Sprintf("10.%d.0.%03d", i%zones, i) }
+	zone := func(i int) string { return fmt.Sprint(i % zones) }
+	index := map[string]int{}
+	for i := range hosts {
+		directories[i] = exchange.NewDirectory(address(i), zone(i), []string{address(0), address(1)})
+		index[address(i)] = i
+	}
+	known := make([]map[int]uint64, hosts)
+	for i := range known {
+		known[i] = map[int]uint64{i: 1}
+	}
+	now := start
+	for round := uint64(1); round <= 40; round++ {
+		now = now.Add(400 * time.Millisecond)
+		perRound = 0
+		for i, d := range directories {
+			if down[i] {
+				continue
+			}
+			known[i][i] = round
+			d.Check(now)
+			for _, r := range d.Routes(now) {
+				to := index[r.Address]
+				if down[to] {
+					continue
+				}
+				perRound++
+				for from, sequence := range known[i] {
+					if from == to || from != i && (r.Relay == nil || !r.Relay(zone(from))) {
+						continue
+					}
+					if newer, _ := directories[to].Hear(address(from), zone(from), uint64(from+1), sequence, false, now); newer {
+						known[to][from] = sequence
+					}
+				}
+				for _, contact := range directories[to].Contacts() {
+					d.Learn(contact)
+				}
+			}
+		}
+	}
+	for i, d := range directories {
+		if !down[i] {
+			g.Expect(d.Contacts()).To(HaveLen(hosts-len(down)-1), "contacts of host %d", i)
+		}
+	}
+	return perRound
+}
+
+// Guards against a fleet in which some host is not heard by all, at sizes with and without relays, and with the first
+// relays down.
+func TestEveryHostIsHeardByAll(t *testing.T) {
+	for _, c := range []struct{ hosts, zones int }{{2, 1}, {5, 4}, {8, 3}, {9, 3}, {33, 4}, {96, 6}} {
+		t.Run(fmt.Sprintf("%d hosts in %d zones", c.hosts, c.zones), func(t *testing.T) {
+			spread(t, c.hosts, c.zones, nil)
+		})
+	}
+	t.Run("first relays down", func(t *testing.T) { spread(t, 33, 4, map[int]bool{2: true, 3: true}) })
+}
+
+// Guards against messages that grow with the square of the hosts.
+func TestMessagesPerRoundGrowWithTheZone(t *testing.T) {
+	g := NewWithT(t)
+	// Hosts of a zone report to each other, relays to each other.
+	g.Expect(spread(t, 33, 4, nil)).To(BeNumerically("<=", 33*8+4*3))
+	g.Expect(spread(t, 96, 6, nil)).To(BeNumerically("<=", 96*15+6*5))
+}
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,89 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/boragecourse/boragecourse/internal/fleet"
+	"github.com/boragecourse/boragecourse/internal/registry"
+)
+
+var start = time.Unix(1000, 0)
+
+func server(id string) fleet.Server {
+	return fleet.Server{ID: id, Born: 1, Service: "s", Address: "10.0.0.1:80", Zone: "z", Slots: 12}
+}
+
+func ids(states []registry.State) []string {
+	out := []string{}
+	for _, s := range states {
+		out = append(out, s.ID)
+	}
+	return out
+}
+
+// Guards against work for a backend server that announced its departure or vanished while the store answers.
+func TestLeavingServersGetNoWork(t *testing.T) {
+	g := NewWithT(t)
+	r := registry.New()
+	r.Update([]fleet.Server{server("a"), server("b")}, start)
+	g.Expect(ids(r.Usable(start))).To(Equal([]string{"a", "b"}))
+	leaving := server("a")
+	leaving.Draining = true
+	changes := r.Update([]fleet.Server{leaving, server("b")}, start)
+	g.Expect(changes).To(Equal([]registry.Change{{Server: leaving, Kind: registry.Draining}}))
+	g.Expect(ids(r.Usable(start))).To(Equal([]string{"b"}))
+	r.Update([]fleet.Server{server("a"), server("b")}, start)
+	g.Expect(ids(r.Usable(start))).To(Equal([]string{"b"}), "an older registration does not take back a departure")
+	r.Update([]fleet.Server{server("a")}, start)
+	g.Expect(ids(r.Usable(start))).To(BeEmpty())
+}
+
+// Guards against losing every backend server when registrations lapse during an outage of the store, and against
+// keeping one that does not come back.
+func TestRegistrationsThatLapseInAnOutageMayReturn(t *testing.T) {
+	g := NewWithT(t)
+	r := registry.New()
+	leaving := server("c")
+	leaving.Draining = true
+	r.Update([]fleet.Server{server("a"), server("b"), leaving}, start)
+	r.StoreBack(start)
+	changes := r.Update(nil, start.Add(100*time.Millisecond))
+	g.Expect(ids(r.Usable(start))).To(Equal([]string{"a", "b"}))
+	g.Expect(changes).To(ContainElement(registry.Change{Server: leaving, Kind: registry.Removed}),
+		"one that announced its departure does not return")
+	at, due := r.NextCheck(start.Add(100 * time.Millisecond))
+	g.Expect(due).To(BeTrue())
+	r.Update([]fleet.Server{server("a")}, at.Add(time.Millisecond))
+	g.Expect(ids(r.Usable(at))).To(Equal([]string{"a"}))
+}
+
+// Guards against treating a backend server that started again under its id as the one before.
+func TestRebornServerIsAnotherLifetime(t *testing.T) {
+	g := NewWithT(t)
+	r := registry.New()
+	old := server("a")
+	old.Draining = true
+	r.Update([]fleet.Server{old}, start)
+	reborn := server("a")
+	reborn.Born = 2
+	changes := r.Update([]fleet.Server{reborn}, start)
+	g.Expect(changes).To(Equal([]registry.Change{{Server: reborn, Kind: registry.Replaced}}))
+	g.Expect(ids(r.Usable(start))).To(Equal([]string{"a"}))
+}
+
+// Guards against sends to an address at which another backend server answers, and against avoiding it for good.
+func TestMisdirectedServerIsAvoidedForAWhile(t *testing.T) {
+	g := NewWithT(t)
+	r := registry.New()
+	r.Update([]fleet.Server{server("a")}, start)
+	r.Misdirected("a", 2, start)
+	g.Expect(r.Usable(start)).To(HaveLen(1), "the note was of another lifetime")
+	r.Misdirected("a", 1, start)
+	g.Expect(r.Usable(start)).To(BeEmpty())
+	at, due := r.NextCheck(start)
+	g.Expect(due).To(BeTrue())
+	g.Expect(r.Usable(at)).To(HaveLen(1))
+}
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,33 @@
+package replica_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	kv "github.com/boragecourse/boragecourse/internal/platform"
+	"github.com/boragecourse/boragecourse/internal/replica"
+)
+
+func item(key, value string, revision int64) kv.KeyValue {
+	return kv.KeyValue{Key: key, Value: []byte(value), ModRevision: revision}
+}
+
+// Guards against a copy that goes back: an older state of another host, a change that was seen already, or a removal
+// that a later write has overtaken.
+func TestCopyNeverGoesBack(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	var c replica.Copy
+	g.Expect(c.Replace([]kv.KeyValue{item("a", "1", 5)}, 10, now)).To(BeTrue())
+	g.Expect(c.Replace([]kv.KeyValue{item("a", "0", 2)}, 9, now.Add(time.Second))).To(BeFalse())
+	g.Expect(c.Apply([]kv.Event{{KeyValue: item("a", "0", 4)}}, 11, now)).To(BeFalse())
+	g.Expect(c.Apply([]kv.Event{{KeyValue: item("a", "2", 12)}, {KeyValue: item("a", "", 11), Deleted: true}}, 12, now)).To(BeTrue())
+	g.Expect(c.Items()).To(Equal([]kv.KeyValue{item("a", "2", 12)}))
+	g.Expect(c.Apply([]kv.Event{{KeyValue: item("a", "", 13), Deleted: true}, {KeyValue: item("b", "1", 14)}}, 14, now)).To(BeTrue())
+	g.Expect(c.Items()).To(Equal([]kv.KeyValue{item("b", "1", 14)}))
+	g.Expect(c.Revision()).To(Equal(int64(14)))
+	c.Apply(nil, 14, now.Add(-time.Second))
+	g.Expect(c.Confirmed()).To(Equal(now), "an older confirmation")
+}
