Run the whole path against stand-ins of the users' store and backend servers

Separate processes, store silent to or refusing one host, lost answers, forgotten history, restart while the store is away, reused addresses, backend servers that lose, cut, fail or mix up answers, streams cut in mid-event, callers that leave, drain.

--- /dev/null
+++ b/test/standin/users/store.go
@@ -0,0 +1,366 @@
+// Package users has stand-ins for the users' platform: its key-value store and its backend servers, over HTTP as their
+// pages describe them, with faults. They let the project's own tests run the whole path without the users' bench.
+package users
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fault is how the store treats the calls of one door.
+type Fault int
+
+// Faults of the store.
+const (
+	Healthy Fault = iota
+	// Refusing answers 503 and does nothing.
+	Refusing
+	// Silent reads calls and never answers.
+	Silent
+	// LosingAnswers does writes and closes the connection without an answer.
+	LosingAnswers
+)
+
+type item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Revision int64  `json:"revision"`
+	Created  int64  `json:"createdAt"`
+	Lease    int64  `json:"lease"`
+	Removed  bool   `json:"removed,omitempty"`
+}
+
+type lease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+// Store is a stand-in of the store. Callers reach it through doors, so that faults can be limited to some of them.
+type Store struct {
+	mu       sync.Mutex
+	items    map[string]item
+	history  []item
+	dropped  int64
+	revision int64
+	leases   map[int64]*lease
+	changed  chan struct{}
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{items: map[string]item{}, leases: map[int64]*lease{}, changed: make(chan struct{}), revision: 1}
+}
+
+// Door is an address of the store.
+type Door struct {
+	Addr string
+
+	store  *Store
+	server *http.Server
+
+	mu    sync.Mutex
+	fault Fault
+}
+
+// Open serves the store at a new loopback address.
+func (s *Store) Open() (*Door, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("open door: %w", err)
+	}
+	d := &Door{Addr: l.Addr().String(), store: s}
+	d.server = &http.Server{Handler: d}
+	go func() { _ = d.server.Serve(l) }()
+	return d, nil
+}
+
+// Close ends the door and its connections.
+func (d *Door) Close() { _ = d.server.Close() }
+
+// SetFault changes how calls are treated from now on.
+func (d *Door) SetFault(f Fault) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fault = f
+}
+
+func (d *Door) present() Fault {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fault
+}
+
+// ServeHTTP implements http.Handler.
+func (d *Door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch fault := d.present(); {
+	case fault == Refusing:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case fault == Silent:
+		<-r.Context().Done()
+		return
+	case fault == LosingAnswers && r.Method != http.MethodGet:
+		d.store.ServeHTTP(discard{http.Header{}}, r)
+		panic(http.ErrAbortHandler)
+	}
+	d.store.ServeHTTP(w, r)
+}
+
+type discard struct{ h http.Header }
+
+func (d discard) Header() http.Header         { return d.h }
+func (d discard) Write(b []byte) (int, error) { return len(b), nil }
+func (d discard) WriteHeader(int)             {}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.expire()
+	switch {
+	case r.URL.Path == "/api/kv-key":
+		s.key(w, r)
+	case r.URL.Path == "/api/kv-range":
+		s.rangeOf(w, r)
+	case r.URL.Path == "/api/kv-watch":
+		s.watch(w, r)
+	case r.URL.Path == "/api/kv-txn":
+		s.txn(w, r)
+	case r.URL.Path == "/api/kv-lease":
+		s.grant(w, r)
+	case strings.HasPrefix(r.URL.Path, "/api/kv-keep/"), strings.HasPrefix(r.URL.Path, "/api/kv-lease-end/"):
+		s.lease(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (s *Store) key(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	it, exists := s.items[r.URL.Query().Get("key")]
+	if !exists {
+		reply(w, http.StatusNotFound, map[string]any{"at": s.revision})
+		return
+	}
+	reply(w, http.StatusOK, it)
+}
+
+// pageSize is small, so that tests meet pages.
+const pageSize = 3
+
+func (s *Store) rangeOf(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q := r.URL.Query()
+	items := []item{}
+	for key, it := range s.items {
+		if strings.HasPrefix(key, q.Get("prefix")) && key > q.Get("after") {
+			items = append(items, it)
+		}
+	}
+	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
+	more := len(items) > pageSize
+	if more {
+		items = items[:pageSize]
+	}
+	reply(w, http.StatusOK, map[string]any{"items": items, "hasMore": more, "at": s.revision})
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
+	wait, _ := strconv.ParseInt(q.Get("waitMs"), 10, 64)
+	end := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		if after < s.dropped {
+			s.mu.Unlock()
+			reply(w, http.StatusGone, map[string]any{})
+			return
+		}
+		events := []item{}
+		for _, it := range s.history {
+			if it.Revision > after && strings.HasPrefix(it.Key, q.Get("prefix")) {
+				events = append(events, it)
+			}
+		}
+		at, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if len(events) > 0 {
+			reply(w, http.StatusOK, map[string]any{"events": events, "at": at})
+			return
+		}
+		select {
+		case <-changed:
+		case <-end:
+			reply(w, http.StatusOK, map[string]any{"events": events, "at": at})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+type txnRequest struct {
+	Expected []struct {
+		Key      string `json:"key"`
+		Revision int64  `json:"revision"`
+	} `json:"expected"`
+	Puts []struct {
+		Key   string `json:"key"`
+		Value []byte `json:"value"`
+		Lease int64  `json:"lease"`
+	} `json:"puts"`
+	Deletes []string `json:"deletes"`
+}
+
+func (s *Store) txn(w http.ResponseWriter, r *http.Request) {
+	var request txnRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := []item{}
+	holds := true
+	for _, e := range request.Expected {
+		it, exists := s.items[e.Key]
+		holds = holds && it.Revision == e.Revision
+		if exists {
+			current = append(current, it)
+		}
+	}
+	if !holds {
+		reply(w, http.StatusPreconditionFailed, map[string]any{"items": current})
+		return
+	}
+	for _, p := range request.Puts {
+		if p.Lease != 0 && s.leases[p.Lease] == nil {
+			reply(w, http.StatusNotFound, map[string]any{})
+			return
+		}
+	}
+	for _, p := range request.Puts {
+		s.put(p.Key, p.Value, p.Lease)
+	}
+	for _, key := range request.Deletes {
+		s.remove(key)
+	}
+	reply(w, http.StatusOK, map[string]any{"revision": s.revision})
+}
+
+func (s *Store) put(key string, value []byte, lease int64) {
+	s.revision++
+	it := item{Key: key, Value: value, Revision: s.revision, Created: s.revision, Lease: lease}
+	if old, exists := s.items[key]; exists {
+		it.Created = old.Created
+	}
+	s.items[key] = it
+	s.note(it)
+}
+
+func (s *Store) remove(key string) {
+	if _, exists := s.items[key]; !exists {
+		return
+	}
+	s.revision++
+	delete(s.items, key)
+	s.note(item{Key: key, Revision: s.revision, Removed: true})
+}
+
+func (s *Store) note(it item) {
+	s.history = append(s.history, it)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
+	var request struct {
+		TTLMs int64 `json:"ttlMs"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	ttl := time.Duration(request.TTLMs) * time.Millisecond
+	s.leases[s.revision] = &lease{ttl: ttl, end: time.Now().Add(ttl)}
+	reply(w, http.StatusOK, map[string]any{"lease": s.revision, "ttlMs": request.TTLMs})
+}
+
+func (s *Store) lease(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseInt(r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:], 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	switch {
+	case l == nil:
+		reply(w, http.StatusNotFound, map[string]any{})
+	case r.Method == http.MethodDelete:
+		s.end(id)
+		reply(w, http.StatusOK, map[string]any{})
+	default:
+		l.end = time.Now().Add(l.ttl)
+		reply(w, http.StatusOK, map[string]any{"ttlMs": l.ttl.Milliseconds()})
+	}
+}
+
+func (s *Store) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for id, l := range s.leases {
+		if now.After(l.end) {
+			s.end(id)
+		}
+	}
+}
+
+func (s *Store) end(id int64) {
+	delete(s.leases, id)
+	for key, it := range s.items {
+		if it.Lease == id {
+			s.remove(key)
+		}
+	}
+}
+
+// Put writes a value as the operator or a backend server does.
+func (s *Store) Put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(key, value, 0)
+}
+
+// Remove deletes a key.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(key)
+}
+
+// Compact forgets the history, so that every watch must start anew.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = nil
+	s.revision++
+	s.dropped = s.revision
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
--- /dev/null
+++ b/test/standin/users/worker.go
@@ -0,0 +1,256 @@
+package users
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// WorkerFault is how a backend server treats requests.
+type WorkerFault int
+
+// Faults of backend servers.
+const (
+	// Sound serves.
+	Sound WorkerFault = iota
+	// Rejecting answers that it did not run the request.
+	Rejecting
+	// Failing runs requests and answers 500.
+	Failing
+	// LosingRuns runs requests and closes the connection without an answer.
+	LosingRuns
+	// Foreign answers with the id of another request.
+	Foreign
+	// Truncating closes the connection in the middle of the answer.
+	Truncating
+	// Hanging accepts requests and never answers.
+	Hanging
+)
+
+// WorkerOptions describe a backend server.
+type WorkerOptions struct {
+	ID, Service, Zone string
+	// Stage is "prefill" or "decode", or empty for plain services.
+	Stage string
+	Slots int
+	// Events is the length of each stream, EventPause the time between events.
+	Events     int
+	EventPause time.Duration
+	// Work is the time that a plain request takes.
+	Work time.Duration
+}
+
+// Worker is a stand-in of a backend server.
+type Worker struct {
+	WorkerOptions
+	Addr string
+	Born int64
+
+	server *http.Server
+
+	mu      sync.Mutex
+	fault   WorkerFault
+	runs    map[string]int
+	headers map[string]http.Header
+	working int
+	holds   int
+	handles map[string]bool
+	counter int
+	// cutAfter ends streams in the middle of the event after so many; 0 never.
+	cutAfter int
+}
+
+// StartWorker serves a backend server at a new loopback address, or at addr when it is not empty.
+func StartWorker(o WorkerOptions, addr string) (*Worker, error) {
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("start worker: %w", err)
+	}
+	w := &Worker{
+		WorkerOptions: o, Addr: l.Addr().String(), Born: time.Now().UnixMilli(), runs: map[string]int{},
+		headers: map[string]http.Header{}, handles: map[string]bool{},
+	}
+	w.server = &http.Server{Handler: w}
+	go func() { _ = w.server.Serve(l) }()
+	return w, nil
+}
+
+// Close ends the backend server and its connections.
+func (w *Worker) Close() { _ = w.server.Close() }
+
+// Register writes the backend server's registration.
+func (w *Worker) Register(s *Store, state string) {
+	value, _ := json.Marshal(map[string]any{
+		"service": w.Service, "address": w.Addr, "zone": w.Zone, "version": "v1", "slots": w.Slots, "state": state,
+		"coldLeftMs": 0, "stage": w.Stage, "seq": 0, "born": w.Born,
+	})
+	s.Put("servers/"+w.ID, value)
+}
+
+// SetFault changes how requests are treated from now on.
+func (w *Worker) SetFault(f WorkerFault) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fault = f
+}
+
+// CutStreams ends streams in the middle of the event after n.
+func (w *Worker) CutStreams(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cutAfter = n
+}
+
+// Runs returns how often each request ran.
+func (w *Worker) Runs() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make(map[string]int, len(w.runs))
+	for id, n := range w.runs {
+		out[id] = n
+	}
+	return out
+}
+
+// Header returns the headers with which a request arrived last.
+func (w *Worker) Header(id string) http.Header {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.headers[id]
+}
+
+// Busy returns the requests at work, the reservations and the prefill results that are kept.
+func (w *Worker) Busy() (working, holds, results int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.working, w.holds, len(w.handles)
+}
+
+// ServeHTTP implements http.Handler.
+func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.Header.Get("Expect-Instance") != "" && r.Header.Get("Expect-Instance") != w.ID:
+		rw.Header().Set("Instance-Id", w.ID)
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+	case r.URL.Path == "/api/hold-take":
+		w.takeHold(rw)
+	case strings.HasPrefix(r.URL.Path, "/api/hold-drop/"):
+		w.mu.Lock()
+		w.holds = max(w.holds-1, 0)
+		w.mu.Unlock()
+	case strings.HasPrefix(r.URL.Path, "/api/kv-handle/"):
+		w.mu.Lock()
+		delete(w.handles, strings.TrimPrefix(r.URL.Path, "/api/kv-handle/"))
+		w.mu.Unlock()
+	default:
+		w.run(rw, r)
+	}
+}
+
+func (w *Worker) takeHold(rw http.ResponseWriter) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.working+w.holds >= w.Slots || w.fault == Rejecting {
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.holds++
+	w.counter++
+	reply(rw, http.StatusOK, map[string]any{"hold": strconv.Itoa(w.counter)})
+}
+
+func (w *Worker) run(rw http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request-Id")
+	w.mu.Lock()
+	fault := w.fault
+	w.headers[id] = r.Header.Clone()
+	if r.Header.Get("Kv-Hold") != "" {
+		w.holds = max(w.holds-1, 0)
+	}
+	if fault == Rejecting {
+		w.mu.Unlock()
+		rw.Header().Set("Not-Executed", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if r.Header.Get("Serving-Stage") == "prefill" {
+		w.counter++
+		handle := fmt.Sprintf("%s-%d", w.ID, w.counter)
+		w.handles[handle] = true
+		w.mu.Unlock()
+		reply(rw, http.StatusOK, map[string]any{"handle": handle, "tokens": 1, "version": 1})
+		return
+	}
+	w.runs[id]++
+	w.working++
+	w.mu.Unlock()
+	defer func() {
+		w.mu.Lock()
+		w.working--
+		w.mu.Unlock()
+	}()
+	w.answer(rw, r, id, fault)
+}
+
+func (w *Worker) answer(rw http.ResponseWriter, r *http.Request, id string, fault WorkerFault) {
+	switch fault {
+	case Hanging:
+		<-r.Context().Done()
+		return
+	case LosingRuns:
+		panic(http.ErrAbortHandler)
+	case Foreign:
+		id = "another"
+	}
+	rw.Header().Set("Request-Id", id)
+	rw.Header().Set("Response-Stamp", w.ID+"."+id)
+	rw.Header().Set("Load-Report", "1,0,"+strconv.Itoa(w.Slots))
+	if fault == Failing {
+		rw.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if w.Stage != "" {
+		w.stream(r.Context(), rw, r.Header.Get("Last-Event-Id"))
+		return
+	}
+	time.Sleep(w.Work)
+	body := "answer to " + r.Method + " " + r.URL.RequestURI() + " by " + w.ID
+	rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if fault == Truncating {
+		_, _ = rw.Write([]byte(body[:len(body)/2]))
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = rw.Write([]byte(body))
+}
+
+func (w *Worker) stream(ctx context.Context, rw http.ResponseWriter, after string) {
+	rw.Header().Set("Content-Type", "text/event-stream")
+	first, _ := strconv.Atoi(after)
+	w.mu.Lock()
+	cut := w.cutAfter
+	w.mu.Unlock()
+	for i := first + 1; i <= w.Events; i++ {
+		event := fmt.Sprintf("id: %d\ndata: event %d\n\n", i, i)
+		if cut > 0 && i-first > cut {
+			_, _ = rw.Write([]byte(event[:len(event)/2]))
+			_ = http.NewResponseController(rw).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = rw.Write([]byte(event))
+		_ = http.NewResponseController(rw).Flush()
+		select {
+		case <-time.After(w.EventPause):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/test/users/fleet_test.go
@@ -0,0 +1,302 @@
+// Package users_test runs the daemon as separate processes against stand-ins of the users' platform.
+package users_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/boragecourse/boragecourse/test/loopback"
+	"github.com/boragecourse/boragecourse/test/standin/users"
+)
+
+var bin string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "boragecourse-users")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	bin = dir
+	build := exec.Command("go", "build", "-o", dir, "github.com/boragecourse/boragecourse/cmd/boragecoursed")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build daemon: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const (
+	hostName   = "stays.example"
+	key        = "key-of-guests"
+	workspace  = "guests"
+	waitTime   = 10 * time.Second
+	answerTime = 5 * time.Second
+)
+
+// host is one daemon and its door of the store.
+type host struct {
+	ip, front, ready, control string
+	door                      *users.Door
+	process                   *loopback.Process
+	settings                  string
+}
+
+// fleet is some hosts in front of a store and backend servers.
+type fleet struct {
+	t       *testing.T
+	g       *WithT
+	store   *users.Store
+	hosts   []*host
+	procs   *loopback.Processes
+	config  map[string]any
+	version int
+	client  *http.Client
+	next    atomic.Int64
+}
+
+func newFleet(t *testing.T, hosts int) *fleet {
+	t.Helper()
+	f := &fleet{
+		t: t, g: NewWithT(t), store: users.NewStore(), procs: &loopback.Processes{Bin: bin, Logs: t.TempDir()},
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
+	}
+	t.Cleanup(f.procs.StopAll)
+	t.Cleanup(func() {
+		if t.Failed() {
+			f.printLogs()
+		}
+	})
+	for i := range hosts {
+		f.hosts = append(f.hosts, f.newHost(i))
+	}
+	f.configure(routes(100000))
+	for _, h := range f.hosts {
+		f.start(h)
+	}
+	return f
+}
+
+func (f *fleet) printLogs() {
+	logs, _ := filepath.Glob(filepath.Join(f.procs.Logs, "*.log"))
+	for _, l := range logs {
+		text, _ := os.ReadFile(l)
+		f.t.Logf("%s:\n%s", filepath.Base(l), text)
+	}
+}
+
+func freePort(t *testing.T, ip string) string {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (f *fleet) newHost(i int) *host {
+	// Each host has an address of its own, so that the metrics pages do not meet.
+	ip := fmt.Sprintf("127.0.%d.%d", 1+os.Getpid()%200, i+2)
+	door, err := f.store.Open()
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.t.Cleanup(door.Close)
+	return &host{
+		ip: ip, front: freePort(f.t, ip), ready: freePort(f.t, ip), control: freePort(f.t, ip), door: door,
+		settings: filepath.Join(f.procs.Logs, fmt.Sprintf("host-%d.toml", i)),
+	}
+}
+
+func (f *fleet) start(h *host) {
+	var seeds []string
+	for _, other := range f.hosts {
+		seeds = append(seeds, strconv.Quote(other.control))
+	}
+	text := fmt.Sprintf(`nodeName = %q
+ip = %q
+zone = "piran-a"
+seeds = [%s]
+heartbeatMs = 1200
+unknownField = "ignored"
+[listen]
+front = %q
+ready = %q
+control = %q
+[limits]
+memoryMb = 134
+[bounds]
+reuseAfterS = 2
+drainMs = 2000
+graceS = 8
+configApplyMs = 2000
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+budgetMinRetries = 56
+quotaWindowS = 8
+quotaOver = 0.1
+quotaSlack = 1000
+leaseMs = 3000
+[platform]
+address = %q
+`, filepath.Base(h.settings), h.ip, strings.Join(seeds, ","), h.front, h.ready, h.control, h.door.Addr)
+	f.g.Expect(os.WriteFile(h.settings, []byte(text), 0o600)).To(Succeed())
+	var err error
+	h.process, err = f.procs.Start(filepath.Base(h.settings)+"-"+strconv.Itoa(int(f.next.Add(1))), "boragecoursed", "front", "--settings", h.settings)
+	f.g.Expect(err).NotTo(HaveOccurred())
+}
+
+func (f *fleet) awaitReady(h *host) {
+	f.g.Eventually(func() int {
+		resp, err := f.client.Get("http://" + h.ready + "/api/readyz")
+		if err != nil {
+			return 0
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}).WithTimeout(waitTime).Should(Equal(http.StatusOK))
+}
+
+func route(name, kind, service string, attempts int, extra map[string]any) map[string]any {
+	r := map[string]any{
+		"name": name, "host": hostName, "prefix": "/" + name + "/", "kind": kind, "timeoutMs": 3000, "targetLatencyMs": 900,
+		"priority": 1, "service": service, "attempts": attempts, "allowAnonymous": false,
+	}
+	for k, v := range extra {
+		r[k] = v
+	}
+	return r
+}
+
+func routes(rate int) map[string]any {
+	return map[string]any{
+		"routes": []any{
+			route("view", "safe", "app", 2, nil), route("reserve", "unsafe", "app", 1, nil),
+			route("ask", "stream", "llm", 2, map[string]any{"canResume": true, "targetGapMs": 300}),
+			route("note", "stream", "llm", 1, map[string]any{"canResume": false, "targetGapMs": 300}),
+			route("open", "safe", "app", 2, map[string]any{"allowAnonymous": true}),
+		},
+		"services": []any{
+			map[string]any{"name": "app", "healthPath": "/healthz", "maxConns": 100},
+			map[string]any{"name": "llm", "healthPath": "/healthz", "maxConns": 100, "engine": map[string]any{
+				"slots": 4, "kvCapacity": 100000, "stride": 10, "handleTtlS": 0.5, "roleSwitchS": 6.0, "holdMs": 2000.0,
+			}},
+		},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []any{map[string]any{
+			"name": workspace, "apiKeys": []string{key}, "unit": "token_stream", "plainTokens": 10, "ratePerS": rate, "burst": rate,
+		}},
+	}
+}
+
+// configure writes a configuration with the next version.
+func (f *fleet) configure(c map[string]any) {
+	f.version += 2
+	c["version"] = f.version
+	f.config = c
+	text, err := json.Marshal(c)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.store.Put("op/config", text)
+}
+
+func (f *fleet) worker(o users.WorkerOptions) *users.Worker {
+	if o.Slots == 0 {
+		o.Slots = 4
+	}
+	o.Zone = "piran-a"
+	w, err := users.StartWorker(o, "")
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.t.Cleanup(w.Close)
+	w.Register(f.store, "ready")
+	return w
+}
+
+// answer is what a caller got.
+type answer struct {
+	id, body string
+	status   int
+	header   http.Header
+	err      error
+}
+
+type option func(*http.Request)
+
+func header(name, value string) option { return func(r *http.Request) { r.Header.Set(name, value) } }
+
+func (f *fleet) request(ctx context.Context, h *host, method, path string, options ...option) *http.Request {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.front+path, nil)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	req.Host = hostName
+	req.Header.Set("Request-Id", fmt.Sprintf("%s-%d", f.t.Name(), f.next.Add(1)))
+	req.Header.Set("Deadline-Ms", "3000")
+	req.Header.Set("Authorization", "Bearer "+key)
+	for _, o := range options {
+		o(req)
+	}
+	return req
+}
+
+func (f *fleet) do(h *host, method, path string, options ...option) answer {
+	ctx, cancel := context.WithTimeout(f.t.Context(), answerTime)
+	defer cancel()
+	req := f.request(ctx, h, method, path, options...)
+	a := answer{id: req.Header.Get("Request-Id")}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	a.status, a.header, a.body, a.err = resp.StatusCode, resp.Header, string(body), err
+	return a
+}
+
+func (f *fleet) stream(h *host, name string, options ...option) answer {
+	options = append([]option{header("Token-Counts", "100,100"), header("Model", "m"), header("Length-Hint", "50")}, options...)
+	return f.do(h, http.MethodPost, "/"+name+"/1", options...)
+}
+
+// events returns the numbers of the events of a stream.
+func events(body string) []int {
+	var ids []int
+	scanner := bufio.NewScanner(strings.NewReader(body))
+	for scanner.Scan() {
+		if id, found := strings.CutPrefix(scanner.Text(), "id: "); found {
+			n, _ := strconv.Atoi(id)
+			ids = append(ids, n)
+		}
+	}
+	return ids
+}
+
+func upTo(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i + 1
+	}
+	return out
+}
+
+// awaitPath waits until a host serves plain requests and streams.
+func (f *fleet) awaitPath(h *host) {
+	f.awaitReady(h)
+	f.g.Eventually(func() []int {
+		return []int{f.do(h, http.MethodGet, "/view/1").status, f.stream(h, "ask").status}
+	}).WithTimeout(waitTime).Should(Equal([]int{200, 200}))
+}
--- /dev/null
+++ b/test/users/path_test.go
@@ -0,0 +1,215 @@
+package users_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/boragecourse/boragecourse/test/standin/users"
+)
+
+// parts is a fleet with two plain backend servers, a prefill engine and two decode engines.
+type parts struct {
+	*fleet
+	plain, decode [2]*users.Worker
+	prefill       *users.Worker
+}
+
+func newParts(t *testing.T, hosts int) *parts {
+	t.Helper()
+	p := &parts{fleet: newFleet(t, hosts)}
+	for i, id := range []string{"app-1", "app-2"} {
+		p.plain[i] = p.worker(users.WorkerOptions{ID: id, Service: "app"})
+	}
+	p.prefill = p.worker(users.WorkerOptions{ID: "prefill-1", Service: "llm", Stage: "prefill"})
+	for i, id := range []string{"decode-1", "decode-2"} {
+		p.decode[i] = p.worker(users.WorkerOptions{ID: id, Service: "llm", Stage: "decode", Events: 10, EventPause: 10 * time.Millisecond})
+	}
+	for _, h := range p.hosts {
+		p.awaitPath(h)
+	}
+	return p
+}
+
+func (p *parts) workers() []*users.Worker {
+	return append(append([]*users.Worker{p.prefill}, p.plain[:]...), p.decode[:]...)
+}
+
+// runs is how often a request ran at any backend server.
+func (p *parts) runs(id string) (n int) {
+	for _, w := range p.workers() {
+		n += w.Runs()[id]
+	}
+	return n
+}
+
+// Guards against a request that arrives changed, with the caller's key, or with headers that only hosts may set.
+func TestRequestsArriveAsSent(t *testing.T) {
+	p := newParts(t, 1)
+	a := p.do(p.hosts[0], http.MethodGet, "/view/a%2Fb?x=1&y=%20", header("Tenant", "forged"), header("Kv-Hold", "forged"), header("X-Own", "kept"))
+	p.g.Expect(a.err).NotTo(HaveOccurred())
+	p.g.Expect(a.body).To(HavePrefix("answer to GET /view/a%2Fb?x=1&y=%20 by app-"))
+	p.g.Expect(a.header.Get("Response-Stamp")).NotTo(BeEmpty())
+	p.g.Expect(a.header.Get("Load-Report")).To(BeEmpty())
+	got := p.plain[0].Header(a.id)
+	if got == nil {
+		got = p.plain[1].Header(a.id)
+	}
+	p.g.Expect(got.Get("Authorization")).To(BeEmpty())
+	p.g.Expect(got.Get("Tenant")).To(Equal(workspace))
+	p.g.Expect(got.Get("Kv-Hold")).To(BeEmpty())
+	p.g.Expect(got.Get("X-Own")).To(Equal("kept"))
+	p.g.Expect(got.Get("Expect-Instance")).To(HavePrefix("app-"))
+	p.g.Expect(p.do(p.hosts[0], http.MethodGet, "/none/1").status).To(Equal(http.StatusNotFound))
+	p.g.Expect(p.do(p.hosts[0], http.MethodGet, "/view/1", header("Authorization", "Bearer wrong")).status).To(Equal(http.StatusUnauthorized))
+	p.g.Expect(p.do(p.hosts[0], http.MethodGet, "/open/1", header("Authorization", "")).status).To(Equal(http.StatusOK))
+}
+
+// Guards against a stream with a missing or repeated event, and memory that stays held at engines after it.
+func TestStreamsArriveWholeAndLeaveNothingBehind(t *testing.T) {
+	p := newParts(t, 1)
+	for range 5 {
+		a := p.stream(p.hosts[0], "note")
+		p.g.Expect(a.err).NotTo(HaveOccurred())
+		p.g.Expect(events(a.body)).To(Equal(upTo(10)))
+		p.g.Expect(p.runs(a.id)).To(Equal(1))
+	}
+	for _, w := range p.decode {
+		p.g.Eventually(func() int { working, holds, _ := w.Busy(); return working + holds }).WithTimeout(waitTime).Should(BeZero())
+	}
+}
+
+// Guards against a stream that is joined from two runs at the wrong event, or that is repeated although it may not be.
+func TestStreamsThatBreakOff(t *testing.T) {
+	p := newParts(t, 1)
+	p.decode[0].CutStreams(4)
+	p.decode[1].CutStreams(4)
+	a := p.stream(p.hosts[0], "note")
+	p.g.Expect(a.err).To(HaveOccurred(), "a stream that may not be resumed must not look complete")
+	p.g.Expect(events(a.body)).To(Equal(upTo(4)))
+	p.g.Expect(p.runs(a.id)).To(Equal(1))
+	a = p.stream(p.hosts[0], "ask")
+	p.g.Expect(a.err).To(HaveOccurred(), "two attempts of four events each")
+	p.g.Expect(events(a.body)).To(Equal(upTo(8)))
+	p.g.Expect(p.runs(a.id)).To(Equal(2))
+	p.decode[1].CutStreams(0)
+	for range 4 {
+		a = p.stream(p.hosts[0], "ask")
+		p.g.Expect(a.err).NotTo(HaveOccurred())
+		p.g.Expect(events(a.body)).To(Equal(upTo(10)))
+	}
+}
+
+// Guards against a non-idempotent request that runs twice, and against a refusal that says "not run" of one that ran.
+func TestNonIdempotentRequestsRunAtMostOnce(t *testing.T) {
+	p := newParts(t, 1)
+	for _, c := range []struct {
+		name   string
+		fault  users.WorkerFault
+		status int
+		runs   int
+	}{
+		{"answer lost", users.LosingRuns, http.StatusBadGateway, 1},
+		{"answer of another request", users.Foreign, http.StatusBadGateway, 1},
+		{"answer cut", users.Truncating, http.StatusBadGateway, 1},
+		{"own failure", users.Failing, http.StatusInternalServerError, 1},
+		{"rejected", users.Rejecting, http.StatusServiceUnavailable, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			for _, w := range p.plain {
+				w.SetFault(c.fault)
+			}
+			a := p.do(p.hosts[0], http.MethodPost, "/reserve/1")
+			g.Expect(a.err).NotTo(HaveOccurred())
+			g.Expect(a.status).To(Equal(c.status))
+			g.Expect(p.runs(a.id)).To(Equal(c.runs))
+			if c.runs == 0 {
+				g.Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+			}
+		})
+	}
+	for _, w := range p.plain {
+		w.SetFault(users.Hanging)
+	}
+	started := time.Now()
+	a := p.do(p.hosts[0], http.MethodPost, "/reserve/1", header("Deadline-Ms", "500"))
+	p.g.Expect(a.status).To(Equal(http.StatusGatewayTimeout))
+	p.g.Expect(time.Since(started)).To(BeNumerically("<", time.Second))
+}
+
+// Guards against an idempotent request that fails although another backend server would serve it.
+func TestIdempotentRequestsAreRepeated(t *testing.T) {
+	p := newParts(t, 1)
+	for _, fault := range []users.WorkerFault{users.LosingRuns, users.Failing, users.Rejecting, users.Truncating} {
+		p.plain[0].SetFault(fault)
+		for range 4 {
+			p.g.Expect(p.do(p.hosts[0], http.MethodGet, "/view/1").status).To(Equal(http.StatusOK))
+		}
+	}
+}
+
+// Guards against work that goes on after its caller has left.
+func TestCallersThatLeaveStopTheWork(t *testing.T) {
+	p := newParts(t, 1)
+	for _, w := range p.decode {
+		w.CutStreams(0)
+		w.EventPause = time.Second
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	req := p.request(ctx, p.hosts[0], http.MethodPost, "/ask/1", header("Token-Counts", "100,100"))
+	resp, err := p.client.Do(req)
+	p.g.Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	cancel()
+	for _, w := range p.decode {
+		p.g.Eventually(func() int { working, holds, _ := w.Busy(); return working + holds }).
+			WithTimeout(500 * time.Millisecond).WithPolling(10 * time.Millisecond).Should(BeZero())
+	}
+}
+
+// Guards against a workspace that gets more than its rate, and against a refusal without a time to return.
+func TestWorkspacesAreHeldToTheirRate(t *testing.T) {
+	p := newParts(t, 2)
+	p.configure(routes(100))
+	p.g.Eventually(func() int { return p.do(p.hosts[0], http.MethodGet, "/view/1").status }).
+		WithTimeout(waitTime).WithPolling(time.Millisecond).Should(Equal(http.StatusTooManyRequests))
+	a := p.do(p.hosts[0], http.MethodGet, "/view/1")
+	p.g.Expect(a.status).To(Equal(http.StatusTooManyRequests))
+	p.g.Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+	p.g.Expect(p.runs(a.id)).To(BeZero())
+	p.g.Eventually(func() int { return p.do(p.hosts[1], http.MethodGet, "/view/1").status }).
+		WithTimeout(waitTime).WithPolling(time.Millisecond).Should(Equal(http.StatusTooManyRequests))
+}
+
+// Guards against a stop that cuts a stream, and against a host that still counts as ready while it stops.
+func TestStopFinishesStreams(t *testing.T) {
+	p := newParts(t, 1)
+	for _, w := range p.decode {
+		w.EventPause = 270 * time.Millisecond
+	}
+	done := make(chan answer, 1)
+	go func() { done <- p.stream(p.hosts[0], "note") }()
+	p.g.Eventually(func() int {
+		a, _, _ := p.decode[0].Busy()
+		b, _, _ := p.decode[1].Busy()
+		return a + b
+	}).WithTimeout(waitTime).Should(Equal(1))
+	stopped := make(chan bool, 1)
+	go func() { stopped <- p.hosts[0].process.Terminate(8 * time.Second) }()
+	p.g.Eventually(func() int {
+		resp, err := p.client.Get("http://" + p.hosts[0].ready + "/api/readyz")
+		if err != nil {
+			return 0
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}).WithTimeout(time.Second).Should(Equal(http.StatusServiceUnavailable))
+	a := <-done
+	p.g.Expect(a.err).NotTo(HaveOccurred())
+	p.g.Expect(events(a.body)).To(Equal(upTo(10)))
+	p.g.Expect(<-stopped).To(BeTrue())
+}
--- /dev/null
+++ b/test/users/state_test.go
@@ -0,0 +1,119 @@
+package users_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/boragecourse/boragecourse/test/standin/users"
+)
+
+// configApply is the time in which an accepted configuration must be in force.
+const configApply = 2 * time.Second
+
+// withdraw writes a configuration without the key.
+func (f *fleet) withdraw() {
+	c := routes(100000)
+	c["tenants"] = []any{map[string]any{"name": workspace, "apiKeys": []string{"other"}, "ratePerS": 100000, "burst": 100000}}
+	f.configure(c)
+}
+
+func (f *fleet) awaitWithdrawn(h *host, within time.Duration) {
+	f.t.Helper()
+	f.g.Eventually(func() int { return f.do(h, http.MethodGet, "/view/1").status }).
+		WithTimeout(within).WithPolling(20 * time.Millisecond).Should(Equal(http.StatusUnauthorized))
+}
+
+// Guards against a withdrawn key that goes on working: on every host, on one that the store refuses or ignores, and
+// after the store forgot its history.
+func TestConfigurationsComeIntoForce(t *testing.T) {
+	for name, prepare := range map[string]func(p *parts){
+		"store serves all":            func(*parts) {},
+		"store refuses one host":      func(p *parts) { p.hosts[1].door.SetFault(users.Refusing) },
+		"store is silent to one":      func(p *parts) { p.hosts[1].door.SetFault(users.Silent) },
+		"store forgot its history":    func(p *parts) { p.store.Compact() },
+		"an entry cannot be read":     func(p *parts) { p.store.Put("servers/strange", []byte(`{"service":7}`)) },
+		"a page of other workers":     func(p *parts) { p.store.Put("servers/zz", []byte(`not json`)) },
+		"the store loses its answers": func(p *parts) { p.hosts[0].door.SetFault(users.LosingAnswers) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newParts(t, 2)
+			prepare(p)
+			p.withdraw()
+			for _, h := range p.hosts {
+				// A host that the store ignores first has to notice that.
+				p.awaitWithdrawn(h, 2*configApply)
+			}
+		})
+	}
+}
+
+// Guards against a host that cannot start, or goes back to an older configuration, while the store is away.
+func TestRestartWhileTheStoreIsAway(t *testing.T) {
+	p := newParts(t, 2)
+	p.withdraw()
+	p.awaitWithdrawn(p.hosts[1], 2*configApply)
+	for _, h := range p.hosts {
+		h.door.SetFault(users.Silent)
+	}
+	p.hosts[0].process.Terminate(0)
+	p.start(p.hosts[0])
+	p.awaitReady(p.hosts[0])
+	p.awaitWithdrawn(p.hosts[0], configApply)
+}
+
+// Guards against 404 or 401 from a host that has no configuration yet, and against its being ready.
+func TestAHostWithoutConfigurationRefusesAsNotRun(t *testing.T) {
+	f := newFleet(t, 1)
+	f.awaitReady(f.hosts[0])
+	f.hosts[0].door.SetFault(users.Silent)
+	f.hosts[0].process.Terminate(0)
+	f.start(f.hosts[0])
+	f.g.Eventually(func() int { return f.do(f.hosts[0], http.MethodGet, "/view/1").status }).
+		WithTimeout(waitTime).Should(Equal(http.StatusServiceUnavailable))
+	resp, err := f.client.Get("http://" + f.hosts[0].ready + "/api/readyz")
+	f.g.Expect(err).NotTo(HaveOccurred())
+	resp.Body.Close()
+	f.g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+}
+
+// Guards against work for a backend server that announced its departure, and against none for a new one.
+func TestBackendServersLeaveAndJoin(t *testing.T) {
+	p := newParts(t, 2)
+	p.plain[0].Register(p.store, "draining")
+	time.Sleep(2 * time.Second)
+	before := len(p.plain[0].Runs())
+	for range 10 {
+		for _, h := range p.hosts {
+			p.g.Expect(p.do(h, http.MethodPost, "/reserve/1").status).To(Equal(http.StatusOK))
+		}
+	}
+	p.g.Expect(p.plain[0].Runs()).To(HaveLen(before))
+	p.store.Remove("servers/app-1")
+	p.store.Remove("servers/app-2")
+	joined := p.worker(users.WorkerOptions{ID: "app-3", Service: "app"})
+	p.g.Eventually(func() int { _ = p.do(p.hosts[0], http.MethodGet, "/view/1"); return len(joined.Runs()) }).
+		WithTimeout(waitTime).ShouldNot(BeZero())
+}
+
+// Guards against a request that runs at a service to which no configuration sends it, when an address is used again.
+func TestReusedAddressesRunNothing(t *testing.T) {
+	p := newParts(t, 1)
+	p.plain[1].Register(p.store, "draining")
+	time.Sleep(time.Second)
+	address := p.plain[0].Addr
+	p.plain[0].Close()
+	other, err := users.StartWorker(users.WorkerOptions{ID: "other-1", Service: "other", Slots: 4}, address)
+	p.g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(other.Close)
+	for range 5 {
+		a := p.do(p.hosts[0], http.MethodPost, "/reserve/1")
+		p.g.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+	}
+	p.g.Expect(other.Runs()).To(BeEmpty())
+	reborn := p.worker(users.WorkerOptions{ID: "app-1", Service: "app"})
+	p.g.Eventually(func() int { return p.do(p.hosts[0], http.MethodPost, "/reserve/1").status }).WithTimeout(waitTime).Should(Equal(http.StatusOK))
+	p.g.Expect(reborn.Runs()).NotTo(BeEmpty())
+}
