--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -20,9 +20,6 @@
 	prefillEstimate = 300 * time.Millisecond
 	// lateWait is how long a stream waits for a slot that is late already.
 	lateWait = 3 * time.Second
-	// holdOutput is the output that a reservation covers beside the prompt, in tokens. The engine's own count is a guard
-	// against hosts that have not heard of each other; how far an engine is filled is decided by the forecast.
-	holdOutput = 1000
 	// holdTTL is how long a reservation at a decode engine waits for its prefill.
 	holdTTL = 1500 * time.Millisecond
 	// releaseTimeout bounds calls that free memory at engines after the request is over.
@@ -157,7 +154,9 @@
 			grant.Rejected()
 			continue
 		}
-		hold, err := f.backends.TakeHold(ctx, server, x.request.Tokens.Prompt+holdOutput, holdTTL)
+		// Reserving more than the prompt makes the engine preempt streams that are under way; how far it is filled is
+		// decided by the forecast.
+		hold, err := f.backends.TakeHold(ctx, server, x.request.Tokens.Prompt, holdTTL)
 		if err == nil {
 			return &place{grant: grant, server: server, hold: hold, run: r}, nil
 		}
