--- a/internal/exchange/directory.go
+++ b/internal/exchange/directory.go
@@ -172,6 +172,9 @@
 	return routes
 }
 
+// IsRelay tells whether this host passes reports on.
+func (d *Directory) IsRelay() bool { return d.relayed() && d.relayOf(d.zone) == d.self }
+
 // relayOf is the host of a zone that passes reports on: the first by address that is heard.
 func (d *Directory) relayOf(zone string) string {
 	relay := ""
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -23,7 +23,7 @@
 	spacing = 20 * time.Millisecond
 	// relayedInterval and relayedSpacing hold in fleets with relays; each host has fewer streams there.
 	relayedInterval = 500 * time.Millisecond
-	relayedSpacing  = 80 * time.Millisecond
+	relayedSpacing  = 30 * time.Millisecond
 	// reportTimeout bounds one report. It is below silentAfter, so that a lost connection is noticed in time.
 	reportTimeout = 700 * time.Millisecond
 	// maxTimeouts is how many reports in a row may time out before the connection is given up: it may be silent
@@ -304,7 +304,11 @@
 	if r.Leaving {
 		delete(e.newest, r.Address)
 	}
+	relay := e.directory.IsRelay()
 	e.mu.Unlock()
+	if newer && relay {
+		e.Notify()
+	}
 	e.changed(changes)
 	if !newer {
 		return
