--- a/internal/allotment/allotment.go
+++ b/internal/allotment/allotment.go
@@ -17,7 +17,7 @@
 	reportTolerance = 0.25
 	// startLevel is the part of the burst that a new process finds in an account: what the previous process of this
 	// host admitted is not known.
-	startLevel = 0.5
+	startLevel = 0.2
 )
 
 // Book holds the accounts of one host. It is not safe for concurrent use.
--- a/internal/allotment/allotment_test.go
+++ b/internal/allotment/allotment_test.go
@@ -16,26 +16,36 @@
 const (
 	rate, burst = 60_000.0, 60_000.0
 	cost        = 5_000
-	hosts       = 4
 )
 
 // hostBooks are the accounts of several hosts, and what they admitted when.
 type hostBooks struct {
+	// interval is the time between two reports.
+	interval time.Duration
+	// change is called in each step; it may add or replace hosts.
+	change   func(at time.Duration)
+	names    map[int]string
 	books    []*allotment.Book
 	admitted []time.Time
 	start    time.Time
 }
 
-func newHostBooks() *hostBooks {
-	h := &hostBooks{start: time.Unix(100, 0)}
+func newHostBooks() *hostBooks { return newBooks(4, 200*time.Millisecond) }
+
+func newBooks(hosts int, interval time.Duration) *hostBooks {
+	h := &hostBooks{start: time.Unix(100, 0), interval: interval}
 	for range hosts {
-		b := allotment.New(limits)
-		b.Configure([]*fleet.Workspace{{Name: "w", Rate: rate, Burst: burst}}, h.start)
-		h.books = append(h.books, b)
+		h.books = append(h.books, newBook(h.start))
 	}
 	return h
 }
 
+func newBook(now time.Time) *allotment.Book {
+	b := allotment.New(limits)
+	b.Configure([]*fleet.Workspace{{Name: "w", Rate: rate, Burst: burst}}, now)
+	return b
+}
+
 // play sends requests at a multiple of the rate for some seconds. linked tells whether two hosts hear each other.
 func (h *hostBooks) play(multiple float64, seconds int, linked func(a, b int, at time.Duration) bool) (refused int) {
 	heard := map[[2]int]time.Duration{}
@@ -44,15 +54,18 @@
 	turn := 0
 	for at := time.Duration(0); at < time.Duration(seconds)*time.Second; at += 10 * time.Millisecond {
 		now := h.start.Add(at)
+		if h.change != nil {
+			h.change(at)
+		}
 		for ; next <= at; next += gap {
 			turn++
-			if ok, _ := h.books[turn%hosts].Admit("w", cost, now); ok {
+			if ok, _ := h.books[turn%len(h.books)].Admit("w", cost, now); ok {
 				h.admitted = append(h.admitted, now)
 			} else {
 				refused++
 			}
 		}
-		if at%(200*time.Millisecond) == 0 {
+		if at%h.interval == 0 {
 			h.report(at, now, heard, linked)
 		}
 	}
@@ -60,20 +73,23 @@
 }
 
 func (h *hostBooks) report(at time.Duration, now time.Time, heard map[[2]int]time.Duration, linked func(a, b int, at time.Duration) bool) {
-	for a := range hosts {
-		for b := range hosts {
+	for a := range h.books {
+		for b := range h.books {
 			switch {
 			case a == b:
 			case linked(a, b, at):
-				h.books[b].Heard(strconv.Itoa(a), h.books[a].Admitted(), now)
+				h.books[b].Heard(h.name(a), h.books[a].Admitted(), now)
 				heard[[2]int{a, b}] = at
 			case at-heard[[2]int{a, b}] > time.Second:
-				h.books[b].Silent(strconv.Itoa(a), now)
+				h.books[b].Silent(h.name(a), now)
 			}
 		}
 	}
 }
 
+// name is that of a host's present process.
+func (h *hostBooks) name(i int) string { return strconv.Itoa(i) + h.names[i] }
+
 // worstWindow is the largest number of tokens admitted in any window.
 func (h *hostBooks) worstWindow() float64 {
 	worst, first := 0, 0
@@ -101,6 +117,21 @@
 	g.Expect(h.worstWindow()).To(BeNumerically(">=", rate*limits.Window.Seconds()))
 }
 
+// Guards against a large fleet that admits too much because its hosts hear of each other late.
+func TestLateReportsOfManyHosts(t *testing.T) {
+	for _, c := range []struct {
+		hosts    int
+		interval time.Duration
+	}{{33, 300 * time.Millisecond}, {33, 600 * time.Millisecond}, {100, 600 * time.Millisecond}} {
+		g := NewWithT(t)
+		h := newBooks(c.hosts, c.interval)
+		h.play(6, 20, always)
+		t.Logf("%d hosts, reports every %v: %.0f of %.0f", c.hosts, c.interval, h.worstWindow(), allowed())
+		g.Expect(h.worstWindow()).To(BeNumerically("<=", allowed()))
+		g.Expect(newBooks(c.hosts, c.interval).play(0.95, 20, always)).To(BeZero())
+	}
+}
+
 // Guards against refusals of a workspace that keeps to its rate.
 func TestAWorkspaceWithinItsRateIsNotRefused(t *testing.T) {
 	g := NewWithT(t)
@@ -157,3 +188,35 @@
 	b.Refund("w", 1e6)
 	g.Expect(b.Level("w", now.Add(time.Hour))).To(Equal(before))
 }
+
+// Guards against processes that start with tokens that others have spent already: all are replaced at once, or many
+// join a fleet in which a workspace is at its limit.
+func TestNewProcessesDoNotBringTokens(t *testing.T) {
+	for name, change := range map[string]func(h *hostBooks, now time.Time){
+		"all replaced": func(h *hostBooks, now time.Time) {
+			for i := range h.books {
+				h.books[i] = newBook(now)
+				h.names[i] = "again"
+			}
+		},
+		"many join": func(h *hostBooks, now time.Time) {
+			for range 26 {
+				h.books = append(h.books, newBook(now))
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			h := newBooks(6, 300*time.Millisecond)
+			h.names = map[int]string{}
+			h.change = func(at time.Duration) {
+				if at == 6*time.Second {
+					change(h, h.start.Add(at))
+				}
+			}
+			h.play(6, 20, always)
+			t.Logf("%.0f of %.0f", h.worstWindow(), allowed())
+			g.Expect(h.worstWindow()).To(BeNumerically("<=", allowed()))
+		})
+	}
+}
