--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -29,6 +29,7 @@
 	Status  StatusCmd  `cmd:"" help:"Show hosts, zones, generations and backend servers. Example: boragecourse status"`
 	Charges ChargesCmd `cmd:"" help:"Look up charges."`
 	Drain   DrainCmd   `cmd:"" help:"Drain one host: finish its requests, take no new ones. Example: boragecourse drain 10.0.0.5:8082"`
+	Explain ExplainCmd `cmd:"" help:"Print what the hosts' logs tell of one request. Example: boragecourse explain 9c41d07b host-*.log"`
 
 	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Print the shell line that installs completion."`
 }
--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,40 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/boragecourse/boragecourse/internal/explain"
+)
+
+// ExplainCmd prints the story of a request.
+type ExplainCmd struct {
+	ID    string   `arg:"" help:"Request id."`
+	Files []string `arg:"" optional:"" help:"Log files of the hosts; standard input when none is named."`
+}
+
+// Run implements the command.
+func (c *ExplainCmd) Run(e *Env) error {
+	logs := []io.Reader{e.In}
+	if len(c.Files) > 0 {
+		logs = nil
+	}
+	for _, name := range c.Files {
+		f, err := os.Open(name)
+		if err != nil {
+			return fmt.Errorf("open log: %w", err)
+		}
+		defer func() { _ = f.Close() }()
+		logs = append(logs, f)
+	}
+	story, err := explain.Story(io.MultiReader(logs...), c.ID)
+	if err != nil {
+		return err
+	}
+	return e.print(story, func(w io.Writer) {
+		for _, l := range story {
+			_, _ = fmt.Fprintln(w, l.Text)
+		}
+	})
+}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,40 @@
+package explain_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/boragecourse/boragecourse/internal/explain"
+)
+
+const logs = `not a log line
+time=2026-01-31T04:22:39.000Z severity=info event="store lost" error="range \"x\" timed out"
+  1.2 front-1 time=2026-01-31T04:22:45.000Z severity=info event="request refused" request=b server=s2 cause="no room"
+time=2026-01-31T04:22:43.900Z severity=info event="backend server draining" server=s2 service=llm
+time=2026-01-31T04:22:43.000Z severity=info event="backend server removed" server=s1 service=llm
+time=2026-01-31T04:22:44.500Z severity=info event="stream goes on at another backend server" request=a from=s2/17 cause="a b=c"
+time=2026-01-31T04:22:45.100Z severity=info event="request served" request=a server=s3
+time=2026-01-31T04:22:46.000Z severity=info event="backend server removed" server=s2
+`
+
+// Guards against a story with lines of other requests or servers, out of order, or without what led to it.
+func TestStoryOfOneRequest(t *testing.T) {
+	g := NewWithT(t)
+	story, err := explain.Story(strings.NewReader(logs), "a")
+	g.Expect(err).NotTo(HaveOccurred())
+	var events []string
+	for _, l := range story {
+		events = append(events, l.Fields["event"])
+	}
+	g.Expect(events).To(Equal([]string{"backend server draining", "stream goes on at another backend server", "request served"}))
+	g.Expect(story[1].Fields["cause"]).To(Equal("a b=c"))
+	story, err = explain.Story(strings.NewReader(logs), "b")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(story[len(story)-1].Text).To(HavePrefix("time="), "what a collector put before the line is dropped")
+	_, err = explain.Story(strings.NewReader(logs), "c")
+	var missing *explain.NotFoundError
+	g.Expect(errors.As(err, &missing)).To(BeTrue())
+}
--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -17,6 +17,8 @@
 	balancerNotice = 2500 * time.Millisecond
 	// exitMargin is kept of the time before SIGKILL for the process to end by itself.
 	exitMargin = 400 * time.Millisecond
+	// leaveTimeout bounds the last report to the other hosts.
+	leaveTimeout = 150 * time.Millisecond
 )
 
 // drain waits for SIGTERM, then takes the host out of service: readiness goes off, requests are taken until the load
@@ -43,6 +45,9 @@
 		f.log.Error(err, "drain cut short", "open", f.open.Load())
 		f.metrics.Inc("drains_cut_short")
 	}
+	leaving, cancelLeave := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
+	defer cancelLeave()
+	f.exchange.Leave(leaving)
 	for _, s := range servers {
 		_ = s.Close()
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -62,8 +62,9 @@
 	heardMu sync.Mutex
 	heard   map[uint64]heardReport
 
-	open     atomic.Int64
-	draining atomic.Bool
+	startedAt time.Time
+	open      atomic.Int64
+	draining  atomic.Bool
 
 	callers, readiness, metricsPage, peersListener net.Listener
 }
@@ -73,7 +74,7 @@
 	f := &Front{
 		settings: settings, log: log, metrics: reg, now: time.Now, backends: platform.NewBackends(),
 		groups: map[string]*group{}, book: allotment.New(settings.Limits.Quota), heard: map[uint64]heardReport{},
-		pool: peer.NewPool("", nil), peers: peer.NewServer("", nil),
+		pool: peer.NewPool("", nil), peers: peer.NewServer("", nil), startedAt: time.Now(),
 	}
 	f.ledger = newLedger(f.now)
 	f.exchange = exchange.New(exchange.Options{
@@ -157,13 +158,22 @@
 }
 
 func (f *Front) readyPage(w http.ResponseWriter, _ *http.Request) {
-	if f.draining.Load() || f.state.Configuration() == nil {
+	if f.draining.Load() || f.state.Configuration() == nil || !f.settled() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+// settleTime is how long a new process waits to hear of another host before it counts as ready: until then it does not
+// know what the others use of the backend servers.
+const settleTime = 800 * time.Millisecond
+
+// settled tells whether the process knows what other hosts use, or has waited for it in vain.
+func (f *Front) settled() bool {
+	return len(f.exchange.Contacts()) > 0 || f.now().Sub(f.startedAt) > settleTime
+}
+
 // hosts is the largest number of hosts that may be taking requests.
 func (f *Front) hosts() int { return f.exchange.Hosts() }
 
--- a/test/users/fleet_test.go
+++ b/test/users/fleet_test.go
@@ -20,6 +20,8 @@
 
 	. "github.com/onsi/gomega"
 
+	// The daemon is built by the tests; importing it makes cached results depend on its sources.
+	_ "github.com/boragecourse/boragecourse/internal/front"
 	"github.com/boragecourse/boragecourse/test/loopback"
 	"github.com/boragecourse/boragecourse/test/standin/users"
 )
