Give up engines that fall silent without closing the connection

Cause: a silent engine held a stream until the caller left (tests failed with deadline errors before).

--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -22,6 +22,9 @@
 	lateWait = 3 * time.Second
 	// holdTTL is how long a reservation at a decode engine waits for its prefill.
 	holdTTL = 1500 * time.Millisecond
+	// prefillLimit and slowPrefill bound a prefill: a fixed time, and a time per token of ten times the usual.
+	prefillLimit = 700 * time.Millisecond
+	slowPrefill  = 180 * time.Microsecond
 	// releaseTimeout bounds calls that free memory at engines after the request is over.
 	releaseTimeout = 2 * time.Second
 )
@@ -86,6 +89,9 @@
 	}
 	settle := x.sending()
 	x.trace.server = p.server.ID
+	// A run that may not be repeated has nothing to gain from being given up.
+	ctx, watch := watchStall(ctx, x.route.Repeatable(), f.stallLimit(x))
+	defer watch.stop()
 	answer, err := f.backends.Run(ctx, platform.Send{
 		Request: x.request, Server: p.server, TimeLeft: x.deadline.Sub(f.now()), Workspace: x.workspaceName(),
 		LastEventID: s.lastEvent, Hold: p.hold, Result: result,
@@ -100,7 +106,7 @@
 	if answer.Status != http.StatusOK {
 		return p.grant.Key, f.passFailure(x, s, answer, p.grant.Key)
 	}
-	s.run, s.firstOfRun = p.run, f.now()
+	s.run, s.firstOfRun, s.watch = p.run, f.now(), watch
 	err = s.relay(ctx, answer)
 	if err != nil {
 		var undelivered *DeliveryError
@@ -257,6 +263,8 @@
 		return nil, &platform.NotRunError{Cause: &StaleServerError{Key: grant.Key}}
 	}
 	x.trace.prefill = server.ID
+	ctx, watch := watchStall(ctx, true, prefillLimit+time.Duration(x.request.Tokens.Prompt)*slowPrefill)
+	defer watch.stop()
 	result, err := f.backends.Prefill(ctx, platform.Send{
 		Request: x.request, Server: server, TimeLeft: x.deadline.Sub(f.now()), Workspace: x.workspaceName(), LastEventID: lastEvent,
 	})
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -140,8 +140,11 @@
 // backend server, unless it stayed silent for long.
 func (f *Front) noteFailure(ctx context.Context, x *call, key string, err error) {
 	var notRun *platform.NotRunError
+	var stalled *StalledError
 	result := outlier.Failed
 	switch {
+	case errors.As(context.Cause(ctx), &stalled):
+		result = outlier.Unreachable
 	case errors.As(err, &notRun) && notRun.WrongServer:
 		if server, known := x.group.server(key); known {
 			f.state.Misdirected(server)
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -27,6 +27,7 @@
 	// run is the present run in the ledger; firstOfRun is when it began.
 	run        *run
 	firstOfRun time.Time
+	watch      *stallWatch
 }
 
 // EventTooLargeError reports an event above the limit.
@@ -89,6 +90,7 @@
 		s.lastEvent = id
 	}
 	s.events++
+	s.watch.received()
 	s.x.trace.events = s.events
 	s.front.ledger.progress(s.run, int64(s.events)*s.front.tokensPerEvent(s.x))
 	if _, err := s.x.w.Write(event); err != nil {
--- a/test/standin/users/worker.go
+++ b/test/standin/users/worker.go
@@ -64,6 +64,8 @@
 	counter int
 	// cutAfter ends streams in the middle of the event after so many; 0 never.
 	cutAfter int
+	// stallAfter makes streams fall silent after so many events; 0 never.
+	stallAfter int
 }
 
 // StartWorker serves a backend server at a new loopback address, or at addr when it is not empty.
@@ -110,6 +112,13 @@
 	w.cutAfter = n
 }
 
+// StallStreams makes streams fall silent after n events.
+func (w *Worker) StallStreams(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stallAfter = n
+}
+
 // Runs returns how often each request ran.
 func (w *Worker) Runs() map[string]int {
 	w.mu.Lock()
@@ -183,6 +192,11 @@
 		return
 	}
 	if r.Header.Get("Serving-Stage") == "prefill" {
+		if fault == Hanging {
+			w.mu.Unlock()
+			<-r.Context().Done()
+			return
+		}
 		w.counter++
 		handle := fmt.Sprintf("%s-%d", w.ID, w.counter)
 		w.handles[handle] = true
@@ -236,9 +250,13 @@
 	rw.Header().Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(after)
 	w.mu.Lock()
-	cut := w.cutAfter
+	cut, stall := w.cutAfter, w.stallAfter
 	w.mu.Unlock()
 	for i := first + 1; i <= w.Events; i++ {
+		if stall > 0 && i-first > stall {
+			<-ctx.Done()
+			return
+		}
 		event := fmt.Sprintf("id: %d\ndata: event %d\n\n", i, i)
 		if cut > 0 && i-first > cut {
 			_, _ = rw.Write([]byte(event[:len(event)/2]))
--- a/test/users/path_test.go
+++ b/test/users/path_test.go
@@ -213,3 +213,31 @@
 	p.g.Expect(events(a.body)).To(Equal(upTo(10)))
 	p.g.Expect(<-stopped).To(BeTrue())
 }
+
+// Guards against a stream that is lost because its engine falls silent without closing the connection, before the
+// first event or in the middle, and against one that then runs at two engines.
+func TestStreamsLeaveSilentEngines(t *testing.T) {
+	for name, silence := range map[string]func(w *users.Worker){
+		"before the first event": func(w *users.Worker) { w.SetFault(users.Hanging) },
+		"in the middle":          func(w *users.Worker) { w.StallStreams(3) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newParts(t, 1)
+			silence(p.decode[0])
+			for range 6 {
+				a := p.stream(p.hosts[0], "ask")
+				p.g.Expect(a.err).NotTo(HaveOccurred())
+				p.g.Expect(events(a.body)).To(Equal(upTo(10)))
+			}
+			p.g.Eventually(func() int { working, _, _ := p.decode[0].Busy(); return working }).WithTimeout(waitTime).Should(BeZero())
+		})
+	}
+	t.Run("prefill", func(t *testing.T) {
+		p := newParts(t, 1)
+		p.worker(users.WorkerOptions{ID: "prefill-2", Service: "llm", Stage: "prefill"})
+		p.prefill.SetFault(users.Hanging)
+		for range 4 {
+			p.g.Expect(p.stream(p.hosts[0], "note").status).To(Equal(http.StatusOK))
+		}
+	})
+}
