--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -18,6 +18,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/go-logr/logr"
 
+	"github.com/boragecourse/boragecourse/internal/defaults"
 	"github.com/boragecourse/boragecourse/internal/metrics"
 	"github.com/boragecourse/boragecourse/internal/outcome"
 	"github.com/boragecourse/boragecourse/internal/request"
@@ -56,11 +57,11 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.MaxBodyBytes, 8<<20)
-	setDefault(&o.MaxHeaderBytes, 64<<10)
-	setDefault(&o.BodyTimeout, 30*time.Second)
-	setDefault(&o.IdleTimeout, 2*time.Minute)
-	setDefault(&o.StreamTimeout, 30*time.Minute)
+	defaults.Set(&o.MaxBodyBytes, 8<<20)
+	defaults.Set(&o.MaxHeaderBytes, 64<<10)
+	defaults.Set(&o.BodyTimeout, 30*time.Second)
+	defaults.Set(&o.IdleTimeout, 2*time.Minute)
+	defaults.Set(&o.StreamTimeout, 30*time.Minute)
 	if o.NewID == nil {
 		o.NewID = newID
 	}
@@ -70,13 +71,6 @@
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 type handler struct {
 	Options
 }
--- a/internal/charge/ledger.go
+++ b/internal/charge/ledger.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/boragecourse/boragecourse/internal/defaults"
 	"github.com/boragecourse/boragecourse/internal/host"
 	"github.com/boragecourse/boragecourse/internal/membership"
 	"github.com/boragecourse/boragecourse/internal/metrics"
@@ -44,25 +45,18 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.CloseInterval, 200*time.Millisecond)
-	setDefault(&c.WriteInterval, time.Second)
-	setDefault(&c.WritesPerSecond, 100)
-	setDefault(&c.EpochInterval, 500*time.Millisecond)
-	setDefault(&c.StoreTimeout, 2*time.Second)
-	setDefault(&c.PeerTimeout, time.Second)
-	setDefault(&c.MaxBatchBytes, 128<<10)
-	setDefault(&c.MaxPendingBytes, 32<<20)
-	setDefault(&c.MaxCopyBytes, 32<<20)
+	defaults.Set(&c.CloseInterval, 200*time.Millisecond)
+	defaults.Set(&c.WriteInterval, time.Second)
+	defaults.Set(&c.WritesPerSecond, 100)
+	defaults.Set(&c.EpochInterval, 500*time.Millisecond)
+	defaults.Set(&c.StoreTimeout, 2*time.Second)
+	defaults.Set(&c.PeerTimeout, time.Second)
+	defaults.Set(&c.MaxBatchBytes, 128<<10)
+	defaults.Set(&c.MaxPendingBytes, 32<<20)
+	defaults.Set(&c.MaxCopyBytes, 32<<20)
 	return c
 }
 
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
-
 // acceptingPercent of MaxPendingBytes is where Accepting begins to refuse. The rest is for requests that already
 // run.
 const acceptingPercent = 90
--- a/internal/claim/coordinator.go
+++ b/internal/claim/coordinator.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/boragecourse/boragecourse/internal/defaults"
 	"github.com/boragecourse/boragecourse/internal/membership"
 	"github.com/boragecourse/boragecourse/internal/metrics"
 	"github.com/boragecourse/boragecourse/internal/peer"
@@ -52,29 +53,22 @@
 const maxRounds = 8
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.BatchDelay, 3*time.Millisecond)
-	setDefault(&c.WritesPerSecond, 200)
-	setDefault(&c.StoreTimeout, 2*time.Second)
-	setDefault(&c.AskTimeout, 2*time.Second)
-	setDefault(&c.DispatchGrace, 250*time.Millisecond)
-	setDefault(&c.DispatchLimit, 30*time.Second)
-	setDefault(&c.Retention, 24*time.Hour)
-	setDefault(&c.MaxAnswerBytes, 64<<10)
-	setDefault(&c.MaxOpen, 4096)
-	setDefault(&c.RetryInterval, time.Second)
-	setDefault(&c.SweepReadsPerSecond, 5)
+	defaults.Set(&c.BatchDelay, 3*time.Millisecond)
+	defaults.Set(&c.WritesPerSecond, 200)
+	defaults.Set(&c.StoreTimeout, 2*time.Second)
+	defaults.Set(&c.AskTimeout, 2*time.Second)
+	defaults.Set(&c.DispatchGrace, 250*time.Millisecond)
+	defaults.Set(&c.DispatchLimit, 30*time.Second)
+	defaults.Set(&c.Retention, 24*time.Hour)
+	defaults.Set(&c.MaxAnswerBytes, 64<<10)
+	defaults.Set(&c.MaxOpen, 4096)
+	defaults.Set(&c.RetryInterval, time.Second)
+	defaults.Set(&c.SweepReadsPerSecond, 5)
 	c.policy.DispatchLimit = c.DispatchLimit
 	c.policy.MaxRounds = maxRounds
 	return c
 }
 
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
-
 // Coordinator is the claim service of one host. It implements Service, the Claims grpc service and a suture
 // service.
 //
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math/rand/v2"
 	"net"
@@ -123,7 +124,9 @@
 		"peers", f.settings.Peers, "store", f.settings.Store, "memory", f.settings.MemoryBytes)
 	f.drain(ctx, signals, servers)
 	cancel()
-	<-stopped
+	if err := <-stopped; err != nil && !errors.Is(err, context.Canceled) {
+		f.log.Error(err, "supervisor failed")
+	}
 	f.log.Info("stopped", "open", f.open.Load())
 	return nil
 }
--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -104,7 +104,7 @@
 		return p.grant.Key, err
 	}
 	if answer.Status != http.StatusOK {
-		return p.grant.Key, f.passFailure(x, s, answer, p.grant.Key)
+		return p.grant.Key, f.passFailure(x, answer, p.grant.Key)
 	}
 	s.run, s.firstOfRun, s.watch = p.run, f.now(), watch
 	err = s.relay(ctx, answer)
@@ -277,7 +277,7 @@
 }
 
 // passFailure passes an engine's failure on, unless the stream has begun.
-func (f *Front) passFailure(x *call, s *stream, a *platform.Answer, key string) error {
+func (f *Front) passFailure(x *call, a *platform.Answer, key string) error {
 	read, err := readAnswer(a)
 	if err != nil {
 		return err
--- a/internal/request/settings.go
+++ b/internal/request/settings.go
@@ -1,6 +1,10 @@
 package request
 
-import "time"
+import (
+	"time"
+
+	"github.com/boragecourse/boragecourse/internal/defaults"
+)
 
 // Settings of the request path. Zero fields take the defaults.
 type Settings struct {
@@ -50,30 +54,23 @@
 }
 
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.BytesPerToken, 4)
-	setDefault(&s.DefaultMaxOutput, 1024)
-	setDefault(&s.MaxOpen, 20000)
-	setDefault(&s.PrefillTimeout, 30*time.Second)
-	setDefault(&s.ImportMargin, 400*time.Millisecond)
-	setDefault(&s.ResumeTimeout, 400*time.Millisecond)
-	setDefault(&s.KVLifetime, 700*time.Millisecond)
-	setDefault(&s.StreamIdle, 10*time.Second)
-	setDefault(&s.MaxRetries, 4)
-	setDefault(&s.RetryRatio, 0.2)
-	setDefault(&s.RetryBurst, 50)
-	setDefault(&s.ResumeTries, 2)
-	setDefault(&s.ServiceTimeout, 30*time.Second)
-	setDefault(&s.MaxRecordedAnswer, 8<<20)
-	setDefault(&s.RecordTimeout, time.Second)
-	setDefault(&s.ReleaseBacklog, 4096)
-	setDefault(&s.DrainReleases, 5*time.Second)
-	setDefault(&s.ReleaseLimit, 10*time.Minute)
+	defaults.Set(&s.BytesPerToken, 4)
+	defaults.Set(&s.DefaultMaxOutput, 1024)
+	defaults.Set(&s.MaxOpen, 20000)
+	defaults.Set(&s.PrefillTimeout, 30*time.Second)
+	defaults.Set(&s.ImportMargin, 400*time.Millisecond)
+	defaults.Set(&s.ResumeTimeout, 400*time.Millisecond)
+	defaults.Set(&s.KVLifetime, 700*time.Millisecond)
+	defaults.Set(&s.StreamIdle, 10*time.Second)
+	defaults.Set(&s.MaxRetries, 4)
+	defaults.Set(&s.RetryRatio, 0.2)
+	defaults.Set(&s.RetryBurst, 50)
+	defaults.Set(&s.ResumeTries, 2)
+	defaults.Set(&s.ServiceTimeout, 30*time.Second)
+	defaults.Set(&s.MaxRecordedAnswer, 8<<20)
+	defaults.Set(&s.RecordTimeout, time.Second)
+	defaults.Set(&s.ReleaseBacklog, 4096)
+	defaults.Set(&s.DrainReleases, 5*time.Second)
+	defaults.Set(&s.ReleaseLimit, 10*time.Minute)
 	return s
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/test/standin/engine/config.go
+++ b/test/standin/engine/config.go
@@ -5,7 +5,11 @@
 // aborted. A router that forgets to release an attempt is therefore seen in Held.
 package engine
 
-import "time"
+import (
+	"time"
+
+	"github.com/boragecourse/boragecourse/internal/defaults"
+)
 
 // Defaults of a Config. The times are those of a mid-size model on one accelerator.
 const (
@@ -81,31 +85,24 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Role, Both)
-	setDefault(&c.Slots, defaultSlots)
-	setDefault(&c.Queue, defaultQueue)
-	setDefault(&c.Pieces, defaultPieces)
-	setDefault(&c.PrefillPerToken, defaultPrefillPerToken)
-	setDefault(&c.TimePerToken, defaultTimePerToken)
-	setDefault(&c.LinkRate, defaultLinkRate)
-	setDefault(&c.ExportLifetime, defaultExportLifetime)
-	setDefault(&c.LoadLag, defaultLoadLag)
-	setDefault(&c.BytesPerToken, defaultBytesPerToken)
-	setDefault(&c.CacheBlocks, defaultCacheBlocks)
-	setDefault(&c.EventLag, defaultEventLag)
-	setDefault(&c.ChunkTokens, defaultChunkTokens)
+	defaults.Set(&c.Role, Both)
+	defaults.Set(&c.Slots, defaultSlots)
+	defaults.Set(&c.Queue, defaultQueue)
+	defaults.Set(&c.Pieces, defaultPieces)
+	defaults.Set(&c.PrefillPerToken, defaultPrefillPerToken)
+	defaults.Set(&c.TimePerToken, defaultTimePerToken)
+	defaults.Set(&c.LinkRate, defaultLinkRate)
+	defaults.Set(&c.ExportLifetime, defaultExportLifetime)
+	defaults.Set(&c.LoadLag, defaultLoadLag)
+	defaults.Set(&c.BytesPerToken, defaultBytesPerToken)
+	defaults.Set(&c.CacheBlocks, defaultCacheBlocks)
+	defaults.Set(&c.EventLag, defaultEventLag)
+	defaults.Set(&c.ChunkTokens, defaultChunkTokens)
 	c.Queue = max(c.Queue, 0)
 	c.CacheBlocks = max(c.CacheBlocks, 0)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Faults are switched on by tests. Zero means no fault. Counters fall by one with each use.
 type Faults struct {
 	// RefuseConnections makes every call fail before a byte is sent.
--- a/test/standin/engine/text.go
+++ b/test/standin/engine/text.go
@@ -6,6 +6,8 @@
 	"regexp"
 	"strconv"
 	"strings"
+
+	"github.com/boragecourse/boragecourse/internal/defaults"
 )
 
 // prompt is what the fake's tokenizer and text generator need of a request.
@@ -38,8 +40,8 @@
 		return prompt{}, &BadRequestError{Cause: err}
 	}
 	p := prompt{chat: strings.Contains(path, "chat"), model: in.Model, maxTokens: in.MaxCompletionTokens}
-	setDefault(&p.maxTokens, in.MaxTokens)
-	setDefault(&p.maxTokens, defaultOutputTokens)
+	defaults.Set(&p.maxTokens, in.MaxTokens)
+	defaults.Set(&p.maxTokens, defaultOutputTokens)
 	p.text = textOf(in.Prompt)
 	for _, m := range in.Messages {
 		p.text += textOf(m.Content)
