--- a/cmd/boragecoursed/front.go
+++ b/cmd/boragecoursed/front.go
@@ -48,5 +48,6 @@
 	if err != nil {
 		return err
 	}
+	f.LogLinesDropped = out.Dropped
 	return f.Run(context.Background(), signals)
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -68,6 +68,9 @@
 	draining  atomic.Bool
 
 	callers, readiness, metricsPage, peersListener net.Listener
+
+	// LogLinesDropped tells how many log lines found the queue full.
+	LogLinesDropped func() int64
 }
 
 // New opens the listeners and builds the parts. Nothing runs before Run. Errors are *ListenError.
@@ -75,7 +78,7 @@
 	f := &Front{
 		settings: settings, log: log, metrics: reg, now: time.Now, backends: platform.NewBackends(),
 		groups: map[string]*group{}, book: allotment.New(settings.Limits.Quota), heard: map[uint64]heardReport{},
-		pool: peer.NewPool("", nil), peers: peer.NewServer("", nil), startedAt: time.Now(),
+		pool: peer.NewPool("", nil), peers: peer.NewServer("", nil), startedAt: time.Now(), LogLinesDropped: func() int64 { return 0 },
 	}
 	f.ledger = newLedger(f.now)
 	f.exchange = exchange.New(exchange.Options{
@@ -137,6 +140,7 @@
 	ready.Get(platform.ReadyPath, f.readyPage)
 	page := chi.NewRouter()
 	page.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		f.metrics.Set("log_lines_dropped", f.LogLinesDropped())
 		if _, err := f.metrics.WriteTo(w); err != nil {
 			f.log.Error(err, "metrics not written")
 		}
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -196,6 +196,7 @@
 	}
 	x.started = true
 	x.trace.first = f.now().Sub(x.request.Arrived)
+	f.observeLatency(x, x.trace.first)
 	x.w.WriteHeader(a.Status)
 	if _, err := x.w.Write(a.body); err != nil {
 		return &DeliveryError{Cause: err}
