--- /dev/null
+++ b/internal/outlier/outlier_test.go
@@ -0,0 +1,80 @@
+package outlier_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/boragecourse/boragecourse/internal/outlier"
+)
+
+// play sends requests to the backend servers that are not paused for twenty seconds and returns what each got, and
+// how many failed.
+func play(failures map[string]float64) (sends map[string]int, failed int) {
+	d := outlier.New()
+	rng := rand.New(rand.NewPCG(5, 5))
+	sends = map[string]int{}
+	now := time.Unix(0, 0)
+	for range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		var usable []string
+		for _, key := range []string{"a", "b", "c", "d"} {
+			if !d.Paused(key, now) {
+				usable = append(usable, key)
+			}
+		}
+		if len(usable) == 0 {
+			continue
+		}
+		key := usable[rng.IntN(len(usable))]
+		sends[key]++
+		result := outlier.Answered
+		if rng.Float64() < failures[key] {
+			result = outlier.Failed
+			failed++
+		}
+		d.Observe(key, result, now)
+	}
+	return sends, failed
+}
+
+// Guards against a backend server that goes on getting its share while it fails four of ten requests.
+func TestFailingServerGetsLittleWork(t *testing.T) {
+	g := NewWithT(t)
+	sends, failed := play(map[string]float64{"a": 0.45, "b": 0.02, "c": 0.02, "d": 0.02})
+	t.Logf("sends %v, failed %d", sends, failed)
+	g.Expect(sends["a"]).To(BeNumerically("<", sends["b"]/2))
+	g.Expect(sends["a"]).To(BeNumerically(">", 0), "it is tried again")
+}
+
+// Guards against pausing a backend server for failures that every one has.
+func TestFailuresOfTheRequestsPauseNobody(t *testing.T) {
+	g := NewWithT(t)
+	sends, _ := play(map[string]float64{"a": 0.15, "b": 0.15, "c": 0.15, "d": 0.15})
+	for _, key := range []string{"a", "b", "c", "d"} {
+		g.Expect(sends[key]).To(BeNumerically(">", 300))
+	}
+}
+
+// Guards against work for a backend server that cannot be reached, and against giving it up for good.
+func TestUnreachableServerIsPausedForLongerEachTime(t *testing.T) {
+	g := NewWithT(t)
+	d := outlier.New()
+	now := time.Unix(0, 0)
+	var pauses []time.Duration
+	for range 6 {
+		g.Expect(d.Observe("a", outlier.Unreachable, now)).To(BeTrue())
+		pause := time.Duration(0)
+		for d.Paused("a", now.Add(pause)) {
+			pause += 50 * time.Millisecond
+		}
+		pauses = append(pauses, pause)
+		now = now.Add(pause)
+	}
+	g.Expect(pauses[1]).To(BeNumerically(">", pauses[0]))
+	g.Expect(pauses[5]).To(BeNumerically("<=", 3*time.Second))
+	d.Observe("a", outlier.Answered, now)
+	g.Expect(d.Paused("a", now)).To(BeFalse())
+}
