--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -61,9 +60,6 @@
 	// outbidMargin is by how much the jobs of more value must outnumber the recent grants before a job is refused at its
 	// arrival: both are counted over a short time.
 	outbidMargin = 1.0
-	// choiceJitter spreads the choices of hosts that have not heard of each other's last grants, as an occupied share:
-	// about one slot.
-	choiceJitter = 0.0
 	// rateWindow is the time over which the grants per second are averaged.
 	rateWindow = 2 * time.Second
 )
@@ -243,7 +239,6 @@
 		if s.Zone != p.zone {
 			score += crossZonePenalty
 		}
-		score += choiceJitter * rand.Float64()
 		free = append(free, scored{s, score})
 	}
 	slices.SortStableFunc(free, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -72,11 +72,6 @@
 	KVCapacity int64
 	// TokensPerEvent is how many output tokens one event of a stream holds.
 	TokensPerEvent int64
-	// ResultTTL is how long an engine keeps a prefill result.
-	ResultTTL       time.Duration
-	StageChangeTime time.Duration
-	// MaxHold is the longest reservation.
-	MaxHold time.Duration
 }
 
 // Limits bound what callers may send.
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -32,12 +32,6 @@
 	Retry RetryLimits
 	// Quota is the tolerance of the workspaces' rates.
 	Quota QuotaLimits
-	// RegistrationInterval is how often backend servers renew their registration.
-	RegistrationInterval time.Duration
-	// AddressReuse is the shortest time after which the address of an ended backend server serves another service.
-	AddressReuse time.Duration
-	// CommandLease is the shortest time between commands of two owners.
-	CommandLease time.Duration
 }
 
 // RetryLimits bound the repeated sends of a service in any window, over all hosts together.
--- /dev/null
+++ b/test/users/store_test.go
@@ -0,0 +1,98 @@
+package users_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	kv "github.com/boragecourse/boragecourse/internal/platform"
+	"github.com/boragecourse/boragecourse/platform"
+	"github.com/boragecourse/boragecourse/test/standin/users"
+)
+
+func openStore(t *testing.T) (*users.Store, *users.Door, *platform.Store) {
+	t.Helper()
+	store := users.NewStore()
+	door, err := store.Open()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(door.Close)
+	client := platform.NewStore(door.Addr)
+	t.Cleanup(client.Close)
+	return store, door, client
+}
+
+// Guards against a lost write that is taken for one without effect, a lost condition, and a lapsed lease that is not
+// noticed.
+func TestStoreClientTellsOutcomesApart(t *testing.T) {
+	g := NewWithT(t)
+	_, door, client := openStore(t)
+	ctx := t.Context()
+	result, err := client.Txn(ctx, []kv.Condition{{Key: "a"}}, []kv.Write{{Key: "a", Value: []byte{0, 255}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(result.Succeeded).To(BeTrue())
+	result, err = client.Txn(ctx, []kv.Condition{{Key: "a"}}, []kv.Write{{Key: "a", Value: []byte("2")}})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(result.Succeeded).To(BeFalse())
+	g.Expect(result.Current[0].Value).To(Equal([]byte{0, 255}))
+
+	door.SetFault(users.LosingAnswers)
+	_, err = client.Txn(ctx, nil, []kv.Write{{Key: "a"}})
+	var unknown *kv.UnknownError
+	g.Expect(errors.As(err, &unknown)).To(BeTrue())
+	door.SetFault(users.Healthy)
+	_, exists, err := client.Get(ctx, "a")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(exists).To(BeFalse(), "the lost write was done")
+
+	door.SetFault(users.Refusing)
+	_, err = client.Txn(ctx, nil, []kv.Write{{Key: "a", Value: []byte("3")}})
+	var unavailable *kv.UnavailableError
+	g.Expect(errors.As(err, &unavailable)).To(BeTrue())
+	door.SetFault(users.Healthy)
+
+	lease, ttl, err := client.GrantLease(ctx, 50*time.Millisecond)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(ttl).To(Equal(50 * time.Millisecond))
+	_, err = client.KeepAlive(ctx, lease)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(client.RevokeLease(ctx, lease)).To(Succeed())
+	_, err = client.KeepAlive(ctx, lease)
+	var lapsed *kv.LeaseLapsedError
+	g.Expect(errors.As(err, &lapsed)).To(BeTrue())
+	_, err = client.Txn(ctx, nil, []kv.Write{{Key: "b", Value: []byte("1"), Lease: lease}})
+	g.Expect(errors.As(err, &lapsed)).To(BeTrue())
+}
+
+// Guards against a change that is missed between pages and the watch, and a watch that goes on over a gap.
+func TestStoreClientFollowsChanges(t *testing.T) {
+	g := NewWithT(t)
+	store, door, client := openStore(t)
+	for _, key := range []string{"p/1", "p/2", "p/3", "p/4", "p/5", "q/1"} {
+		store.Put(key, []byte(key))
+	}
+	items, at, err := client.Snapshot(t.Context(), "p/")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(items).To(HaveLen(5), "more than a page")
+	store.Remove("p/2")
+	events, next, err := client.Changes(t.Context(), "p/", at, time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(events).To(HaveLen(1))
+	g.Expect(events[0].Deleted).To(BeTrue())
+	events, _, err = client.Changes(t.Context(), "p/", next, 20*time.Millisecond)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(events).To(BeEmpty())
+	store.Compact()
+	_, _, err = client.Changes(t.Context(), "p/", next, 20*time.Millisecond)
+	var compacted *platform.CompactedError
+	g.Expect(errors.As(err, &compacted)).To(BeTrue())
+	door.SetFault(users.Silent)
+	started := time.Now()
+	_, _, err = client.Changes(t.Context(), "p/", next, 20*time.Millisecond)
+	var unavailable *kv.UnavailableError
+	g.Expect(errors.As(err, &unavailable)).To(BeTrue())
+	g.Expect(time.Since(started)).To(BeNumerically("<", 3*time.Second))
+}
