Serve both workspaces of the fault matrix before its steps begin

Cause: the steps of bookings and of waiting requests send as workspace crew, but the warm-up served guests only; a host that has not served crew may lack its grant of the rate, so that a filler or booking is refused (rate_exceeded, retry after 6.25ms) and the step is not reached. The check is stricter: both workspaces must be served on every host.

--- a/test/faults/trial_test.go
+++ b/test/faults/trial_test.go
@@ -75,7 +75,10 @@
 		t.serving = f.Hosts["a2"]
 	}
 	t.other = f.Hosts["b1"]
-	t.check("step", t.servedAll("guests"), "the hosts do not serve after their start")
+	// Steps send requests of both workspaces; a host that has served neither may still lack its grant of the rate.
+	for _, workspace := range []string{"guests", "crew"} {
+		t.check("step", t.servedAll(workspace), "the hosts do not serve %s after their start", workspace)
+	}
 	t.pass(warmUp)
 	return t, true
 }
