Look at paused backend servers by one timer, decode each configuration once, drop unused code

Found in a read-through of the change; behaviour stays. Each pause started a timer chain of its own, so that many pauses looked at the same backend servers many times; the configuration was decoded again at every change of a registration. The settings variable is named in platform/ only.

--- a/cmd/boragecoursed/front.go
+++ b/cmd/boragecoursed/front.go
@@ -22,7 +22,7 @@
 )
 
 type frontCommand struct {
-	Settings     string `help:"Settings file of the platform." type:"path" env:"BORAGECOURSE_NODE_FILE" required:""`
+	Settings     string `help:"Settings file of the platform." type:"path" env:"${settings_variable}" required:""`
 	LogVerbosity int    `help:"Log verbosity: 0 for decisions, 1 for details." default:"0" env:"BORAGECOURSE_LOG_VERBOSITY"`
 }
 
--- a/cmd/boragecoursed/main.go
+++ b/cmd/boragecoursed/main.go
@@ -14,6 +14,7 @@
 	"github.com/boragecourse/boragecourse/internal/daemon"
 	"github.com/boragecourse/boragecourse/internal/logging"
 	"github.com/boragecourse/boragecourse/internal/settings"
+	"github.com/boragecourse/boragecourse/platform"
 )
 
 // gcPercent is below the runtime's default of 100: the live heap is small and mostly open streams, so that collecting
@@ -31,7 +32,7 @@
 
 func main() {
 	var c commands
-	ctx := kong.Parse(&c, kong.Name("boragecoursed"),
+	ctx := kong.Parse(&c, kong.Name("boragecoursed"), kong.Vars{"settings_variable": platform.SettingsVariable},
 		kong.Description("Routes requests to backend servers. Every flag can be set in the environment."))
 	if err := ctx.Run(); err != nil {
 		fmt.Fprintf(os.Stderr, "boragecoursed: %v\n", err)
--- a/internal/exchange/directory.go
+++ b/internal/exchange/directory.go
@@ -189,14 +189,6 @@
 	return relay
 }
 
-// ZoneOf returns the zone of a known host.
-func (d *Directory) ZoneOf(address string) string {
-	if p := d.peers[address]; p != nil {
-		return p.zone
-	}
-	return ""
-}
-
 // Contacts returns the addresses of the hosts that are in contact.
 func (d *Directory) Contacts() []string {
 	var contacts []string
--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -22,6 +22,12 @@
 // Unwrap returns the cause.
 func (e *RetriesExhaustedError) Unwrap() error { return e.Cause }
 
+// StaleServerError reports a backend server that went away between choice and use.
+type StaleServerError struct{ Key string }
+
+// Error implements error.
+func (e *StaleServerError) Error() string { return "backend server " + e.Key + " is gone" }
+
 // BrokenStreamError reports a stream that ended before its last event.
 type BrokenStreamError struct {
 	Events int
--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -247,8 +247,7 @@
 			return nil, context.Cause(ctx)
 		}
 		avoid[grant.Key] = true
-		if !x.group.mayRepeat(f.hosts()) {
-			f.metrics.Inc("repeats_refused", metrics.L("service", x.group.service))
+		if !f.mayRepeat(x) {
 			return nil, &RetriesExhaustedError{Reason: "budget", Cause: err}
 		}
 		f.metrics.Inc("prefill_repeats", metrics.L("service", x.group.service), metrics.L("reason", repeatReason(err)))
--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -31,6 +31,8 @@
 	outliers *outlier.Detector
 	budget   *retrybudget.Budget
 	now      func() time.Time
+	// rechecking is set while a look at paused backend servers is due.
+	rechecking bool
 }
 
 func newGroup(service, zone string, limits fleet.RetryLimits, now func() time.Time) *group {
@@ -62,16 +64,18 @@
 	g.mu.Lock()
 	var all, active [3][]dispatch.Candidate
 	now := g.now()
-	var soonest time.Duration
+	paused := false
 	for key, s := range g.servers {
 		stage, c := candidate(key, s)
 		all[stage] = append(all[stage], c)
 		if !g.outliers.Paused(key, now) {
 			active[stage] = append(active[stage], c)
 		} else {
-			soonest = pauseCheck
+			paused = true
 		}
 	}
+	recheck := paused && !g.rechecking
+	g.rechecking = g.rechecking || paused
 	g.mu.Unlock()
 	for stage, pool := range g.pools() {
 		if len(active[stage]) == 0 {
@@ -79,8 +83,13 @@
 		}
 		pool.SetCandidates(active[stage])
 	}
-	if soonest > 0 {
-		time.AfterFunc(soonest, g.refresh)
+	if recheck {
+		time.AfterFunc(pauseCheck, func() {
+			g.mu.Lock()
+			g.rechecking = false
+			g.mu.Unlock()
+			g.refresh()
+		})
 	}
 }
 
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -32,10 +32,7 @@
 	runs := 0
 	for {
 		a, key, err := f.sendPlain(ctx, x, avoid)
-		if err == nil && a.Status < http.StatusInternalServerError {
-			return f.writeAnswer(x, a)
-		}
-		if err == nil && ctx.Err() != nil {
+		if err == nil && (a.Status < http.StatusInternalServerError || ctx.Err() != nil) {
 			return f.writeAnswer(x, a)
 		}
 		if key == "" || ctx.Err() != nil {
@@ -69,13 +66,21 @@
 		return "attempts"
 	case f.now().Add(answerMargin).After(x.deadline):
 		return "time"
-	case !x.group.mayRepeat(f.hosts()):
-		f.metrics.Inc("repeats_refused", metrics.L("service", x.group.service))
+	case !f.mayRepeat(x):
 		return "budget"
 	}
 	return ""
 }
 
+// mayRepeat draws a repeat from the service's budget, and counts one that the budget refuses.
+func (f *Front) mayRepeat(x *call) bool {
+	allowed := x.group.mayRepeat(f.hosts())
+	if !allowed {
+		f.metrics.Inc("repeats_refused", metrics.L("service", x.group.service))
+	}
+	return allowed
+}
+
 func repeatReason(err error) string {
 	var notRun *platform.NotRunError
 	var lost *platform.LostError
@@ -162,12 +167,6 @@
 	}
 }
 
-// StaleServerError reports a backend server that went away between choice and use.
-type StaleServerError struct{ Key string }
-
-// Error implements error.
-func (e *StaleServerError) Error() string { return "backend server " + e.Key + " is gone" }
-
 // readAnswer reads a plain answer whole if it is not too large. Errors are *platform.LostError.
 func readAnswer(a *platform.Answer) (*answer, error) {
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBuffered))
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -54,6 +54,8 @@
 	recheck  *time.Timer
 	storeOK  bool
 	answered time.Time
+	// configured is the revision of the configuration that was read last.
+	configured int64
 }
 
 func newState(store Store, log logr.Logger, reg *metrics.Registry, now func() time.Time) *State {
@@ -219,11 +221,15 @@
 }
 
 func (s *State) takeConfiguration(item kv.KeyValue) {
+	if item.ModRevision == s.configured {
+		return
+	}
 	next, err := platform.DecodeConfiguration(item.Value)
 	if err != nil {
 		s.noteUnreadable(item.Key, err)
 		return
 	}
+	s.configured = item.ModRevision
 	if present := s.configuration.Load(); present != nil && next.Version <= present.Version {
 		return
 	}
