Keep the slots in use of backend servers that leave the candidates for a while

Cause: dispatch.Pool.SetCandidates dropped the entry of a paused backend server with the slots that this host uses there, so that it could be overfilled after its return and its slots were missing from the reports. Ruled out: counting in the group instead, which would keep the same number twice. Before: TestSlotsInUseOutliveAPause fails (no slots reported during the pause). After: it passes.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -71,7 +71,8 @@
 	zone string
 	now  func() time.Time
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// servers holds the candidates and the others at which slots are still in use; order names the candidates.
 	servers map[string]*server
 	order   []string
 	queue   queue
@@ -92,7 +93,7 @@
 	return &Pool{zone: zone, now: now, servers: map[string]*server{}, grants: rate{window: rateWindow}, arrivals: values{window: rateWindow}}
 }
 
-// SetCandidates replaces the group. Slots in use of backend servers that stay are kept.
+// SetCandidates replaces the group. Slots in use are kept, also those of backend servers that are no candidates now.
 func (p *Pool) SetCandidates(candidates []Candidate) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -108,6 +109,11 @@
 		p.servers[c.Key] = s
 		p.order = append(p.order, c.Key)
 	}
+	for key, s := range old {
+		if p.servers[key] == nil && s.own > 0 {
+			p.servers[key] = s
+		}
+	}
 	p.dispatch()
 }
 
@@ -149,8 +155,9 @@
 }
 
 func (p *Pool) stats() Stats {
-	st := Stats{Servers: len(p.servers), Waiting: p.queue.Len(), GrantsPerSecond: p.grants.perSecond(p.now())}
-	for _, s := range p.servers {
+	st := Stats{Servers: len(p.order), Waiting: p.queue.Len(), GrantsPerSecond: p.grants.perSecond(p.now())}
+	for _, key := range p.order {
+		s := p.servers[key]
 		st.Slots += s.Slots
 		st.Used += s.own + s.others
 	}
@@ -256,7 +263,7 @@
 	for ahead, w := range p.queue.ordered() {
 		left := w.job.Latest.Sub(now)
 		reach := perSecond*left.Seconds() + 1
-		if left > 0 && len(p.servers) > 0 && float64(ahead) < reach {
+		if left > 0 && len(p.order) > 0 && float64(ahead) < reach {
 			continue
 		}
 		p.queue.remove(w)
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -167,3 +167,34 @@
 		g.Expect(acquire(dispatch.Job{})).To(Equal("refused"))
 	})
 }
+
+// Guards against overfilling a backend server that left the candidates for a while: its streams still run, are still
+// reported, and hold their slots when it returns.
+func TestSlotsInUseOutliveAPause(t *testing.T) {
+	g := NewWithT(t)
+	p := newPool(2, "1")
+	job := dispatch.Job{Latest: time.Now()}
+	first, err := p.Acquire(context.Background(), job)
+	g.Expect(err).NotTo(HaveOccurred())
+	second, err := p.Acquire(context.Background(), job)
+	g.Expect(err).NotTo(HaveOccurred())
+
+	p.SetCandidates([]dispatch.Candidate{{Key: "2", Zone: "a", Slots: 1}})
+	g.Expect(p.Own()).To(Equal(map[string]int{"1": 2}))
+	g.Expect(p.Stats().Servers).To(Equal(1))
+	first.Release()
+	g.Expect(p.Own()).To(Equal(map[string]int{"1": 1}))
+
+	p.SetCandidates([]dispatch.Candidate{{Key: "1", Zone: "a", Slots: 2}})
+	third, err := p.Acquire(context.Background(), job)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = p.Acquire(context.Background(), job)
+	g.Expect(err).To(HaveOccurred(), "both slots are in use")
+	second.Release()
+	third.Release()
+	g.Expect(p.Own()).To(BeEmpty())
+
+	p.SetCandidates(nil)
+	_, err = p.Acquire(context.Background(), job)
+	g.Expect(err).To(HaveOccurred())
+}
