Learn the pace of a generation from its last run only

Cause: after a stream went on at another engine, the predictor divided all its events by the time of the last run and learned a pace that is too high, so that engines were filled too little. Before: the old signature could not tell the two; after: TestPaceIsThatOfTheLastRun. Not measured on its own.

--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -107,6 +107,7 @@
 		return p.grant.Key, f.passFailure(x, answer, p.grant.Key)
 	}
 	s.run, s.firstOfRun, s.watch = p.run, f.now(), watch
+	before := s.events
 	err = s.relay(ctx, answer)
 	if err != nil {
 		var undelivered *DeliveryError
@@ -116,7 +117,8 @@
 		return p.grant.Key, err
 	}
 	x.group.observe(p.grant.Key, outlier.Answered)
-	f.ledger.finished(int64(s.events)*f.tokensPerEvent(x), f.now().Sub(s.firstOfRun))
+	perEvent := f.tokensPerEvent(x)
+	f.ledger.finished(int64(s.events)*perEvent, int64(s.events-before)*perEvent, f.now().Sub(s.firstOfRun))
 	return p.grant.Key, nil
 }
 
--- a/internal/front/ledger.go
+++ b/internal/front/ledger.go
@@ -78,10 +78,10 @@
 }
 
 // finished lets the predictor learn from a whole run.
-func (l *ledger) finished(output int64, took time.Duration) {
+func (l *ledger) finished(output, lastRun int64, took time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.predictor.Finished(output, took)
+	l.predictor.Finished(output, lastRun, took)
 }
 
 // report returns this host's runs.
--- a/internal/kvmemory/forecast.go
+++ b/internal/kvmemory/forecast.go
@@ -64,9 +64,9 @@
 // NewPredictor returns a predictor that has seen nothing.
 func NewPredictor() *Predictor { return &Predictor{pace: startPace} }
 
-// Finished records the whole output of a generation and the time that it took.
-func (p *Predictor) Finished(output int64, took time.Duration) {
-	if output <= 0 || took <= 0 {
+// Finished records the whole output of a generation, and how much of it the last engine generated in which time.
+func (p *Predictor) Finished(output, lastRun int64, took time.Duration) {
+	if output <= 0 || lastRun <= 0 || took <= 0 {
 		return
 	}
 	l := math.Log(float64(output))
@@ -75,7 +75,7 @@
 	p.logMean += rate * d
 	p.variance = (1 - rate) * (p.variance + rate*d*d)
 	p.seen++
-	p.pace += math.Max(learnRate, 1/(p.seen+1)) * (float64(output)/took.Seconds() - p.pace)
+	p.pace += math.Max(learnRate, 1/(p.seen+1)) * (float64(lastRun)/took.Seconds() - p.pace)
 }
 
 // Pace is the output of one generation in a second, in tokens.
--- a/internal/kvmemory/forecast_test.go
+++ b/internal/kvmemory/forecast_test.go
@@ -35,7 +35,7 @@
 	l := &load{rng: rand.New(rand.NewPCG(seed, 1)), predictor: kvmemory.NewPredictor()}
 	for range 200 {
 		output, _ := l.lengths()
-		l.predictor.Finished(output, time.Duration(float64(output)/pace*float64(time.Second)))
+		l.predictor.Finished(output, output, time.Duration(float64(output)/pace*float64(time.Second)))
 	}
 	return l
 }
@@ -138,3 +138,14 @@
 	g.Expect(none.Median()).To(BeNumerically("~", 4000, 600))
 	g.Expect(p.Forecast(1e9, declared).Median()).To(BeNumerically("<=", declared))
 }
+
+// Guards against a pace that is learned from all events of a generation over the time of its last run only.
+func TestPaceIsThatOfTheLastRun(t *testing.T) {
+	g := NewWithT(t)
+	p := kvmemory.NewPredictor()
+	for range 100 {
+		p.Finished(4_200, 1_400, time.Second)
+	}
+	g.Expect(p.Pace()).To(BeNumerically("~", 1_400, 1))
+	g.Expect(p.Forecast(0, 9_100).Median()).To(BeNumerically("~", 4_200, 200))
+}
