Have engines change their stage with the load, by one host at a time

Cause: on both sites 4 of 9 engines prefill at a quarter of their time while the decode engines are full in bursts; nothing could move an engine. internal/stagesplit measures the load of both stages over all hosts (totals in the reports) and decides; internal/duty lets one host command, through a lease in the store with a rising fencing number, confirmed right before each command on a clock that counts suspensions; hosts stop using an engine before it is commanded. The holder's keys are read by the watch that every host has already.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -140,6 +140,17 @@
 	return own
 }
 
+// Used returns the slots in use of all hosts, by backend server.
+func (p *Pool) Used() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	used := map[string]int{}
+	for key, s := range p.servers {
+		used[key] = s.own + s.others
+	}
+	return used
+}
+
 // Stats describe the pool for logs and refusals.
 type Stats struct {
 	Servers, Slots, Used, Waiting int
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -72,6 +72,9 @@
 	KVCapacity int64
 	// TokensPerEvent is how many output tokens one event of a stream holds.
 	TokensPerEvent int64
+	// StageChange is how long an engine takes to change its stage once its running work has ended; zero when engines
+	// keep their stage.
+	StageChange time.Duration
 }
 
 // Limits bound what callers may send.
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -28,6 +28,8 @@
 	ConfigApply time.Duration
 	// DrainNotice is the time in which a leaving backend server must get no more work.
 	DrainNotice time.Duration
+	// CommandHandover is the least time between commands of two hosts to one backend server.
+	CommandHandover time.Duration
 	// Retry is the allowance for sends beyond the first of each request.
 	Retry RetryLimits
 	// Quota is the tolerance of the workspaces' rates.
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -29,3 +29,11 @@
 	// ColdLeft is how much longer the backend server was slow after its start when it registered.
 	ColdLeft time.Duration
 }
+
+// EngineState is what an engine says of itself.
+type EngineState struct {
+	Stage Stage
+	// Commanded is set while a command is carried out, Accepted the number of commands accepted since its start.
+	Commanded bool
+	Accepted  int64
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -21,6 +21,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/boragecourse/boragecourse/internal/allotment"
+	"github.com/boragecourse/boragecourse/internal/duty"
 	"github.com/boragecourse/boragecourse/internal/exchange"
 	"github.com/boragecourse/boragecourse/internal/fleet"
 	"github.com/boragecourse/boragecourse/internal/metrics"
@@ -42,9 +43,11 @@
 // Front is the process of one entry host.
 type Front struct {
 	settings fleet.HostSettings
-	log      logr.Logger
-	metrics  *metrics.Registry
-	now      func() time.Time
+	// incarnation names this process.
+	incarnation uint64
+	log         logr.Logger
+	metrics     *metrics.Registry
+	now         func() time.Time
 
 	state    *State
 	backends *platform.Backends
@@ -56,6 +59,8 @@
 	book   *allotment.Book
 
 	ledger   *ledger
+	stages   *stages
+	duty     *duty.Holder
 	exchange *exchange.Exchange
 	pool     *peer.Pool
 	peers    *grpc.Server
@@ -76,19 +81,24 @@
 // New opens the listeners and builds the parts. Nothing runs before Run. Errors are *ListenError.
 func New(settings fleet.HostSettings, store Store, log logr.Logger, reg *metrics.Registry) (*Front, error) {
 	f := &Front{
-		settings: settings, log: log, metrics: reg, now: time.Now, backends: platform.NewBackends(),
+		settings: settings, incarnation: rand.Uint64(), log: log, metrics: reg, now: time.Now, backends: platform.NewBackends(),
 		groups: map[string]*group{}, book: allotment.New(settings.Limits.Quota), heard: map[uint64]heardReport{},
 		pool: peer.NewPool("", nil), peers: peer.NewServer("", nil), startedAt: time.Now(), LogLinesDropped: func() int64 { return 0 },
 	}
 	f.ledger = newLedger(f.now)
+	f.stages = newStages()
 	f.exchange = exchange.New(exchange.Options{
-		Name: settings.Name, Address: settings.Peers, Zone: settings.Zone, Incarnation: rand.Uint64(), Seeds: settings.Seeds, Local: f, Pool: f.pool,
+		Name: settings.Name, Address: settings.Peers, Zone: settings.Zone, Incarnation: f.incarnation, Seeds: settings.Seeds, Local: f, Pool: f.pool,
 		Log: log, Metrics: reg, Now: f.now,
 	})
 	f.exchange.Register(f.peers)
 	f.state = newState(store, log, reg, f.now)
 	f.state.onServers = f.setServers
 	f.state.onConfig = f.configure
+	f.duty = duty.New(duty.Options{
+		Host: settings.Name, Process: settings.Name + "/" + processName(f.incarnation), Handover: settings.Limits.CommandHandover,
+		Store: store, Records: f.state.Own, Hosts: f.hosts, Log: log, Metrics: reg,
+	})
 	return f, f.listen()
 }
 
@@ -118,6 +128,8 @@
 	tree := suture.New("front", suture.Spec{EventHook: func(e suture.Event) { f.log.Info("supervisor", "event", e.String()) }})
 	tree.Add(f.state)
 	tree.Add(f.exchange)
+	tree.Add(f.duty)
+	tree.Add(f.stageService())
 	stopped := tree.ServeBackground(ctx)
 	servers := f.serve()
 	go func() { _ = f.peers.Serve(f.peersListener) }()
--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -11,6 +11,7 @@
 	"github.com/boragecourse/boragecourse/internal/kvmemory"
 	"github.com/boragecourse/boragecourse/internal/metrics"
 	"github.com/boragecourse/boragecourse/internal/outlier"
+	"github.com/boragecourse/boragecourse/internal/stagesplit"
 	"github.com/boragecourse/boragecourse/platform"
 )
 
@@ -48,6 +49,7 @@
 // the events from the decode engine.
 func (f *Front) forwardGeneration(ctx context.Context, x *call) error {
 	s := &stream{front: f, x: x, lastEvent: x.request.LastEventID}
+	f.countArrival(x)
 	avoid := map[string]bool{}
 	runs := 0
 	for {
@@ -81,6 +83,7 @@
 	if err != nil {
 		return "", err
 	}
+	taken := f.now()
 	defer p.free(f)
 	result, err := f.prefill(ctx, x, s.lastEvent)
 	if err != nil {
@@ -118,6 +121,10 @@
 	}
 	x.group.observe(p.grant.Key, outlier.Answered)
 	perEvent := f.tokensPerEvent(x)
+	x.group.count(func(t *stagesplit.Totals) {
+		t.SlotTime += f.now().Sub(taken)
+		t.SlotTokens += int64(s.events-before) * perEvent
+	})
 	f.ledger.finished(int64(s.events)*perEvent, int64(s.events-before)*perEvent, f.now().Sub(s.firstOfRun))
 	return p.grant.Key, nil
 }
@@ -264,6 +271,7 @@
 		return nil, &platform.NotRunError{Cause: &StaleServerError{Key: grant.Key}}
 	}
 	x.trace.prefill = server.ID
+	asked := f.now()
 	ctx, watch := watchStall(ctx, true, prefillLimit+time.Duration(x.request.Tokens.Prompt)*slowPrefill)
 	defer watch.stop()
 	result, err := f.backends.Prefill(ctx, platform.Send{
@@ -274,6 +282,12 @@
 		return nil, err
 	}
 	x.group.observe(grant.Key, outlier.Answered)
+	if grant.Occupied == 1 {
+		x.group.count(func(t *stagesplit.Totals) {
+			t.PrefillTime += f.now().Sub(asked)
+			t.PrefillTokens += x.request.Tokens.Prompt
+		})
+	}
 	return result, nil
 }
 
--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -10,6 +10,7 @@
 	"github.com/boragecourse/boragecourse/internal/outlier"
 	"github.com/boragecourse/boragecourse/internal/registry"
 	"github.com/boragecourse/boragecourse/internal/retrybudget"
+	"github.com/boragecourse/boragecourse/internal/stagesplit"
 )
 
 const (
@@ -29,6 +30,9 @@
 	mu       sync.Mutex
 	servers  map[string]fleet.Server
 	outliers *outlier.Detector
+	// changing holds the engines that change their stage, with the time until which they get no work.
+	changing map[string]time.Time
+	totals   stagesplit.Totals
 	budget   *retrybudget.Budget
 	now      func() time.Time
 	// rechecking is set while a look at paused backend servers is due.
@@ -68,7 +72,7 @@
 	for key, s := range g.servers {
 		stage, c := candidate(key, s)
 		all[stage] = append(all[stage], c)
-		if !g.outliers.Paused(key, now) {
+		if !g.outliers.Paused(key, now) && !now.Before(g.changing[key]) {
 			active[stage] = append(active[stage], c)
 		} else {
 			paused = true
@@ -131,6 +135,59 @@
 	}
 }
 
+// setChanging replaces the engines that change their stage.
+func (g *group) setChanging(until map[string]time.Time) {
+	g.mu.Lock()
+	changed := false
+	next := map[string]time.Time{}
+	for key := range g.servers {
+		if at, present := until[key]; present {
+			next[key] = at
+			_, known := g.changing[key]
+			changed = changed || !known
+		}
+	}
+	changed = changed || len(next) != len(g.changing)
+	g.changing = next
+	g.mu.Unlock()
+	if changed {
+		g.refresh()
+	}
+}
+
+// count adds to what this host counted of the service's generations.
+func (g *group) count(add func(*stagesplit.Totals)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	add(&g.totals)
+}
+
+// generations returns what this host counted since its start.
+func (g *group) generations() stagesplit.Totals {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.totals
+}
+
+// engines returns the service's engines that count, with the slots in use of all hosts.
+func (g *group) engines() []stagesplit.Engine {
+	used := map[string]int{}
+	for _, p := range g.pools() {
+		for key, n := range p.Used() {
+			used[key] += n
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []stagesplit.Engine
+	for key, s := range g.servers {
+		if s.Stage == fleet.Prefill || s.Stage == fleet.Decode {
+			out = append(out, stagesplit.Engine{Key: key, Zone: s.Zone, Stage: s.Stage, InUse: used[key]})
+		}
+	}
+	return out
+}
+
 // server returns the backend server of a candidate.
 func (g *group) server(key string) (fleet.Server, bool) {
 	g.mu.Lock()
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -17,6 +17,9 @@
 type heardReport struct {
 	at   time.Time
 	uses []*peerv1.ServerUse
+	// generations is what the host counted, by service; changing are the engines that it had change their stage.
+	generations map[string]*peerv1.GenerationTotals
+	changing    map[string]int64
 }
 
 // Fill implements exchange.Local.
@@ -30,6 +33,7 @@
 			r.Uses = append(r.Uses, &peerv1.ServerUse{Key: key, Slots: int32(slots), Runs: runs[key]})
 		}
 	}
+	f.stages.fill(r, f.allGroups())
 	revision, confirmed := f.state.Version()
 	r.StateRevision, r.StateAgeMillis = revision, f.now().Sub(confirmed).Milliseconds()
 }
@@ -41,7 +45,7 @@
 	f.book.Heard(processName(r.Incarnation), r.Admitted, now)
 	f.bookMu.Unlock()
 	f.heardMu.Lock()
-	f.heard[r.Incarnation] = heardReport{at: now, uses: r.Uses}
+	f.heard[r.Incarnation] = heardReport{at: now, uses: r.Uses, generations: r.Generations, changing: r.ChangingStage}
 	f.heardMu.Unlock()
 	f.applyUse(now)
 }
@@ -71,12 +75,16 @@
 func (f *Front) applyUse(now time.Time) {
 	slots := map[string]int{}
 	runs := map[string][]kvmemory.Run{}
+	changing := f.stages.commanded(now)
 	f.heardMu.Lock()
 	for incarnation, h := range f.heard {
 		if now.Sub(h.at) > useTTL {
 			delete(f.heard, incarnation)
 			continue
 		}
+		for key, left := range h.changing {
+			changing[key] = h.at.Add(time.Duration(left) * time.Millisecond)
+		}
 		for _, u := range h.uses {
 			slots[u.Key] += int(u.Slots)
 			for _, r := range u.Runs {
@@ -91,6 +99,7 @@
 	f.ledger.setOthers(runs)
 	for _, g := range f.allGroups() {
 		g.setOthers(slots)
+		g.setChanging(changing)
 	}
 }
 
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"github.com/boragecourse/boragecourse/internal/duty"
 	"github.com/boragecourse/boragecourse/internal/fleet"
 	"github.com/boragecourse/boragecourse/internal/metrics"
 	kv "github.com/boragecourse/boragecourse/internal/platform"
@@ -29,10 +32,11 @@
 	outage = 2 * time.Second
 )
 
-// Store is the part of the platform's store that the state follows.
+// Store is the part of the platform's store that a host uses: what the state follows, and leases.
 type Store interface {
 	Snapshot(ctx context.Context, prefix string) ([]kv.KeyValue, int64, error)
 	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]kv.Event, int64, error)
+	duty.Leases
 }
 
 // State is what a host believes of the fleet: the newest configuration and the backend servers. It follows the
@@ -47,12 +51,14 @@
 	onServers     func([]registry.State)
 	onConfig      func(*fleet.Configuration)
 
-	mu       sync.Mutex
-	copy     replica.Copy
-	servers  *registry.Registry
-	unread   map[string]bool
-	recheck  *time.Timer
-	storeOK  bool
+	mu      sync.Mutex
+	copy    replica.Copy
+	servers *registry.Registry
+	unread  map[string]bool
+	recheck *time.Timer
+	storeOK bool
+	// extra are the keys of this project in the store that are followed too.
+	extra    string
 	answered time.Time
 	// configured is the revision of the configuration that was read last.
 	configured int64
@@ -60,7 +66,7 @@
 
 func newState(store Store, log logr.Logger, reg *metrics.Registry, now func() time.Time) *State {
 	return &State{
-		store: store, log: log, metrics: reg, now: now, servers: registry.New(), unread: map[string]bool{},
+		extra: duty.Prefix, store: store, log: log, metrics: reg, now: now, servers: registry.New(), unread: map[string]bool{},
 		onServers: func([]registry.State) {}, onConfig: func(*fleet.Configuration) {},
 	}
 }
@@ -110,11 +116,16 @@
 	if err != nil {
 		return err
 	}
+	own, at3, err := s.store.Snapshot(ctx, s.extra)
+	if err != nil {
+		return err
+	}
 	s.storeAnswered(nil)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.copy.Replace(append(configuration, servers...), min(at, at2), asked) {
-		s.log.Info("state of the store is older than the present one", "revision", min(at, at2), "present", s.copy.Revision())
+	revision := min(at, at2, at3)
+	if !s.copy.Replace(slices.Concat(configuration, servers, own), revision, asked) {
+		s.log.Info("state of the store is older than the present one", "revision", revision, "present", s.copy.Revision())
 	}
 	s.take()
 	return nil
@@ -131,17 +142,17 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.copy.Apply(relevant(events), at, asked) {
+	if s.copy.Apply(s.relevant(events), at, asked) {
 		s.take()
 	}
 	return len(events) > 0, nil
 }
 
-// relevant drops changes of keys that are not the platform's.
-func relevant(events []kv.Event) []kv.Event {
+// relevant drops changes of keys that are not followed.
+func (s *State) relevant(events []kv.Event) []kv.Event {
 	kept := events[:0]
 	for _, e := range events {
-		if e.Key == platform.ConfigurationKey || platform.IsRegistration(e.Key) {
+		if e.Key == platform.ConfigurationKey || platform.IsRegistration(e.Key) || strings.HasPrefix(e.Key, s.extra) {
 			kept = append(kept, e)
 		}
 	}
@@ -178,6 +189,9 @@
 	var servers []fleet.Server
 	for _, item := range s.copy.Items() {
 		id, isRegistration := platform.RegistrationID(item.Key)
+		if strings.HasPrefix(item.Key, s.extra) {
+			continue
+		}
 		if !isRegistration {
 			s.takeConfiguration(item)
 			continue
@@ -266,6 +280,19 @@
 	return s.copy.Items(), s.copy.Revision(), s.copy.Confirmed()
 }
 
+// Own returns the items of this project in the copy, and whether a copy was read yet.
+func (s *State) Own() ([]kv.KeyValue, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var own []kv.KeyValue
+	for _, item := range s.copy.Items() {
+		if strings.HasPrefix(item.Key, s.extra) {
+			own = append(own, item)
+		}
+	}
+	return own, s.copy.Revision() > 0
+}
+
 // Behind tells whether a copy with the given revision and age is to be asked for: it is newer, and the store has not
 // confirmed this one for a while.
 func (s *State) Behind(revision int64, age time.Duration) bool {
--- /dev/null
+++ b/internal/stagesplit/split_test.go
@@ -0,0 +1,170 @@
+package stagesplit_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/boragecourse/boragecourse/internal/fleet"
+	"github.com/boragecourse/boragecourse/internal/stagesplit"
+)
+
+var start = time.Unix(1000, 0)
+
+func engines(prefill, decode int) []stagesplit.Engine {
+	var out []stagesplit.Engine
+	for i := range prefill + decode {
+		stage := fleet.Prefill
+		if i >= prefill {
+			stage = fleet.Decode
+		}
+		out = append(out, stagesplit.Engine{Key: fmt.Sprint(i), Zone: fmt.Sprint(i % 3), Stage: stage})
+	}
+	return out
+}
+
+// longAnswers is the load of a fleet of 9 engines whose prompts take 0.1 s and whose streams 3.5 s.
+func longAnswers(perSecond float64) stagesplit.Load {
+	return stagesplit.Load{
+		Samples: 100, PerSecond: perSecond, Prefill: 100 * time.Millisecond, Decode: 3500 * time.Millisecond, Concurrency: 11,
+	}
+}
+
+// settle looks once a second and applies moves until there are no more for two looks.
+func settle(s *stagesplit.Splitter, es []stagesplit.Engine, load stagesplit.Load, now time.Time) (prefill, moves int) {
+	for idle := 0; idle < 2; now = now.Add(time.Second) {
+		m, ok := s.Next(es, load, now)
+		if !ok {
+			idle++
+			continue
+		}
+		idle = 0
+		moves++
+		apply(es, m)
+		s.Moved(m, now)
+	}
+	for _, e := range es {
+		if e.Stage == fleet.Prefill {
+			prefill++
+		}
+	}
+	return prefill, moves
+}
+
+func apply(es []stagesplit.Engine, m stagesplit.Move) {
+	for i := range es {
+		if es[i].Key == m.Key {
+			es[i].Stage = m.To
+		}
+	}
+}
+
+// Guards against engines that stand idle in one stage while the other is full, in both directions.
+func TestSplitFollowsTheLoad(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		prefill, decode int
+		load            stagesplit.Load
+		want            int
+	}{
+		{"long answers, small fleet", 4, 5, longAnswers(12), 2},
+		{"long answers, large fleet", 12, 16, longAnswers(40), 7},
+		{"long prompts", 3, 6, stagesplit.Load{
+			Samples: 100, PerSecond: 20, Prefill: 300 * time.Millisecond, Decode: 1500 * time.Millisecond, Concurrency: 11,
+		}, 6},
+		{"idle", 4, 5, longAnswers(3), 4},
+		{"two engines", 1, 1, longAnswers(12), 1},
+		{"few samples", 4, 5, stagesplit.Load{Samples: 5, PerSecond: 12, Prefill: time.Second, Decode: time.Second, Concurrency: 11}, 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got, _ := settle(&stagesplit.Splitter{}, engines(c.prefill, c.decode), c.load, start)
+			NewWithT(t).Expect(got).To(Equal(c.want))
+		})
+	}
+}
+
+// Guards against engines that change their stage to and fro when the load varies around a limit.
+func TestVaryingLoadMovesNoEngineTwice(t *testing.T) {
+	g := NewWithT(t)
+	rng := rand.New(rand.NewPCG(3, 3))
+	s := &stagesplit.Splitter{}
+	es := engines(4, 5)
+	moves := 0
+	for second := range 120 {
+		load := longAnswers(12 * math.Exp(0.3*rng.NormFloat64()))
+		load.Prefill = time.Duration(float64(load.Prefill) * math.Exp(0.25*rng.NormFloat64()))
+		load.Decode = time.Duration(float64(load.Decode) * math.Exp(0.15*rng.NormFloat64()))
+		now := start.Add(time.Duration(second) * time.Second)
+		if m, ok := s.Next(es, load, now); ok {
+			apply(es, m)
+			s.Moved(m, now)
+			moves++
+		}
+	}
+	g.Expect(moves).To(BeNumerically("<=", 3))
+}
+
+// Guards against a zone that loses its last engine of a stage while another zone has several.
+func TestEachZoneKeepsBothStagesWhilePossible(t *testing.T) {
+	g := NewWithT(t)
+	es := engines(4, 5) // The first zone has two prefill engines, the others one each.
+	s := &stagesplit.Splitter{}
+	_, ok := s.Next(es, longAnswers(12), start)
+	g.Expect(ok).To(BeFalse(), "one look does not move an engine")
+	m, ok := s.Next(es, longAnswers(12), start)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(m.Key).To(BeElementOf("0", "3"))
+	g.Expect(m.After).To(BeNumerically("<", m.Before))
+}
+
+// Guards against a split that serves fewer streams than the fixed one under a burst of long answers: plays streams
+// that hold a slot, on the split that Next arrives at and on the one that the fleet starts with.
+func TestBurstOfLongAnswersIsServed(t *testing.T) {
+	g := NewWithT(t)
+	load := longAnswers(18)
+	fixed := served(load, 4, 5)
+	prefill, _ := settle(&stagesplit.Splitter{}, engines(4, 5), load, start)
+	moved := served(load, prefill, 9-prefill)
+	t.Logf("served of 1000 streams: %d with the fixed split, %d with %d prefill engines", fixed, moved, prefill)
+	g.Expect(moved).To(BeNumerically(">", fixed+50))
+}
+
+// served plays 1000 streams with random arrivals and sizes; a stream is served when its prompt is processed within
+// 0.8 s and a decode slot is free.
+func served(load stagesplit.Load, prefill, decode int) (n int) {
+	rng := rand.New(rand.NewPCG(11, 11))
+	free := make([]float64, prefill)
+	var ends []float64
+	now := 0.0
+	for range 1000 {
+		now += rng.ExpFloat64() / load.PerSecond
+		kept := ends[:0]
+		for _, e := range ends {
+			if e > now {
+				kept = append(kept, e)
+			}
+		}
+		ends = kept
+		if len(ends) >= int(load.Concurrency)*decode {
+			continue
+		}
+		first := 0
+		for i := range free {
+			if free[i] < free[first] {
+				first = i
+			}
+		}
+		done := max(free[first], now) + load.Prefill.Seconds()*(0.5+rng.Float64())
+		if done-now > 0.8 {
+			continue
+		}
+		free[first] = done
+		ends = append(ends, done+load.Decode.Seconds()*(0.5+rng.Float64()))
+		n++
+	}
+	return n
+}
--- a/test/standin/users/worker.go
+++ b/test/standin/users/worker.go
@@ -42,6 +42,8 @@
 	// Events is the length of each stream, EventPause the time between events.
 	Events     int
 	EventPause time.Duration
+	// StageChange is how long a change of the stage takes.
+	StageChange time.Duration
 	// Work is the time that a plain request takes.
 	Work time.Duration
 }
@@ -64,6 +66,13 @@
 	counter int
 	// cutAfter ends streams in the middle of the event after so many; 0 never.
 	cutAfter int
+	// commands are the accepted commands; changing is set until the stage that they ask for is reached.
+	commands []Command
+	changing bool
+	// registeredAt is the store that is told of a change of the stage.
+	registeredAt *Store
+	// wrongStage counts the sends that another stage or no stage would have taken.
+	wrongStage int
 	// stallAfter makes streams fall silent after so many events; 0 never.
 	stallAfter int
 }
@@ -91,6 +100,9 @@
 
 // Register writes the backend server's registration.
 func (w *Worker) Register(s *Store, state string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.registeredAt = s
 	value, _ := json.Marshal(map[string]any{
 		"service": w.Service, "address": w.Addr, "zone": w.Zone, "version": "v1", "slots": w.Slots, "state": state,
 		"coldLeftMs": 0, "stage": w.Stage, "seq": 0, "born": w.Born,
@@ -160,14 +172,79 @@
 		w.mu.Lock()
 		delete(w.handles, strings.TrimPrefix(r.URL.Path, "/api/kv-handle/"))
 		w.mu.Unlock()
+	case r.URL.Path == "/api/report":
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		reply(rw, http.StatusOK, map[string]any{"stage": w.Stage, "busy": w.changing, "seq": len(w.commands)})
+	case r.URL.Path == "/api/order":
+		w.command(rw, r)
+	case w.refusesStage(r):
+		rw.WriteHeader(http.StatusMisdirectedRequest)
 	default:
 		w.run(rw, r)
 	}
 }
 
+// Command is an accepted command.
+type Command struct {
+	At           time.Time
+	Operation    string `json:"operation"`
+	Stage        string `json:"stage"`
+	Holder       string `json:"holder"`
+	FencingToken int64  `json:"fencingToken"`
+	Expected     int    `json:"expected"`
+}
+
+// Commands returns the accepted commands, and how many sends came for another stage.
+func (w *Worker) Commands() (accepted []Command, wrongStage int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Command(nil), w.commands...), w.wrongStage
+}
+
+func (w *Worker) command(rw http.ResponseWriter, r *http.Request) {
+	c := Command{At: time.Now()}
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil || c.Holder == "" || c.FencingToken == 0 || c.Operation != "stage" {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.changing || c.Expected != len(w.commands) {
+		rw.WriteHeader(http.StatusConflict)
+		return
+	}
+	w.commands = append(w.commands, c)
+	w.changing = true
+	time.AfterFunc(w.StageChange, func() {
+		w.mu.Lock()
+		w.Stage, w.changing = c.Stage, false
+		store := w.registeredAt
+		w.mu.Unlock()
+		w.Register(store, "ready")
+	})
+	rw.WriteHeader(http.StatusAccepted)
+}
+
+// refusesStage counts and refuses sends while the stage changes, and those for another stage.
+func (w *Worker) refusesStage(r *http.Request) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	wrong := w.Stage != "" && (w.changing || r.Header.Get("Serving-Stage") == "prefill" != (w.Stage == "prefill"))
+	if wrong {
+		w.wrongStage++
+	}
+	return wrong
+}
+
 func (w *Worker) takeHold(rw http.ResponseWriter) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.Stage != "decode" || w.changing {
+		w.wrongStage++
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	if w.working+w.holds >= w.Slots || w.fault == Rejecting {
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -206,16 +283,17 @@
 	}
 	w.runs[id]++
 	w.working++
+	stage := w.Stage
 	w.mu.Unlock()
 	defer func() {
 		w.mu.Lock()
 		w.working--
 		w.mu.Unlock()
 	}()
-	w.answer(rw, r, id, fault)
+	w.answer(rw, r, id, stage, fault)
 }
 
-func (w *Worker) answer(rw http.ResponseWriter, r *http.Request, id string, fault WorkerFault) {
+func (w *Worker) answer(rw http.ResponseWriter, r *http.Request, id, stage string, fault WorkerFault) {
 	switch fault {
 	case Hanging:
 		<-r.Context().Done()
@@ -232,7 +310,7 @@
 		rw.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	if w.Stage != "" {
+	if stage != "" {
 		w.stream(r.Context(), rw, r.Header.Get("Last-Event-Id"))
 		return
 	}
