Soak the front with random faults over separate processes

A seeded schedule of kills, restarts, suspensions, reloads, store faults, withdrawn keys, forgotten history, crashed, reborn and draining backend servers, and connections that are delayed, reset, silenced or cut one way by a loopback proxy in front of the store, the callers' address and each backend server. Checked from callers and backend servers: runs at most once, true refusals, whole answers of the own request, whole streams, the right workspace and no key, withdrawn keys, departures, the rate of a workspace, commands by one host, recovery, no work left, no process that ends by itself. Connections between hosts are not behind a proxy: a host reports the address that it listens on.

--- a/Makefile
+++ b/Makefile
@@ -65,3 +65,12 @@
 
 $(CAPACITY_GROUPS:%=capacity-%): capacity-%:
 	$(GO) test ./test/capacity -count=1 -timeout 170s -run 'TestCapacity$$' -v -capacity.full -capacity.only=$* -capacity.json=$(abspath out/$*.json)
+
+SOAK_SEEDS ?= 50
+SOAK_PARALLEL ?= 3
+
+.PHONY: soak
+
+soak: ## Play random faults against separate processes, with SOAK_SEEDS fresh seeds; keeps the logs of failed ones.
+	@mkdir -p out/soak
+	$(GO) test ./test/soak -count=1 -v -timeout 60m -run 'TestSoak$$' -args -soak.seeds=$(SOAK_SEEDS) -soak.parallel=$(SOAK_PARALLEL) -soak.logs=$(abspath out/soak)
--- a/test/loopback/process.go
+++ b/test/loopback/process.go
@@ -132,5 +132,18 @@
 	return c.Close()
 }
 
+// Running tells whether the process has not ended.
+func (pr *Process) Running() bool {
+	select {
+	case <-pr.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Signal sends a signal to the process.
+func (pr *Process) Signal(s syscall.Signal) { _ = pr.cmd.Process.Signal(s) }
+
 // PID returns the process id.
 func (pr *Process) PID() int { return pr.cmd.Process.Pid }
--- /dev/null
+++ b/test/soak/fleet_test.go
@@ -0,0 +1,246 @@
+package soak_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/boragecourse/boragecourse/test/loopback"
+	"github.com/boragecourse/boragecourse/test/standin/users"
+)
+
+const (
+	hostName = "soak.example"
+	// limitedRate is the rate of the workspace that sends more than it pays for, in tokens per second.
+	limitedRate = 400
+	plainCost   = 10
+	hostCount   = 3
+	eventCount  = 12
+)
+
+// host is one daemon, with a proxy in front of its door of the store and one in front of its callers' address.
+type host struct {
+	spec         users.HostSpec
+	door         *users.Door
+	store, front *proxy
+	process      *loopback.Process
+	starts       int
+	// disturbed is set once a fault has touched the host; lastFault is its end.
+	mu        sync.Mutex
+	lastFault time.Time
+	expected  bool
+}
+
+// engine is a backend server behind a proxy. id changes with each start.
+type backend struct {
+	options users.WorkerOptions
+	proxy   *proxy
+	mu      sync.Mutex
+	present *users.Worker
+	all     []*users.Worker
+	births  int
+}
+
+// fleet is what one seed plays on.
+type fleet struct {
+	dir      string
+	store    *users.Store
+	procs    *loopback.Processes
+	hosts    []*host
+	backends []*backend
+
+	mu      sync.Mutex
+	version int
+	keys    map[string][]string
+}
+
+func freePort(ip string) (string, error) {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func newFleet(bin, dir string, net3 int) (*fleet, error) {
+	f := &fleet{
+		dir: dir, store: users.NewStore(), procs: &loopback.Processes{Bin: bin, Logs: dir},
+		keys: map[string][]string{"guests": {"key-guests", "key-spare"}, "limited": {"key-limited"}},
+	}
+	f.configure()
+	for i := range hostCount {
+		h, err := f.newHost(i, net3)
+		if err != nil {
+			return f, err
+		}
+		f.hosts = append(f.hosts, h)
+	}
+	for _, o := range []users.WorkerOptions{
+		{ID: "app-1", Service: "app"}, {ID: "app-2", Service: "app"}, {ID: "app-3", Service: "app"},
+		{ID: "pre-1", Service: "llm", Stage: "prefill"}, {ID: "pre-2", Service: "llm", Stage: "prefill"},
+		{ID: "dec-1", Service: "llm", Stage: "decode"}, {ID: "dec-2", Service: "llm", Stage: "decode"}, {ID: "dec-3", Service: "llm", Stage: "decode"},
+	} {
+		o.Zone, o.Slots, o.Events, o.EventPause, o.Work, o.StageChange = "z", 6, eventCount, 40*time.Millisecond, 8*time.Millisecond, 6*time.Second
+		b := &backend{options: o}
+		var err error
+		if b.proxy, err = newProxy(""); err != nil {
+			return f, err
+		}
+		f.backends = append(f.backends, b)
+		if err := f.bear(b); err != nil {
+			return f, err
+		}
+	}
+	for _, h := range f.hosts {
+		if err := f.start(h); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+func (f *fleet) newHost(i, net3 int) (*host, error) {
+	ip := fmt.Sprintf("127.%d.%d.%d", 2+net3/200, 1+net3%200, i+2)
+	door, err := f.store.Open()
+	if err != nil {
+		return nil, err
+	}
+	h := &host{door: door, spec: users.HostSpec{Name: fmt.Sprintf("host-%d", i), Zone: "z", IP: ip, Bootstrap: true}}
+	for _, address := range []*string{&h.spec.Front, &h.spec.Ready, &h.spec.Control} {
+		if *address, err = freePort(ip); err != nil {
+			return nil, err
+		}
+	}
+	if h.store, err = newProxy(door.Addr); err != nil {
+		return nil, err
+	}
+	h.spec.Store = h.store.addr
+	h.front, err = newProxy(h.spec.Front)
+	return h, err
+}
+
+// start starts a host's process.
+func (f *fleet) start(h *host) error {
+	h.spec.Seeds = nil
+	for _, other := range f.hosts {
+		h.spec.Seeds = append(h.spec.Seeds, other.spec.Control)
+	}
+	settings := filepath.Join(f.dir, h.spec.Name+".toml")
+	if err := h.spec.Write(settings); err != nil {
+		return err
+	}
+	h.spec.Bootstrap = false
+	h.starts++
+	process, err := f.procs.Start(fmt.Sprintf("%s-%d", h.spec.Name, h.starts), "boragecoursed", "front", "--settings", settings)
+	h.process = process
+	return err
+}
+
+// bear starts a backend server anew, as another process at the same address.
+func (f *fleet) bear(b *backend) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	o := b.options
+	b.births++
+	if b.births%2 == 0 {
+		// Every other start takes a new id.
+		o.ID = fmt.Sprintf("%s-%d", o.ID, b.births)
+	}
+	w, err := users.StartWorker(o, "")
+	if err != nil {
+		return err
+	}
+	w.Advertise(b.proxy.addr)
+	b.proxy.mu.Lock()
+	b.proxy.server = w.Addr
+	b.proxy.mu.Unlock()
+	b.present, b.all = w, append(b.all, w)
+	w.Register(f.store, "ready")
+	return nil
+}
+
+// crash ends a backend server. Its registration is removed when it lapses, or stays for the next one of the same id.
+func (f *fleet) crash(b *backend) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.present.Close()
+	f.store.Remove("servers/" + b.present.ID)
+}
+
+func (f *fleet) workers() (all []*users.Worker) {
+	for _, b := range f.backends {
+		b.mu.Lock()
+		all = append(all, b.all...)
+		b.mu.Unlock()
+	}
+	return all
+}
+
+// configure writes a configuration with the next version.
+func (f *fleet) configure() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version += 3
+	c := users.Configuration(hostName, users.Tenant("guests", f.keys["guests"], 1_000_000), users.Tenant("limited", f.keys["limited"], limitedRate))
+	c["version"] = f.version
+	text, err := json.Marshal(c)
+	if err != nil {
+		panic(err)
+	}
+	f.store.Put("op/config", text)
+}
+
+// withdraw takes the spare key away.
+func (f *fleet) withdraw() {
+	f.mu.Lock()
+	f.keys["guests"] = []string{"key-guests"}
+	f.mu.Unlock()
+	f.configure()
+}
+
+func (f *fleet) close() {
+	for _, h := range f.hosts {
+		if h.process != nil {
+			_ = syscall.Kill(h.process.PID(), syscall.SIGCONT)
+		}
+	}
+	f.procs.StopAll()
+	for _, h := range f.hosts {
+		h.door.Close()
+		h.store.close()
+		h.front.close()
+	}
+	for _, b := range f.backends {
+		for _, w := range b.all {
+			w.Close()
+		}
+		b.proxy.close()
+	}
+}
+
+// disturb notes a fault that touches a host until an end.
+func (h *host) disturb(until time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if until.After(h.lastFault) {
+		h.lastFault = until
+	}
+}
+
+// ended tells whether the process ended by itself.
+func (h *host) ended() bool {
+	if h.process.Running() {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.expected
+}
+
+func seedName(seed uint64) string { return strings.ReplaceAll(fmt.Sprintf("seed-%d", seed), "-0", "-") }
--- /dev/null
+++ b/test/soak/proxy_test.go
@@ -0,0 +1,144 @@
+package soak_test
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// proxyFault is what a proxy does to connections.
+type proxyFault int
+
+const (
+	passing proxyFault = iota
+	// delaying adds time to each chunk.
+	delaying
+	// silent takes bytes and passes none on, in either direction.
+	silent
+	// oneWay passes nothing on from the server.
+	oneWay
+	// resetting resets open connections and new ones.
+	resetting
+	proxyFaults
+)
+
+// proxyDelay is what delaying adds to each chunk of bytes.
+const proxyDelay = 60 * time.Millisecond
+
+// proxy passes TCP connections on to a server.
+type proxy struct {
+	addr     string
+	listener net.Listener
+
+	mu     sync.Mutex
+	server string
+	fault  proxyFault
+	conns  map[net.Conn]bool
+	// changed is closed when the fault changes.
+	changed chan struct{}
+}
+
+func newProxy(server string) (*proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{addr: l.Addr().String(), listener: l, server: server, conns: map[net.Conn]bool{}, changed: make(chan struct{})}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) close() { _ = p.listener.Close(); p.set(resetting) }
+
+// set changes the fault. Connections that met a silent fault stay silent, as bytes were dropped.
+func (p *proxy) set(f proxyFault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = f
+	close(p.changed)
+	p.changed = make(chan struct{})
+	if f == resetting {
+		for c := range p.conns {
+			reset(c)
+		}
+	}
+}
+
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func (p *proxy) state() (proxyFault, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fault, p.changed
+}
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(c)
+	}
+}
+
+func (p *proxy) serve(client net.Conn) {
+	if f, _ := p.state(); f == resetting {
+		reset(client)
+		return
+	}
+	server, err := net.Dial("tcp", p.server)
+	if err != nil {
+		reset(client)
+		return
+	}
+	p.mu.Lock()
+	p.conns[client], p.conns[server] = true, true
+	p.mu.Unlock()
+	var group sync.WaitGroup
+	group.Go(func() { p.copy(server, client, false) })
+	group.Go(func() { p.copy(client, server, true) })
+	group.Wait()
+	p.mu.Lock()
+	delete(p.conns, client)
+	delete(p.conns, server)
+	p.mu.Unlock()
+	_ = client.Close()
+	_ = server.Close()
+}
+
+// copy passes bytes on until an end. Once bytes were dropped, the connection stays silent.
+func (p *proxy) copy(to, from net.Conn, fromServer bool) {
+	buffer := make([]byte, 16<<10)
+	dropped := false
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			f, _ := p.state()
+			switch {
+			case f == silent, f == oneWay && fromServer:
+				dropped = true
+			case f == delaying:
+				time.Sleep(proxyDelay)
+			}
+			if !dropped {
+				if _, werr := to.Write(buffer[:n]); werr != nil {
+					return
+				}
+			}
+		}
+		if err != nil {
+			if !dropped {
+				if t, ok := to.(*net.TCPConn); ok {
+					_ = t.CloseWrite()
+				}
+			}
+			return
+		}
+	}
+}
--- /dev/null
+++ b/test/standin/users/host.go
@@ -0,0 +1,99 @@
+package users
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+)
+
+// HostSpec is what the platform tells one host.
+type HostSpec struct {
+	Name, Zone, IP string
+	// Front, Ready and Control are the addresses to listen on; Store is the address of the store.
+	Front, Ready, Control, Store string
+	// Seeds are control addresses of hosts.
+	Seeds []string
+	// Bootstrap is set when the fleet starts for the first time.
+	Bootstrap bool
+}
+
+// Write writes the host's settings file.
+func (h HostSpec) Write(path string) error {
+	seeds := make([]string, len(h.Seeds))
+	for i, s := range h.Seeds {
+		seeds[i] = strconv.Quote(s)
+	}
+	text := fmt.Sprintf(`nodeName = %q
+ip = %q
+zone = %q
+seeds = [%s]
+heartbeatMs = 1200
+bootstrap = %t
+unknownField = "ignored"
+[listen]
+front = %q
+ready = %q
+control = %q
+[limits]
+memoryMb = 134
+[bounds]
+reuseAfterS = 2
+drainMs = 2000
+graceS = 8
+configApplyMs = 2000
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+budgetMinRetries = 56
+quotaWindowS = 8
+quotaOver = 0.1
+quotaSlack = 1000
+leaseMs = 3000
+[platform]
+address = %q
+`, h.Name, h.IP, h.Zone, strings.Join(seeds, ","), h.Bootstrap, h.Front, h.Ready, h.Control, h.Store)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	return nil
+}
+
+// Route is a route of a configuration.
+func Route(name, host, kind, service string, attempts int, extra map[string]any) map[string]any {
+	r := map[string]any{
+		"name": name, "host": host, "prefix": "/" + name + "/", "kind": kind, "timeoutMs": 3000, "targetLatencyMs": 900,
+		"priority": 1, "service": service, "attempts": attempts, "allowAnonymous": false,
+	}
+	for k, v := range extra {
+		r[k] = v
+	}
+	return r
+}
+
+// Tenant is a workspace of a configuration, with its rate and burst in tokens.
+func Tenant(name string, keys []string, rate int) map[string]any {
+	return map[string]any{
+		"name": name, "apiKeys": keys, "unit": "token_stream", "plainTokens": 10, "ratePerS": rate, "burst": rate,
+	}
+}
+
+// Configuration has a plain service, app, with routes view, reserve and open, and engines, llm, with routes ask, whose
+// streams may be resumed, and note.
+func Configuration(host string, tenants ...any) map[string]any {
+	return map[string]any{
+		"routes": []any{
+			Route("view", host, "safe", "app", 2, nil), Route("reserve", host, "unsafe", "app", 1, nil),
+			Route("ask", host, "stream", "llm", 2, map[string]any{"canResume": true, "targetGapMs": 300}),
+			Route("note", host, "stream", "llm", 1, map[string]any{"canResume": false, "targetGapMs": 300}),
+			Route("open", host, "safe", "app", 2, map[string]any{"allowAnonymous": true}),
+		},
+		"services": []any{
+			map[string]any{"name": "app", "healthPath": "/healthz", "maxConns": 100},
+			map[string]any{"name": "llm", "healthPath": "/healthz", "maxConns": 100, "engine": map[string]any{
+				"slots": 4, "kvCapacity": 100000, "stride": 10, "handleTtlS": 0.5, "roleSwitchS": 6.0, "holdMs": 2000.0,
+			}},
+		},
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": tenants,
+	}
+}
--- a/test/standin/users/worker.go
+++ b/test/standin/users/worker.go
@@ -1,6 +1,7 @@
 package users
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -60,6 +61,7 @@
 	mu      sync.Mutex
 	fault   WorkerFault
 	runs    map[string]int
+	ranAt   map[string]time.Time
 	headers map[string]http.Header
 	working int
 	holds   int
@@ -69,8 +71,10 @@
 	cutAfter int
 	// commands are the accepted commands; changing is set until the stage that they ask for is reached.
 	commands []Command
-	arrivals map[string]Arrivals
-	changing bool
+	// advertised is the address in the registration, empty for Addr.
+	advertised string
+	arrivals   map[string]Arrivals
+	changing   bool
 	// registeredAt is the store that is told of a change of the stage.
 	registeredAt *Store
 	// wrongStage counts the sends that another stage or no stage would have taken.
@@ -90,7 +94,7 @@
 	}
 	w := &Worker{
 		WorkerOptions: o, Addr: l.Addr().String(), Born: time.Now().UnixMilli(), runs: map[string]int{},
-		arrivals: map[string]Arrivals{}, headers: map[string]http.Header{}, handles: map[string]bool{},
+		arrivals: map[string]Arrivals{}, ranAt: map[string]time.Time{}, headers: map[string]http.Header{}, handles: map[string]bool{},
 	}
 	w.server = &http.Server{Handler: w}
 	go func() { _ = w.server.Serve(l) }()
@@ -100,13 +104,20 @@
 // Close ends the backend server and its connections.
 func (w *Worker) Close() { _ = w.server.Close() }
 
+// Advertise sets the address that the registration tells.
+func (w *Worker) Advertise(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advertised = addr
+}
+
 // Register writes the backend server's registration.
 func (w *Worker) Register(s *Store, state string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.registeredAt = s
 	value, _ := json.Marshal(map[string]any{
-		"service": w.Service, "address": w.Addr, "zone": w.Zone, "version": "v1", "slots": w.Slots, "state": state,
+		"service": w.Service, "address": cmp.Or(w.advertised, w.Addr), "zone": w.Zone, "version": "v1", "slots": w.Slots, "state": state,
 		"coldLeftMs": 0, "stage": w.Stage, "seq": 0, "born": w.Born,
 	})
 	s.Put("servers/"+w.ID, value)
@@ -144,6 +155,13 @@
 	return out
 }
 
+// RunAt returns when each request ran last.
+func (w *Worker) RunAt() map[string]time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.ranAt)
+}
+
 // Header returns the headers with which a request arrived last.
 func (w *Worker) Header(id string) http.Header {
 	w.mu.Lock()
@@ -308,6 +326,7 @@
 		return
 	}
 	w.runs[id]++
+	w.ranAt[id] = time.Now()
 	w.working++
 	stage := w.Stage
 	w.mu.Unlock()
--- a/test/users/fleet_test.go
+++ b/test/users/fleet_test.go
@@ -126,39 +126,14 @@
 }
 
 func (f *fleet) start(h *host) {
-	var seeds []string
+	spec := users.HostSpec{
+		Name: filepath.Base(h.settings), Zone: "piran-a", IP: h.ip, Front: h.front, Ready: h.ready, Control: h.control, Store: h.door.Addr,
+		Bootstrap: true,
+	}
 	for _, other := range f.hosts {
-		seeds = append(seeds, strconv.Quote(other.control))
+		spec.Seeds = append(spec.Seeds, other.control)
 	}
-	text := fmt.Sprintf(`nodeName = %q
-ip = %q
-zone = "piran-a"
-seeds = [%s]
-heartbeatMs = 1200
-bootstrap = true
-unknownField = "ignored"
-[listen]
-front = %q
-ready = %q
-control = %q
-[limits]
-memoryMb = 134
-[bounds]
-reuseAfterS = 2
-drainMs = 2000
-graceS = 8
-configApplyMs = 2000
-retryBudgetRatio = 0.2
-budgetWindowS = 10
-budgetMinRetries = 56
-quotaWindowS = 8
-quotaOver = 0.1
-quotaSlack = 1000
-leaseMs = 3000
-[platform]
-address = %q
-`, filepath.Base(h.settings), h.ip, strings.Join(seeds, ","), h.front, h.ready, h.control, h.door.Addr)
-	f.g.Expect(os.WriteFile(h.settings, []byte(text), 0o600)).To(Succeed())
+	f.g.Expect(spec.Write(h.settings)).To(Succeed())
 	var err error
 	h.process, err = f.procs.Start(filepath.Base(h.settings)+"-"+strconv.Itoa(int(f.next.Add(1))), "boragecoursed", "front", "--settings", h.settings)
 	f.g.Expect(err).NotTo(HaveOccurred())
@@ -175,36 +150,8 @@
 	}).WithTimeout(waitTime).Should(Equal(http.StatusOK))
 }
 
-func route(name, kind, service string, attempts int, extra map[string]any) map[string]any {
-	r := map[string]any{
-		"name": name, "host": hostName, "prefix": "/" + name + "/", "kind": kind, "timeoutMs": 3000, "targetLatencyMs": 900,
-		"priority": 1, "service": service, "attempts": attempts, "allowAnonymous": false,
-	}
-	for k, v := range extra {
-		r[k] = v
-	}
-	return r
-}
-
 func routes(rate int) map[string]any {
-	return map[string]any{
-		"routes": []any{
-			route("view", "safe", "app", 2, nil), route("reserve", "unsafe", "app", 1, nil),
-			route("ask", "stream", "llm", 2, map[string]any{"canResume": true, "targetGapMs": 300}),
-			route("note", "stream", "llm", 1, map[string]any{"canResume": false, "targetGapMs": 300}),
-			route("open", "safe", "app", 2, map[string]any{"allowAnonymous": true}),
-		},
-		"services": []any{
-			map[string]any{"name": "app", "healthPath": "/healthz", "maxConns": 100},
-			map[string]any{"name": "llm", "healthPath": "/healthz", "maxConns": 100, "engine": map[string]any{
-				"slots": 4, "kvCapacity": 100000, "stride": 10, "handleTtlS": 0.5, "roleSwitchS": 6.0, "holdMs": 2000.0,
-			}},
-		},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{
-			"name": workspace, "apiKeys": []string{key}, "unit": "token_stream", "plainTokens": 10, "ratePerS": rate, "burst": rate,
-		}},
-	}
+	return users.Configuration(hostName, users.Tenant(workspace, []string{key}, rate))
 }
 
 // configure writes a configuration with the next version.
