--- a/internal/allotment/allotment_test.go
+++ b/internal/allotment/allotment_test.go
@@ -220,3 +220,26 @@
 		})
 	}
 }
+
+// Guards against a large fleet that brings tokens with each wave of restarts: more than half of the hosts are killed
+// twice within a window, while a workspace sends eight times its rate.
+func TestWavesOfRestartsInALargeFleet(t *testing.T) {
+	g := NewWithT(t)
+	h := newBooks(32, 300*time.Millisecond)
+	h.names = map[int]string{}
+	wave := 0
+	h.change = func(at time.Duration) {
+		if at != 6*time.Second && at != 10*time.Second {
+			return
+		}
+		wave++
+		for i := range 18 {
+			n := (i + 7*wave) % len(h.books)
+			h.books[n] = newBook(h.start.Add(at))
+			h.names[n] = strconv.Itoa(wave)
+		}
+	}
+	h.play(8, 20, always)
+	t.Logf("%.0f of %.0f", h.worstWindow(), allowed())
+	g.Expect(h.worstWindow()).To(BeNumerically("<=", allowed()))
+}
