--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/boragecourse/boragecourse/internal/outcome"
 	"github.com/boragecourse/boragecourse/internal/wait"
 )
 
@@ -19,10 +20,19 @@
 	exitMargin = 400 * time.Millisecond
 	// leaveTimeout bounds the last report to the other hosts.
 	leaveTimeout = 150 * time.Millisecond
+	// drainPoll is the time between two looks at the open requests, drainQuiet how long there must have been none: a
+	// caller may be about to send one on a connection that it has opened.
+	drainPoll  = 20 * time.Millisecond
+	drainQuiet = 100 * time.Millisecond
+	// closeTimeout bounds the end of the requests that came in the last moment.
+	closeTimeout = time.Second
+	// drainRetry is when a caller whose stream a stopping host does not take may come back to another one.
+	drainRetry = 200 * time.Millisecond
 )
 
 // drain waits for SIGTERM, then takes the host out of service: readiness goes off, requests are taken until the load
-// balancer has noticed, and open ones finish.
+// balancer has noticed. Then only streams are refused, until the open ones have ended: callers that reach no other host
+// are still answered.
 func (f *Front) drain(ctx context.Context, signals <-chan os.Signal, servers []*http.Server) {
 	for {
 		select {
@@ -41,10 +51,13 @@
 	ctx, cancel := context.WithTimeout(ctx, f.settings.Limits.ShutdownGrace-exitMargin)
 	defer cancel()
 	_ = wait.For(ctx, balancerNotice)
-	if err := servers[0].Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		f.log.Error(err, "drain cut short", "open", f.open.Load())
+	f.refusingStreams.Store(true)
+	servers[0].SetKeepAlivesEnabled(false)
+	if err := f.awaitStreams(ctx); err != nil {
+		f.log.Error(err, "drain cut short", "open", f.open.Load(), "streams", f.openStreams.Load())
 		f.metrics.Inc("drains_cut_short")
 	}
+	f.closeCallers(ctx, servers[0])
 	leaving, cancelLeave := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
 	defer cancelLeave()
 	f.exchange.Leave(leaving)
@@ -52,3 +65,41 @@
 		_ = s.Close()
 	}
 }
+
+// awaitStreams waits until no stream has been open for a while.
+func (f *Front) awaitStreams(ctx context.Context) error {
+	var quietSince time.Time
+	for {
+		switch {
+		case f.openStreams.Load() > 0:
+			quietSince = time.Time{}
+		case quietSince.IsZero():
+			quietSince = f.now()
+		case f.now().Sub(quietSince) >= drainQuiet:
+			return nil
+		}
+		if err := wait.For(ctx, drainPoll); err != nil {
+			return err
+		}
+	}
+}
+
+// closeCallers takes no more connections and waits for the open requests, which are short ones now.
+func (f *Front) closeCallers(ctx context.Context, server *http.Server) {
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) && f.open.Load() > 0 {
+		f.log.Error(err, "requests were open at the end of the drain", "open", f.open.Load())
+		f.metrics.Inc("drains_cut_short")
+	}
+}
+
+// refuseStream refuses a stream that would not end before the process does.
+func (f *Front) refuseStream() error {
+	if !f.refusingStreams.Load() {
+		return nil
+	}
+	refusal := outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeDraining, "the host is stopping")
+	refusal.RetryAfter = drainRetry
+	return refusal
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -71,6 +71,9 @@
 	startedAt time.Time
 	open      atomic.Int64
 	draining  atomic.Bool
+	// openStreams counts the open generations; refusingStreams is set when a stopping host takes no more of them.
+	openStreams     atomic.Int64
+	refusingStreams atomic.Bool
 
 	callers, readiness, metricsPage, peersListener net.Listener
 
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -86,6 +86,10 @@
 func (f *Front) handle(w http.ResponseWriter, r *http.Request) {
 	f.open.Add(1)
 	defer f.open.Add(-1)
+	if f.draining.Load() {
+		// The caller's next request goes to another host.
+		w.Header().Set("Connection", "close")
+	}
 	x := &call{w: w}
 	ctx, cancel, err := f.admit(r, x)
 	if err == nil {
@@ -114,6 +118,11 @@
 	if err := f.authorize(x); err != nil {
 		return nil, nil, err
 	}
+	if x.route.Kind == fleet.Generation {
+		if err := f.refuseStream(); err != nil {
+			return nil, nil, err
+		}
+	}
 	if err := readBody(r, x); err != nil {
 		return nil, nil, err
 	}
@@ -241,6 +250,8 @@
 
 func (f *Front) forward(ctx context.Context, x *call) error {
 	if x.route.Kind == fleet.Generation {
+		f.openStreams.Add(1)
+		defer f.openStreams.Add(-1)
 		return f.forwardGeneration(ctx, x)
 	}
 	return f.forwardPlain(ctx, x)
--- a/test/standin/users/worker.go
+++ b/test/standin/users/worker.go
@@ -130,6 +130,13 @@
 	w.fault = f
 }
 
+// SetEventPause changes the time between events of streams that start from now on.
+func (w *Worker) SetEventPause(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.EventPause = d
+}
+
 // CutStreams ends streams in the middle of the event after n.
 func (w *Worker) CutStreams(n int) {
 	w.mu.Lock()
@@ -373,7 +380,7 @@
 	rw.Header().Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(after)
 	w.mu.Lock()
-	cut, stall := w.cutAfter, w.stallAfter
+	cut, stall, pause := w.cutAfter, w.stallAfter, w.EventPause
 	w.mu.Unlock()
 	for i := first + 1; i <= w.Events; i++ {
 		if stall > 0 && i-first > stall {
@@ -389,7 +396,7 @@
 		_, _ = rw.Write([]byte(event))
 		_ = http.NewResponseController(rw).Flush()
 		select {
-		case <-time.After(w.EventPause):
+		case <-time.After(pause):
 		case <-ctx.Done():
 			return
 		}
--- a/test/users/path_test.go
+++ b/test/users/path_test.go
@@ -158,7 +158,7 @@
 	p := newParts(t, 1)
 	for _, w := range p.decode {
 		w.CutStreams(0)
-		w.EventPause = time.Second
+		w.SetEventPause(time.Second)
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	req := p.request(ctx, p.hosts[0], http.MethodPost, "/ask/1", header("Token-Counts", "100,100"))
@@ -215,6 +215,42 @@
 	p.g.Expect(<-stopped).To(BeTrue())
 }
 
+// Guards against a stopping host that refuses connections while it waits for its streams, and against one that takes
+// streams which it must cut, or waits on when nothing is open.
+func TestStoppingHostAnswersWhileItsStreamsEnd(t *testing.T) {
+	p := newParts(t, 1)
+	config := routes(100000)
+	config["routes"].([]any)[2].(map[string]any)["timeoutMs"] = 9000
+	p.configure(config)
+	time.Sleep(time.Second)
+	for _, w := range p.decode {
+		w.SetEventPause(460 * time.Millisecond)
+	}
+	done := make(chan answer, 1)
+	go func() { done <- p.stream(p.hosts[0], "ask", header("Deadline-Ms", "9000")) }()
+	time.Sleep(200 * time.Millisecond)
+	stopped := make(chan time.Duration, 1)
+	go func() {
+		begun := time.Now()
+		if p.hosts[0].process.Terminate(8 * time.Second) {
+			stopped <- time.Since(begun)
+		}
+		close(stopped)
+	}()
+	time.Sleep(3 * time.Second)
+	a := p.do(p.hosts[0], http.MethodGet, "/view/1")
+	p.g.Expect(a.err).NotTo(HaveOccurred())
+	p.g.Expect(a.status).To(Equal(http.StatusOK))
+	a = p.stream(p.hosts[0], "ask")
+	p.g.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+	p.g.Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+	p.g.Expect(p.runs(a.id)).To(BeZero())
+	a = <-done
+	p.g.Expect(a.err).NotTo(HaveOccurred())
+	p.g.Expect(events(a.body)).To(Equal(upTo(10)))
+	p.g.Expect(<-stopped).To(And(BeNumerically(">", 4*time.Second), BeNumerically("<", 6*time.Second)))
+}
+
 // Guards against a stream that is lost because its engine falls silent without closing the connection, before the
 // first event or in the middle, and against one that then runs at two engines.
 func TestStreamsLeaveSilentEngines(t *testing.T) {
