--- a/internal/duty/machine.go
+++ b/internal/duty/machine.go
@@ -87,6 +87,11 @@
 		m.claimAt = 0
 		return doNothing
 	}
+	return m.awaitClaim(now, delay)
+}
+
+// awaitClaim claims a vacant duty after a random delay, so that another host may be first.
+func (m *machine) awaitClaim(now time.Duration, delay func() time.Duration) action {
 	if m.claimAt == 0 {
 		m.claimAt = now + delay()
 	}
--- a/internal/duty/machine_test.go
+++ b/internal/duty/machine_test.go
@@ -172,7 +172,7 @@
 		}
 		h.machine = machine{host: h.host, process: h.process + "'", handover: h.handover}
 	}
-	switch h.machine.step(w.now, h.seen, true, func() time.Duration { return time.Duration(w.rng.IntN(800)) * time.Millisecond }) {
+	switch h.step(w.now, h.seen, true, func() time.Duration { return time.Duration(w.rng.IntN(800)) * time.Millisecond }) {
 	case doClaim:
 		if reachable {
 			w.claim(h)
--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -56,6 +56,7 @@
 		{"drain a daemon under load", d.drain},
 		{"trace every charge to its rule and person", d.trace},
 		{"check the stand-ins' own counts", d.checkStandins},
+		{"the same program on stand-ins of the users' platform", d.playUsersPlatform},
 	} {
 		fmt.Printf("\n== %s (%.1f s)\n", step.title, time.Since(d.started).Seconds())
 		if err := step.run(); err != nil {
