--- a/test/standin/users/worker.go
+++ b/test/standin/users/worker.go
@@ -33,6 +33,10 @@
 	Truncating
 	// Hanging accepts requests and never answers.
 	Hanging
+	// Excess answers and then sends a second answer that nobody asked for.
+	Excess
+	// Early answers before it has read the request's body, and closes the connection.
+	Early
 )
 
 // WorkerOptions describe a backend server.
@@ -366,6 +370,10 @@
 		w.stream(r.Context(), rw, r.Header.Get("Last-Event-Id"))
 		return
 	}
+	if fault == Excess || fault == Early {
+		w.answerRaw(rw, r, id, fault)
+		return
+	}
 	time.Sleep(w.Work)
 	body := "answer to " + r.Method + " " + r.URL.RequestURI() + " by " + w.ID
 	rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -376,6 +384,25 @@
 	_, _ = rw.Write([]byte(body))
 }
 
+// answerRaw writes to the connection itself, since the server would not send what these faults do.
+func (w *Worker) answerRaw(rw http.ResponseWriter, r *http.Request, id string, fault WorkerFault) {
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	answer := func(id, body string) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: %s.%s\r\nContent-Length: %d\r\n\r\n%s",
+			id, w.ID, id, len(body), body)
+	}
+	answer(id, "answer to "+r.Method+" "+r.URL.RequestURI()+" by "+w.ID)
+	if fault == Excess {
+		answer("another", "answer to another request")
+	}
+	// The connection stays for a moment, so that a caller could take what follows.
+	time.Sleep(20 * time.Millisecond)
+}
+
 func (w *Worker) stream(ctx context.Context, rw http.ResponseWriter, after string) {
 	rw.Header().Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(after)
--- a/test/users/path_test.go
+++ b/test/users/path_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -142,6 +145,27 @@
 	p.g.Expect(time.Since(started)).To(BeNumerically("<", time.Second))
 }
 
+// Guards against bytes that a backend server sends beyond its answer, or an answer that comes before the request's body was
+// read, in the answer to this request or to the next one.
+func TestExcessAndEarlyAnswers(t *testing.T) {
+	p := newParts(t, 1)
+	for _, fault := range []users.WorkerFault{users.Excess, users.Early} {
+		for _, w := range p.plain {
+			w.SetFault(fault)
+		}
+		for i := range 8 {
+			path := fmt.Sprintf("/view/%d", i)
+			a := p.do(p.hosts[0], http.MethodPost, path, func(r *http.Request) {
+				r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 60_000))), 60_000
+			})
+			p.g.Expect(a.err).NotTo(HaveOccurred())
+			p.g.Expect(a.status).To(Equal(http.StatusOK))
+			p.g.Expect(a.body).To(HavePrefix("answer to POST " + path + " by "))
+			p.g.Expect(a.header.Get("Request-Id")).To(Equal(a.id))
+		}
+	}
+}
+
 // Guards against an idempotent request that fails although another backend server would serve it.
 func TestIdempotentRequestsAreRepeated(t *testing.T) {
 	p := newParts(t, 1)
