--- a/test/loopback/process.go
+++ b/test/loopback/process.go
@@ -110,6 +110,30 @@
 	}
 }
 
+// Build builds the program of a package of this module into a folder.
+func Build(dir, pkg string) error {
+	out, err := exec.Command("go", "build", "-o", dir, "github.com/boragecourse/boragecourse/"+pkg).CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("build %s: %w: %s", pkg, err, out)
+	}
+	return nil
+}
+
+// BuildFor builds the program of a package into a temporary folder, runs the tests with it and removes it. It returns the
+// exit code.
+func BuildFor(pkg string, run func(bin string) int) int {
+	dir, err := os.MkdirTemp("", "boragecourse")
+	if err == nil {
+		err = Build(dir, pkg)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	return run(dir)
+}
+
 // AnswersOK reports whether a GET gives status 200.
 func AnswersOK(url string) error {
 	resp, err := http.Get(url) //nolint:gosec // Loopback addresses of the demo's own processes.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -19,6 +18,7 @@
 
 	// The daemon is built by the tests; importing it makes cached results depend on its sources.
 	_ "github.com/boragecourse/boragecourse/internal/front"
+	"github.com/boragecourse/boragecourse/test/loopback"
 	"github.com/boragecourse/boragecourse/test/standin/users"
 )
 
@@ -54,20 +54,10 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	dir, err := os.MkdirTemp("", "boragecourse-soak")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	bin = dir
-	build := exec.Command("go", "build", "-o", dir, "github.com/boragecourse/boragecourse/cmd/boragecoursed")
-	if out, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build daemon: %v\n%s", err, out)
-		os.Exit(1)
-	}
-	code := m.Run()
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(loopback.BuildFor("cmd/boragecoursed", func(dir string) int {
+		bin = dir
+		return m.Run()
+	}))
 }
 
 // Guards against every promise of the front being broken by faults that come in series and overlap.
--- /dev/null
+++ b/test/standin/users/command.go
@@ -0,0 +1,84 @@
+package users
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"time"
+)
+
+// Command is an accepted command.
+type Command struct {
+	At           time.Time
+	Operation    string `json:"operation"`
+	Stage        string `json:"stage"`
+	Holder       string `json:"holder"`
+	FencingToken int64  `json:"fencingToken"`
+	Expected     int    `json:"expected"`
+}
+
+// Commands returns the accepted commands, and how many sends came for another stage.
+func (w *Worker) Commands() (accepted []Command, wrongStage int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Command(nil), w.commands...), w.wrongStage
+}
+
+func (w *Worker) command(rw http.ResponseWriter, r *http.Request) {
+	c := Command{At: time.Now()}
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil || c.Holder == "" || c.FencingToken == 0 || c.Operation != "stage" {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.changing || c.Expected != len(w.commands) {
+		rw.WriteHeader(http.StatusConflict)
+		return
+	}
+	w.commands = append(w.commands, c)
+	w.changing = true
+	time.AfterFunc(w.StageChange, func() {
+		w.mu.Lock()
+		w.Stage, w.changing = c.Stage, false
+		store := w.registeredAt
+		w.mu.Unlock()
+		w.Register(store, "ready")
+	})
+	rw.WriteHeader(http.StatusAccepted)
+}
+
+// Arrivals are the sends of one request to a backend server: prefill calls and others.
+type Arrivals struct{ Prefills, Sends int }
+
+// Arrivals returns the sends of each request.
+func (w *Worker) Arrivals() map[string]Arrivals {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.arrivals)
+}
+
+func (w *Worker) countArrival(r *http.Request) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	id := r.Header.Get("Request-Id")
+	a := w.arrivals[id]
+	if r.Header.Get("Serving-Stage") == "prefill" {
+		a.Prefills++
+	} else {
+		a.Sends++
+	}
+	w.arrivals[id] = a
+	return true
+}
+
+// refusesStage counts and refuses sends while the stage changes, and those for another stage.
+func (w *Worker) refusesStage(r *http.Request) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	wrong := w.Stage != "" && (w.changing || r.Header.Get("Serving-Stage") == "prefill" != (w.Stage == "prefill"))
+	if wrong {
+		w.wrongStage++
+	}
+	return wrong
+}
--- a/test/users/fleet_test.go
+++ b/test/users/fleet_test.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -29,20 +28,10 @@
 var bin string
 
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "boragecourse-users")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	bin = dir
-	build := exec.Command("go", "build", "-o", dir, "github.com/boragecourse/boragecourse/cmd/boragecoursed")
-	if out, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build daemon: %v\n%s", err, out)
-		os.Exit(1)
-	}
-	code := m.Run()
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(loopback.BuildFor("cmd/boragecoursed", func(dir string) int {
+		bin = dir
+		return m.Run()
+	}))
 }
 
 const (
