--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -47,8 +47,11 @@
 		}
 		break
 	}
+	left := f.settings.Limits.ShutdownGrace - exitMargin
+	end := f.now().Add(left)
+	f.drainEnd.Store(&end)
 	f.draining.Store(true)
-	ctx, cancel := context.WithTimeout(ctx, f.settings.Limits.ShutdownGrace-exitMargin)
+	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	_ = wait.For(ctx, balancerNotice)
 	f.refusingStreams.Store(true)
@@ -94,9 +97,15 @@
 	}
 }
 
-// refuseStream refuses a stream that would not end before the process does.
-func (f *Front) refuseStream() error {
-	if !f.refusingStreams.Load() {
+// refuseStream refuses a stream that would not end before the process does: any once only open ones are waited for, and
+// before that those whose forecast does not fit in the time that is left.
+func (f *Front) refuseStream(x *call) error {
+	if !f.draining.Load() {
+		return nil
+	}
+	left := f.drainEnd.Load().Sub(f.now())
+	output := f.ledger.forecast(x.request.LengthHint, x.request.Tokens.MaxOutput)
+	if !f.refusingStreams.Load() && f.ledger.duration(output)+prefillEstimate < left {
 		return nil
 	}
 	refusal := outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeDraining, "the host is stopping")
--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -1,6 +1,10 @@
 package front
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/boragecourse/boragecourse/internal/fleet"
+)
 
 // TimeoutError reports that the caller's patience or the route's time is over.
 type TimeoutError struct{}
@@ -64,3 +68,17 @@
 
 // Unwrap returns the cause.
 func (e *ListenError) Unwrap() error { return e.Cause }
+
+// NotHolderError reports that the duty is not, or not certainly, held by this host.
+type NotHolderError struct{}
+
+// Error implements error.
+func (e *NotHolderError) Error() string { return "the duty is not held" }
+
+// EngineBusyError reports an engine that carries out another command, or has the stage already.
+type EngineBusyError struct{ State fleet.EngineState }
+
+// Error implements error.
+func (e *EngineBusyError) Error() string {
+	return fmt.Sprintf("engine in stage %q takes no command now, another one open: %t", e.State.Stage, e.State.Commanded)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -71,6 +71,8 @@
 	startedAt time.Time
 	open      atomic.Int64
 	draining  atomic.Bool
+	// drainEnd is when a stopping host ends. It is set before draining.
+	drainEnd atomic.Pointer[time.Time]
 	// openStreams counts the open generations; refusingStreams is set when a stopping host takes no more of them.
 	openStreams     atomic.Int64
 	refusingStreams atomic.Bool
--- a/internal/front/ledger.go
+++ b/internal/front/ledger.go
@@ -36,6 +36,13 @@
 	return l.predictor.Forecast(hint, declared)
 }
 
+// duration is how long a generation is expected to take once it has its slot.
+func (l *ledger) duration(output kvmemory.Output) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return output.Duration(l.predictor.Pace())
+}
+
 // take records a run at an engine if its memory suffices. A capacity of 0 is unknown and always suffices.
 func (l *ledger) take(r *run, key string, capacity int64) bool {
 	l.mu.Lock()
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -119,7 +119,7 @@
 		return nil, nil, err
 	}
 	if x.route.Kind == fleet.Generation {
-		if err := f.refuseStream(); err != nil {
+		if err := f.refuseStream(x); err != nil {
 			return nil, nil, err
 		}
 	}
--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -223,18 +223,6 @@
 	f.exchange.Notify()
 }
 
-// NotHolderError reports that the duty is not, or not certainly, held by this host.
-type NotHolderError struct{}
-
-// Error implements error.
-func (e *NotHolderError) Error() string { return "the duty is not held" }
-
-// EngineBusyError reports an engine that carries out another command, or has the stage already.
-type EngineBusyError struct{ State fleet.EngineState }
-
-// Error implements error.
-func (e *EngineBusyError) Error() string { return "the engine does not take a command now" }
-
 // commandStage sends the command, if the duty is still held right before it.
 func (f *Front) commandStage(ctx context.Context, server fleet.Server, to fleet.Stage) error {
 	if err := wait.For(ctx, stageNotice); err != nil {
--- a/internal/kvmemory/forecast.go
+++ b/internal/kvmemory/forecast.go
@@ -40,6 +40,16 @@
 // Median is the most likely output, for logs and for the order of waiting requests.
 func (o Output) Median() float64 { return math.Min(math.Exp(o.LogMean), float64(o.Max)) }
 
+// Duration is the time that the output takes at a pace in tokens per second, but for one generation in six, which takes
+// longer.
+func (o Output) Duration(pace float64) time.Duration {
+	if pace <= 0 {
+		return 0
+	}
+	tokens := math.Min(math.Exp(o.LogMean+o.LogSigma), float64(o.Max))
+	return time.Duration(tokens / pace * float64(time.Second))
+}
+
 const (
 	// hintSigma is the standard deviation of the logarithm of output over hint.
 	hintSigma = 0.5
--- a/internal/kvmemory/forecast_test.go
+++ b/internal/kvmemory/forecast_test.go
@@ -149,3 +149,13 @@
 	g.Expect(p.Pace()).To(BeNumerically("~", 1_400, 1))
 	g.Expect(p.Forecast(0, 9_100).Median()).To(BeNumerically("~", 4_200, 200))
 }
+
+// Guards against a forecast of the time that ignores the declared maximum or the spread of outputs.
+func TestDurationOfAnOutput(t *testing.T) {
+	g := NewWithT(t)
+	o := kvmemory.Output{LogMean: math.Log(2_800), LogSigma: math.Log(1.5), Max: 10_000}
+	g.Expect(o.Duration(1_400)).To(BeNumerically("~", 3*time.Second, time.Millisecond))
+	o.Max = 1_400
+	g.Expect(o.Duration(1_400)).To(Equal(time.Second))
+	g.Expect(o.Duration(0)).To(BeZero())
+}
