--- a/internal/charge/ledger.go
+++ b/internal/charge/ledger.go
@@ -16,6 +16,7 @@
 	"github.com/boragecourse/boragecourse/internal/metrics"
 	"github.com/boragecourse/boragecourse/internal/peer"
 	"github.com/boragecourse/boragecourse/internal/platform"
+	"github.com/boragecourse/boragecourse/internal/wait"
 	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
 )
 
@@ -268,12 +269,8 @@
 		if records == 0 && copies == 0 {
 			return nil
 		}
-		timer := time.NewTimer(l.cfg.CloseInterval)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if wait.For(ctx, l.cfg.CloseInterval) != nil {
 			return &UnwrittenError{Records: records, Copies: copies, Cause: ctx.Err()}
-		case <-timer.C:
 		}
 	}
 }
--- a/internal/command/service.go
+++ b/internal/command/service.go
@@ -15,6 +15,7 @@
 	"github.com/boragecourse/boragecourse/internal/placement"
 	"github.com/boragecourse/boragecourse/internal/platform"
 	"github.com/boragecourse/boragecourse/internal/rules"
+	"github.com/boragecourse/boragecourse/internal/wait"
 )
 
 // Names of the metrics.
@@ -86,10 +87,8 @@
 		if owned == 0 {
 			return nil
 		}
-		select {
-		case <-ctx.Done():
+		if wait.For(ctx, s.opt.Tick) != nil {
 			return &UnreleasedError{Servers: owned, Cause: ctx.Err()}
-		case <-time.After(s.opt.Tick):
 		}
 	}
 }
@@ -242,14 +241,12 @@
 // keepLease renews this host's lease until ctx ends.
 func (s *Service) keepLease(ctx context.Context) {
 	for {
-		wait := s.opt.LeaseTTL / renewals
+		pause := s.opt.LeaseTTL / renewals
 		if !s.renew(ctx) {
-			wait = s.opt.Tick
+			pause = s.opt.Tick
 		}
-		select {
-		case <-ctx.Done():
+		if wait.For(ctx, pause) != nil {
 			return
-		case <-time.After(wait):
 		}
 	}
 }
--- a/internal/request/release.go
+++ b/internal/request/release.go
@@ -11,6 +11,7 @@
 	"github.com/boragecourse/boragecourse/internal/engine"
 	"github.com/boragecourse/boragecourse/internal/metrics"
 	"github.com/boragecourse/boragecourse/internal/rules"
+	"github.com/boragecourse/boragecourse/internal/wait"
 )
 
 // Waits between repeated releases, and the limit of one.
@@ -144,28 +145,24 @@
 
 // work releases attempts at one server until none is left.
 func (r *releaser) work(k serverKey, q *releaseQueue) {
-	wait := firstReleaseWait
+	pause := firstReleaseWait
 	for {
 		p := r.next(k, q)
 		if p == nil {
 			return
 		}
 		if r.try(k, p) {
-			wait = firstReleaseWait
+			pause = firstReleaseWait
 			continue
 		}
 		r.metrics.Inc("releases_repeated", metrics.L("server", k.name))
 		r.mu.Lock()
 		q.pending = append(q.pending, p)
 		r.mu.Unlock()
-		t := time.NewTimer(wait)
-		select {
-		case <-t.C:
-			wait = min(2*wait, maxReleaseWait)
-		case <-r.ctx.Done():
-			t.Stop()
+		if wait.For(r.ctx, pause) != nil {
 			return
 		}
+		pause = min(2*pause, maxReleaseWait)
 	}
 }
 
