--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -62,8 +62,8 @@
 	g.refresh()
 }
 
-// refresh sets the pools' candidates: all usable backend servers but those that are paused. When all of a stage are
-// paused, all of them are tried.
+// refresh sets the pools' candidates: all usable backend servers but those that are paused or change their stage. When
+// that leaves none of a stage, all of them are tried.
 func (g *group) refresh() {
 	g.mu.Lock()
 	var all, active [3][]dispatch.Candidate
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -30,13 +30,14 @@
 	store, front *proxy
 	process      *loopback.Process
 	starts       int
-	// disturbed is set once a fault has touched the host; lastFault is its end.
-	mu        sync.Mutex
+	mu           sync.Mutex
+	// lastFault is the end of the last fault that touched the host.
 	lastFault time.Time
-	expected  bool
+	// expected is set while the process is replaced, so that its end is no fault of its own.
+	expected bool
 }
 
-// engine is a backend server behind a proxy. id changes with each start.
+// backend is a backend server behind a proxy, with all its lifetimes.
 type backend struct {
 	options users.WorkerOptions
 	proxy   *proxy
@@ -68,14 +69,14 @@
 	return l.Addr().String(), nil
 }
 
-func newFleet(bin, dir string, net3 int) (*fleet, error) {
+func newFleet(bin, dir string, network int) (*fleet, error) {
 	f := &fleet{
 		dir: dir, store: users.NewStore(), procs: &loopback.Processes{Bin: bin, Logs: dir},
 		keys: map[string][]string{"guests": {"key-guests", "key-spare"}, "limited": {"key-limited"}},
 	}
 	f.configure()
 	for i := range hostCount {
-		h, err := f.newHost(i, net3)
+		h, err := f.newHost(i, network)
 		if err != nil {
 			return f, err
 		}
@@ -105,8 +106,8 @@
 	return f, nil
 }
 
-func (f *fleet) newHost(i, net3 int) (*host, error) {
-	ip := fmt.Sprintf("127.%d.%d.%d", 2+net3/200, 1+net3%200, i+2)
+func (f *fleet) newHost(i, network int) (*host, error) {
+	ip := fmt.Sprintf("127.%d.%d.%d", 2+network/200, 1+network%200, i+2)
 	door, err := f.store.Open()
 	if err != nil {
 		return nil, err
