--- a/internal/duty/holder.go
+++ b/internal/duty/holder.go
@@ -56,7 +56,7 @@
 	if o.Clock == nil {
 		o.Clock = BootClock
 	}
-	return &Holder{opt: o, m: machine{host: o.Host, process: o.Process, handover: o.Handover}}
+	return &Holder{opt: o, m: machine{process: o.Process, handover: o.Handover}}
 }
 
 // BootClock is the time since the machine started, suspensions included.
--- a/internal/duty/machine.go
+++ b/internal/duty/machine.go
@@ -47,8 +47,8 @@
 // machine decides when this process claims and renews, and whether it may act. Times are of a clock that counts the
 // time in which the machine is suspended. It does no I/O.
 type machine struct {
-	// host is the same for all processes of a host, process names this one.
-	host, process string
+	// process names this process.
+	process string
 	// handover is how long a new holder waits after the last one.
 	handover time.Duration
 
--- a/internal/duty/machine_test.go
+++ b/internal/duty/machine_test.go
@@ -26,7 +26,7 @@
 // lease that may have lapsed while the process was suspended.
 func TestMachine(t *testing.T) {
 	g := NewWithT(t)
-	m := &machine{host: "a", process: "a/1", handover: handover}
+	m := &machine{process: "a/1", handover: handover}
 	g.Expect(m.step(0, record{}, false, noDelay)).To(Equal(doNothing))
 	g.Expect(m.step(0, held("b/1", 4), true, noDelay)).To(Equal(doNothing))
 	g.Expect(m.step(time.Second, record{}, true, noDelay)).To(Equal(doClaim))
@@ -45,7 +45,7 @@
 func TestNewHolderWaitsForTheLastOne(t *testing.T) {
 	g := NewWithT(t)
 	for last, quiet := range map[string]bool{"": false, "a": true, "b": true} {
-		m := &machine{host: "a", process: "a/2", handover: handover}
+		m := &machine{process: "a/2", handover: handover}
 		r := record{}
 		if last != "" {
 			r.last.Value = []byte(last)
@@ -61,12 +61,12 @@
 // was not.
 func TestClaimWithoutAnswer(t *testing.T) {
 	g := NewWithT(t)
-	m := &machine{host: "a", process: "a/1"}
+	m := &machine{process: "a/1"}
 	m.granted(0, 5, leaseTTL, record{})
 	m.step(tick, held("a/1", 5), true, noDelay)
 	g.Expect(m.fence).To(Equal(int64(7)))
 
-	m = &machine{host: "a", process: "a/1"}
+	m = &machine{process: "a/1"}
 	m.granted(0, 5, leaseTTL, record{})
 	m.step(renewEvery, record{}, true, noDelay)
 	g.Expect(m.lease).To(BeZero())
@@ -88,6 +88,7 @@
 
 type simulated struct {
 	machine
+	host           string
 	seen           record
 	suspendedUntil time.Duration
 	cutUntil       time.Duration
@@ -170,7 +171,7 @@
 			w.leases[h.lease] = w.now
 			w.expire()
 		}
-		h.machine = machine{host: h.host, process: h.process + "'", handover: h.handover}
+		h.machine = machine{process: h.process + "'", handover: h.handover}
 	}
 	switch h.step(w.now, h.seen, true, func() time.Duration { return time.Duration(w.rng.IntN(800)) * time.Millisecond }) {
 	case doClaim:
@@ -193,7 +194,7 @@
 func play(seed uint64, handover time.Duration) (commands []command) {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), leases: map[kv.LeaseID]time.Duration{}}
 	for _, name := range []string{"a", "b", "c"} {
-		w.hosts = append(w.hosts, &simulated{machine: machine{host: name, process: name, handover: handover}})
+		w.hosts = append(w.hosts, &simulated{host: name, machine: machine{process: name, handover: handover}})
 	}
 	for ; w.now < 3*time.Minute; w.now += 100 * time.Millisecond {
 		w.expire()
--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -253,7 +253,7 @@
 			return f.prefillLeftOut(x, "no-engine", err)
 		}
 		// The first call that an engine accepts is not a repeat.
-		if (x.prefilled || len(avoid) > 0) && !f.mayRepeat(x, 1) {
+		if (x.prefilled || len(avoid) > 0) && !f.mayRepeat(x) {
 			grant.Release()
 			return f.prefillLeftOut(x, "budget", nil)
 		}
--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -220,8 +220,8 @@
 	g.budget.Sent(allowed, g.now(), 1)
 }
 
-func (g *group) mayRepeat(hosts, sends int) bool {
+func (g *group) mayRepeat(hosts int) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.budget.Repeat(g.now(), hosts, sends)
+	return g.budget.Repeat(g.now(), hosts, 1)
 }
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -66,16 +66,16 @@
 		return "attempts"
 	case f.now().Add(answerMargin).After(x.deadline):
 		return "time"
-	case !f.mayRepeat(x, 1):
+	case !f.mayRepeat(x):
 		return "budget"
 	}
 	x.repeatAllowed = f.now()
 	return ""
 }
 
-// mayRepeat draws sends beyond the first from the service's budget, and counts those that the budget refuses.
-func (f *Front) mayRepeat(x *call, sends int) bool {
-	allowed := x.group.mayRepeat(f.hosts(), sends)
+// mayRepeat draws a send beyond the first from the service's budget, and counts one that the budget refuses.
+func (f *Front) mayRepeat(x *call) bool {
+	allowed := x.group.mayRepeat(f.hosts())
 	if !allowed {
 		f.metrics.Inc("repeats_refused", metrics.L("service", x.group.service))
 	}
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -5,9 +5,7 @@
 	"fmt"
 	"net"
 	"path/filepath"
-	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/boragecourse/boragecourse/test/loopback"
@@ -206,11 +204,6 @@
 }
 
 func (f *fleet) close() {
-	for _, h := range f.hosts {
-		if h.process != nil {
-			_ = syscall.Kill(h.process.PID(), syscall.SIGCONT)
-		}
-	}
 	f.procs.StopAll()
 	for _, h := range f.hosts {
 		h.door.Close()
@@ -244,4 +237,4 @@
 	return !h.expected
 }
 
-func seedName(seed uint64) string { return strings.ReplaceAll(fmt.Sprintf("seed-%d", seed), "-0", "-") }
+func seedName(seed uint64) string { return fmt.Sprintf("seed-%d", seed) }
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -34,8 +34,6 @@
 	server string
 	fault  proxyFault
 	conns  map[net.Conn]bool
-	// changed is closed when the fault changes.
-	changed chan struct{}
 }
 
 func newProxy(server string) (*proxy, error) {
@@ -43,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{addr: l.Addr().String(), listener: l, server: server, conns: map[net.Conn]bool{}, changed: make(chan struct{})}
+	p := &proxy{addr: l.Addr().String(), listener: l, server: server, conns: map[net.Conn]bool{}}
 	go p.accept()
 	return p, nil
 }
@@ -55,8 +53,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fault = f
-	close(p.changed)
-	p.changed = make(chan struct{})
 	if f == resetting {
 		for c := range p.conns {
 			reset(c)
@@ -71,10 +67,10 @@
 	_ = c.Close()
 }
 
-func (p *proxy) state() (proxyFault, <-chan struct{}) {
+func (p *proxy) present() proxyFault {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.fault, p.changed
+	return p.fault
 }
 
 func (p *proxy) accept() {
@@ -88,7 +84,7 @@
 }
 
 func (p *proxy) serve(client net.Conn) {
-	if f, _ := p.state(); f == resetting {
+	if p.present() == resetting {
 		reset(client)
 		return
 	}
@@ -119,7 +115,7 @@
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			f, _ := p.state()
+			f := p.present()
 			switch {
 			case f == silent, f == oneWay && fromServer:
 				dropped = true
