Keep connections to backend servers, bound every response, name the host in log lines

Cause: each send opened a connection. Ruled out: http.Transport with kept connections (six of eleven tests of internal/connpool fail with it: surplus bytes reach the next request, requests are repeated outside the retry budget).

A stream event of many short lines grew without bound (413 MB in 2.5 s in TestEndlessBytesFromBackendServers before, bound 134 MB): the limit was checked only on lines longer than the read buffer.

The rate-limit test met a refill of 0.3 tokens between two requests; it uses a rate of 1/s now, at which the cost takes 10 s to refill, and still wants the second refusal. Log lines name their host, and the first response of the store is no longer logged as the end of an outage since the zero time.

--- a/cmd/boragecoursed/front.go
+++ b/cmd/boragecoursed/front.go
@@ -44,7 +44,9 @@
 	defer stop()
 	store := platform.NewStore(settings.Store)
 	defer store.Close()
-	f, err := front.New(settings, store, logging.New(out, c.LogVerbosity), metrics.New())
+	// The platform joins the logs of all hosts, so each line names its host.
+	log := logging.New(out, c.LogVerbosity).WithValues("host", settings.Name)
+	f, err := front.New(settings, store, log, metrics.New())
 	if err != nil {
 		return err
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -87,7 +87,7 @@
 // New opens the listeners and builds the components; Run starts them. Errors are *ListenError.
 func New(settings fleet.HostSettings, store Store, log logr.Logger, reg *metrics.Registry) (*Front, error) {
 	f := &Front{
-		settings: settings, incarnation: rand.Uint64(), log: log, metrics: reg, now: time.Now, backends: platform.NewBackends(),
+		settings: settings, incarnation: rand.Uint64(), log: log, metrics: reg, now: time.Now, backends: platform.NewBackends(reg),
 		groups: map[string]*group{}, limiter: ratelimit.New(settings.Limits.Quota), reports: map[uint64]peerReport{},
 		pool: peer.NewPool("", nil), peers: peer.NewServer("", nil), startedAt: time.Now(), LogLinesDropped: func() int64 { return 0 },
 	}
@@ -141,7 +141,7 @@
 	go func() { _ = f.peers.Serve(f.peersListener) }()
 	defer f.pool.Close()
 	defer f.peers.Stop()
-	f.log.Info("started", "host", f.settings.Name, "zone", f.settings.Zone, "callers", f.settings.Callers,
+	f.log.Info("started", "zone", f.settings.Zone, "callers", f.settings.Callers,
 		"peers", f.settings.Peers, "store", f.settings.Store, "memory", f.settings.MemoryBytes)
 	f.drain(ctx, signals, servers)
 	cancel()
@@ -249,7 +249,40 @@
 		}
 	}
 	f.groupsMu.Unlock()
+	f.setIdleLimits(usable)
 	for service, servers := range byService {
 		f.group(service).update(servers)
 	}
 }
+
+const (
+	// maxIdlePerServer is the number of idle connections that one host keeps to a backend server. A host rarely has more
+	// requests at one server at a time.
+	maxIdlePerServer = 6
+	// idleShare is the fraction of a backend server's connection limit that the idle connections of all hosts may take.
+	idleShare = 0.4
+)
+
+// setIdleLimits keeps connections to the usable backend servers only, and few enough for the servers' connection limits.
+func (f *Front) setIdleLimits(usable []registry.State) {
+	config := f.state.Configuration()
+	hosts := f.hosts()
+	limits := make([]platform.IdleLimit, 0, len(usable))
+	for _, s := range usable {
+		maxConnections := 0
+		if config != nil && config.Services[s.Service] != nil {
+			maxConnections = config.Services[s.Service].MaxConnections
+		}
+		limits = append(limits, platform.IdleLimit{Server: s.Server, Connections: idleLimit(maxConnections, hosts)})
+	}
+	f.backends.SetIdleLimits(limits)
+}
+
+// idleLimit returns how many idle connections a host keeps to a backend server that accepts maxConnections from all
+// hosts together; 0 means that the limit is not known.
+func idleLimit(maxConnections, hosts int) int {
+	if maxConnections <= 0 {
+		return maxIdlePerServer
+	}
+	return min(max(int(idleShare*float64(maxConnections))/max(hosts, 1), 1), maxIdlePerServer)
+}
--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -98,17 +98,15 @@
 		f.dropResult(result)
 		return "", context.Cause(ctx)
 	}
-	settle := x.beginSend()
 	x.trace.server = p.server.ID
 	// The stall watch is enabled only if the request can be retried: otherwise canceling a stalled run gains nothing.
 	ctx, watch := watchStall(ctx, x.route.Repeatable(), f.stallLimit(x))
 	defer watch.stop()
-	response, err := f.backends.Run(ctx, platform.BackendCall{
+	response, err := f.run(ctx, x, platform.BackendCall{
 		Request: x.request, Server: p.server, TimeLeft: x.deadline.Sub(f.now()), Workspace: x.workspaceName(),
-		LastEventID: s.lastEvent, ReservationID: p.reservationID, Result: result,
+		LastEventID: s.lastEvent, ReservationID: p.reservationID, Result: result, Repeatable: x.route.Repeatable(),
 	})
 	if err != nil {
-		settle(err)
 		f.recordFailure(ctx, x, p.grant.Key, err)
 		f.releaseReservation(p)
 		f.dropResult(result)
@@ -311,9 +309,15 @@
 	requestedAt := f.now()
 	ctx, watch := watchStall(ctx, true, prefillLimit+time.Duration(x.request.Tokens.Prompt)*prefillLimitPerToken)
 	defer watch.stop()
-	result, err := f.backends.Prefill(ctx, platform.BackendCall{
+	call := platform.BackendCall{
 		Request: x.request, Server: server, TimeLeft: x.deadline.Sub(f.now()), Workspace: x.workspaceName(), LastEventID: lastEvent,
-	})
+		Repeatable: true,
+	}
+	result, err := f.backends.Prefill(ctx, call)
+	if platform.IsDroppedConnection(err) && ctx.Err() == nil && f.mayRetry(x) {
+		call.NewConnection = true
+		result, err = f.backends.Prefill(ctx, call)
+	}
 	if err != nil {
 		f.recordFailure(ctx, x, grant.Key, err)
 		return nil, err
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -95,6 +95,8 @@
 		return "unreachable"
 	case errors.As(err, &notRun):
 		return "rejected"
+	case platform.IsDroppedConnection(err):
+		return "dropped-connection"
 	case errors.As(err, &lost):
 		return "lost"
 	}
@@ -117,12 +119,11 @@
 		return nil, grant.Key, &platform.NotRunError{Cause: &StaleServerError{Key: grant.Key}}
 	}
 	x.trace.server, x.trace.waited = server.ID, grant.Waited
-	settle := x.beginSend()
-	a, err := f.backends.Run(ctx, platform.BackendCall{
-		Request: x.request, Server: server, TimeLeft: x.deadline.Sub(f.now()), Workspace: x.workspaceName(), LastEventID: x.request.LastEventID,
+	a, err := f.run(ctx, x, platform.BackendCall{
+		Request: x.request, Server: server, TimeLeft: x.deadline.Sub(f.now()), Workspace: x.workspaceName(),
+		LastEventID: x.request.LastEventID, Repeatable: x.route.Repeatable(),
 	})
 	if err != nil {
-		settle(err)
 		f.recordFailure(ctx, x, grant.Key, err)
 		return nil, grant.Key, err
 	}
@@ -135,6 +136,24 @@
 	return read, grant.Key, nil
 }
 
+// run sends a request to a backend server. If the server had dropped the reused connection, a request that may be repeated
+// is sent to it once more on a new connection, which is charged to the retry budget.
+func (f *Front) run(ctx context.Context, x *call, call platform.BackendCall) (*platform.Response, error) {
+	settle := x.beginSend()
+	response, err := f.backends.Run(ctx, call)
+	settle(err)
+	if !platform.IsDroppedConnection(err) || !call.Repeatable || ctx.Err() != nil || !f.mayRetry(x) {
+		return response, err
+	}
+	f.metrics.Inc("repeats", metrics.L("service", x.group.service), metrics.L("reason", retryReason(err)))
+	call.NewConnection, call.TimeLeft = true, x.deadline.Sub(f.now())
+	x.retryAllowedAt = f.now()
+	settle = x.beginSend()
+	response, err = f.backends.Run(ctx, call)
+	settle(err)
+	return response, err
+}
+
 func (f *Front) recordResponse(x *call, key string, status int) {
 	result := outlier.Succeeded
 	if status >= http.StatusInternalServerError {
@@ -163,7 +182,7 @@
 		result = outlier.Unreachable
 	case errors.As(err, &notRun):
 		result = outlier.Rejected
-	case errors.Is(context.Cause(ctx), context.Canceled):
+	case errors.Is(context.Cause(ctx), context.Canceled), platform.IsDroppedConnection(err):
 		return
 	}
 	if x.group.observe(key, result) {
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -178,15 +178,24 @@
 		return
 	}
 	if !s.storeOK {
-		downtime := now.Sub(s.lastAnswered)
-		s.log.Info("store reachable again", "away", downtime.Round(time.Millisecond))
-		if downtime > outageThreshold && !s.lastAnswered.IsZero() {
-			s.servers.StoreRecovered(now)
-		}
+		s.logStoreReachable(now)
 	}
 	s.storeOK, s.lastAnswered = true, now
 }
 
+// logStoreReachable logs the first response of the store, or the first one after an outage. s.mu must be held.
+func (s *State) logStoreReachable(now time.Time) {
+	if s.lastAnswered.IsZero() {
+		s.log.Info("store reachable")
+		return
+	}
+	downtime := now.Sub(s.lastAnswered)
+	s.log.Info("store reachable again", "away", downtime.Round(time.Millisecond))
+	if downtime > outageThreshold {
+		s.servers.StoreRecovered(now)
+	}
+}
+
 // applyCopy decodes the copy of the store and applies changes of backend servers and configuration. s.mu must be held.
 func (s *State) applyCopy() {
 	now := s.now()
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -50,10 +50,9 @@
 		line, err := in.ReadSlice('\n')
 		event.Write(line)
 		switch {
+		case event.Len() > maxEvent:
+			return &BrokenStreamError{Events: s.events, Cause: &EventTooLargeError{Bytes: event.Len()}}
 		case errors.Is(err, bufio.ErrBufferFull):
-			if event.Len() > maxEvent {
-				return &BrokenStreamError{Events: s.events, Cause: &EventTooLargeError{Bytes: event.Len()}}
-			}
 			continue
 		case errors.Is(err, io.EOF) && event.Len() == 0:
 			return nil
--- a/internal/leader/elector.go
+++ b/internal/leader/elector.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
-	"golang.org/x/sys/unix"
 
+	"github.com/boragecourse/boragecourse/internal/bootclock"
 	"github.com/boragecourse/boragecourse/internal/kvstore"
 	"github.com/boragecourse/boragecourse/internal/metrics"
 	"github.com/boragecourse/boragecourse/internal/wait"
@@ -41,7 +40,7 @@
 	Log       logr.Logger
 	Metrics   *metrics.Registry
 	// Clock returns the time since some fixed point, including the time in which the machine is suspended. The default
-	// is BootClock.
+	// is bootclock.Now.
 	Clock func() time.Duration
 }
 
@@ -56,21 +55,11 @@
 // New returns an Elector. It does not take part in the election until Serve is called.
 func New(o Options) *Elector {
 	if o.Clock == nil {
-		o.Clock = BootClock
+		o.Clock = bootclock.Now
 	}
 	return &Elector{opt: o, m: machine{process: o.Process, handover: o.Handover}}
 }
 
-// BootClock returns the time since the machine started, including the time in which it was suspended.
-func BootClock() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		// The call fails only if the kernel does not support the clock.
-		panic(fmt.Sprintf("read CLOCK_BOOTTIME: %v", err))
-	}
-	return time.Duration(t.Nano())
-}
-
 // Serve claims and renews the leader lease until ctx ends, and then revokes it. It implements suture.Service.
 func (e *Elector) Serve(ctx context.Context) error {
 	for wait.For(ctx, stepInterval) == nil {
--- a/test/standin/users/worker.go
+++ b/test/standin/users/worker.go
@@ -211,6 +211,7 @@
 	case r.URL.Path == "/api/order":
 		w.serveCommand(rw, r)
 	case w.countArrival(r) && w.refusesStage(r):
+		rw.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 	default:
 		w.run(rw, r)
@@ -244,6 +245,7 @@
 	}
 	if fault == Rejecting {
 		w.mu.Unlock()
+		rw.Header().Set("Request-Id", id)
 		rw.Header().Set("Not-Executed", "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -258,6 +260,7 @@
 		handle := fmt.Sprintf("%s-%d", w.ID, w.counter)
 		w.handles[handle] = true
 		w.mu.Unlock()
+		rw.Header().Set("Request-Id", id)
 		reply(rw, http.StatusOK, map[string]any{"handle": handle, "tokens": 1, "version": 1})
 		return
 	}
--- a/test/users/path_test.go
+++ b/test/users/path_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -198,11 +200,26 @@
 	}
 }
 
+// Guards against joined logs in which a line does not say which host wrote it, and against an outage of the store since
+// the zero time in the first lines.
+func TestLogLinesNameTheirHost(t *testing.T) {
+	p := newDeployment(t, 1)
+	text, err := os.ReadFile(filepath.Join(p.procs.Logs, filepath.Base(p.hosts[0].settings)+"-1.log"))
+	p.g.Expect(err).NotTo(HaveOccurred())
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	p.g.Expect(len(lines)).To(BeNumerically(">", 5))
+	for _, line := range lines {
+		p.g.Expect(line).To(MatchRegexp(` host=host-0\.toml( |$)`))
+		p.g.Expect(line).NotTo(ContainSubstring("away="))
+	}
+}
+
 // Guards against a workspace that exceeds its rate through one host or the other, and against a refusal without
 // Retry-After.
 func TestWorkspaceRateLimits(t *testing.T) {
 	p := newDeployment(t, 2)
-	p.configure(routes(100))
+	// At this rate a request's cost takes 10 s to refill, so that a second request right after a refusal is refused too.
+	p.configure(routes(1))
 	p.g.Eventually(func() int { return p.do(p.hosts[0], http.MethodGet, "/view/1").status }).
 		WithTimeout(waitTimeout).WithPolling(time.Millisecond).Should(Equal(http.StatusTooManyRequests))
 	a := p.do(p.hosts[0], http.MethodGet, "/view/1")
