--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -67,6 +69,12 @@
 	outrankedMargin = 1.0
 	// rateWindow is the period over which grants and arrivals are counted.
 	rateWindow = 2 * time.Second
+	// exactHosts is the number of hosts up to which the least occupied backend server is chosen. More hosts than that
+	// would send most of the requests between two reports to the same one.
+	exactHosts = 8
+	// minSample is the least number of backend servers that are compared in a larger fleet. Two are enough to avoid the
+	// busy ones.
+	minSample = 2
 )
 
 // Pool allocates the slots of a group of backend servers to the requests of one host. Jobs that find no free slot are
@@ -75,6 +83,8 @@
 type Pool struct {
 	zone string
 	now  func() time.Time
+	// hosts is the number of hosts that choose among the same backend servers.
+	hosts atomic.Int64
 
 	mu sync.Mutex
 	// servers holds the candidates, and former candidates whose slots are still in use. order lists the keys of the
@@ -138,6 +148,9 @@
 	p.dispatch()
 }
 
+// SetHosts sets the number of hosts that choose among the same backend servers by reports of the same age.
+func (p *Pool) SetHosts(n int) { p.hosts.Store(int64(n)) }
+
 // LocalUse returns the number of slots that this host uses, by key of the backend server.
 func (p *Pool) LocalUse() map[string]int {
 	p.mu.Lock()
@@ -254,13 +267,10 @@
 }
 
 // choose returns the least occupied backend server that has a free slot and the other resources that the job needs. It
-// prefers the availability zone of this host by crossZonePenalty.
+// prefers the availability zone of this host by crossZonePenalty. In a large fleet it compares only a random sample of the
+// backend servers first, so that hosts with the same reports do not all choose the same one.
 func (p *Pool) choose(job Job, now time.Time) *server {
-	type scored struct {
-		server *server
-		score  float64
-	}
-	free := make([]scored, 0, len(p.order))
+	free := make([]scoredServer, 0, len(p.order))
 	for _, key := range p.order {
 		s := p.servers[key]
 		if s.localSlots+s.remoteSlots >= s.Slots || now.Before(s.fullUntil) || job.Exclude[key] {
@@ -270,9 +280,15 @@
 		if s.Zone != p.zone {
 			score += crossZonePenalty
 		}
-		free = append(free, scored{s, score})
+		free = append(free, scoredServer{s, score})
 	}
-	slices.SortStableFunc(free, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
+	sample := sampleSize(len(free), int(p.hosts.Load()))
+	if sample < len(free) {
+		rand.Shuffle(len(free), func(i, j int) { free[i], free[j] = free[j], free[i] })
+	}
+	byScore := func(a, b scoredServer) int { return cmp.Compare(a.score, b.score) }
+	slices.SortStableFunc(free[:sample], byScore)
+	slices.SortStableFunc(free[sample:], byScore)
 	for _, c := range free {
 		if job.Reserve == nil || job.Reserve(c.server.Key) {
 			return c.server
@@ -281,6 +297,20 @@
 	return nil
 }
 
+// scoredServer is a backend server with a free slot. A lower score is better.
+type scoredServer struct {
+	server *server
+	score  float64
+}
+
+// sampleSize returns how many of n backend servers a host compares, in inverse proportion to the number of hosts.
+func sampleSize(n, hosts int) int {
+	if hosts <= exactHosts {
+		return n
+	}
+	return min(max((n*exactHosts+hosts-1)/hosts, minSample), n)
+}
+
 // refuseLate refuses the waiting jobs that will not get a slot before their deadline at the recent rate of grants.
 func (p *Pool) refuseLate(now time.Time) {
 	perSecond := p.grants.perSecond(now)
--- a/internal/exchange/directory.go
+++ b/internal/exchange/directory.go
@@ -1,12 +1,13 @@
 // Package exchange distributes reports among the entry hosts. A report contains the host's resource usage and the
-// version of its copy of the store. A host reports soon after a change, and periodically otherwise. In a small fleet
-// every host reports to every other one. In a larger one a host reports to the hosts of its zone, and one host per
-// zone, the relay, forwards the zone's reports to the relays of the other zones and their reports to its zone. The
-// number of messages that a host sends then grows with the hosts of its zone, and for a relay also with the number of
-// zones, not with all hosts. There is no consensus; each host acts on the latest reports that it has received.
+// version of its copy of the store. In a small fleet every host sends its reports to every other one. In a larger one
+// two hosts of each zone are relays: a host exchanges reports with the first relay of its zone, and the first relays of
+// the zones exchange those of their zones. Only what has changed is sent. The number of messages that a host sends is
+// constant, and that of a relay grows with the hosts of its zone and with the number of zones. There is no consensus;
+// each host acts on the latest reports that it has received.
 package exchange
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -26,6 +27,14 @@
 	removeAfter = 15 * time.Second
 	// seedPause is the time between attempts to contact an address from which no report was received.
 	seedPause = time.Second
+	// maxAttempts is the number of addresses without reports that are contacted in one round, so that a host that learns
+	// of a large fleet does not contact all of it at once. The others become known through the relays.
+	maxAttempts = 3
+	// relaysPerZone is the number of hosts of a zone that receive reports directly from all others. The second one
+	// replaces the first at once when that fails, since it has the same reports.
+	relaysPerZone = 2
+	// avoidAfterFailure is how long a relay is not used after a failed call, if another one is left.
+	avoidAfterFailure = 2 * time.Second
 )
 
 // PeerState is the state of another host as seen by this one. Its values are used in logs and metrics.
@@ -55,47 +64,65 @@
 }
 
 type host struct {
-	zone                  string
+	zone string
+	// linkMbps is the bandwidth of the host's network link.
+	linkMbps              int32
 	incarnation, sequence uint64
 	lastReport            time.Time
 	unreachable           bool
+	// lastAttempt is the time of the last attempt to contact the host while it was unreachable. avoidUntil is set after
+	// a failed call.
+	lastAttempt, avoidUntil time.Time
+}
+
+// candidate is an address from which no report was received yet. zone is empty for seeds.
+type candidate struct {
+	zone        string
+	lastAttempt time.Time
 }
 
 // Directory tracks the other known hosts and their states. It is not safe for concurrent use.
 type Directory struct {
-	self  string
-	zone  string
-	peers map[string]*host
+	self     string
+	zone     string
+	linkMbps int32
+	peers    map[string]*host
 	// left holds the incarnations that announced their shutdown, so that a delayed report does not add them again.
 	left map[uint64]bool
-	// candidates holds the addresses from which no report was received yet, with the time of the last attempt.
-	candidates map[string]time.Time
+	// removed holds the last sequence of the incarnations that were removed, so that an old report, which another host
+	// still passes on, does not add them again.
+	removed    map[uint64]uint64
+	candidates map[string]*candidate
 }
 
-// NewDirectory returns a directory without known hosts; seeds are the addresses to contact first.
-func NewDirectory(self, zone string, seeds []string) *Directory {
-	d := &Directory{self: self, zone: zone, peers: map[string]*host{}, left: map[uint64]bool{}, candidates: map[string]time.Time{}}
+// NewDirectory returns a directory without known hosts. linkMbps is the bandwidth of this host's network link; seeds are
+// the addresses to contact first.
+func NewDirectory(self, zone string, linkMbps int32, seeds []string) *Directory {
+	d := &Directory{self: self, zone: zone, linkMbps: linkMbps, peers: map[string]*host{}, left: map[uint64]bool{},
+		removed: map[uint64]uint64{}, candidates: map[string]*candidate{}}
 	for _, s := range seeds {
-		d.AddCandidate(s)
+		d.AddCandidate(s, "")
 	}
 	return d
 }
 
-// AddCandidate adds an address to contact, unless it is known already.
-func (d *Directory) AddCandidate(address string) {
+// AddCandidate adds an address to contact, unless it is known already. The zone is empty if it is not known.
+func (d *Directory) AddCandidate(address, zone string) {
 	if address == d.self || d.peers[address] != nil {
 		return
 	}
 	if _, known := d.candidates[address]; !known {
-		d.candidates[address] = time.Time{}
+		d.candidates[address] = &candidate{zone: zone}
 	}
 }
 
 // Receive records a received report and returns the resulting transitions. It returns true if the report comes from a
-// host that was unknown or unreachable, from another incarnation than the recorded one, or has a higher sequence number
-// than the recorded one. It returns false for every other report, and always if the report has no address or this host's
-// own, announces that the host leaves, or comes from an incarnation that has left.
-func (d *Directory) Receive(address, zone string, incarnation, sequence uint64, leaving bool, now time.Time) (bool, []Transition) {
+// host that was unknown, from another incarnation than the recorded one, or has a higher sequence number than the
+// recorded one. It returns false for every other report, and always if the report has no address or this host's own,
+// announces that the host leaves, comes from an incarnation that has left, or is not newer than what was known of an
+// incarnation when it was removed.
+func (d *Directory) Receive(h Host, incarnation, sequence uint64, leaving bool, now time.Time) (bool, []Transition) {
+	address := h.Address
 	if address == d.self || address == "" || d.left[incarnation] {
 		return false, nil
 	}
@@ -107,10 +134,15 @@
 	}
 	var changes []Transition
 	switch {
+	case p == nil && sequence <= d.removed[incarnation] && d.removed[incarnation] > 0:
+		return false, nil
+	case p != nil && p.incarnation == incarnation && sequence <= p.sequence:
+		return false, nil
 	case p == nil:
 		p = &host{incarnation: incarnation}
 		d.peers[address] = p
 		delete(d.candidates, address)
+		delete(d.removed, incarnation)
 		changes = append(changes, Transition{Address: address, Incarnation: incarnation, State: Reachable})
 	case p.incarnation != incarnation:
 		changes = append(changes, Transition{Address: address, Incarnation: p.incarnation, State: Restarted},
@@ -118,13 +150,17 @@
 		*p = host{incarnation: incarnation}
 	case p.unreachable:
 		changes = append(changes, Transition{Address: address, Incarnation: incarnation, State: Reachable, SinceReport: now.Sub(p.lastReport)})
-	case sequence <= p.sequence:
-		return false, nil
 	}
-	p.zone, p.sequence, p.lastReport, p.unreachable = zone, max(sequence, p.sequence), now, false
+	p.zone, p.linkMbps, p.sequence, p.lastReport, p.unreachable = h.Zone, h.LinkMbps, max(sequence, p.sequence), now, false
 	return true, changes
 }
 
+// Host is what a report says of the host itself.
+type Host struct {
+	Address, Zone string
+	LinkMbps      int32
+}
+
 // Check marks hosts with overdue reports as Unreachable, removes those that have not reported for removeAfter, and
 // returns these transitions.
 func (d *Directory) Check(now time.Time) []Transition {
@@ -138,7 +174,8 @@
 		switch {
 		case age > removeAfter:
 			delete(d.peers, address)
-			d.AddCandidate(address)
+			d.removed[p.incarnation] = p.sequence
+			d.AddCandidate(address, p.zone)
 			changes = append(changes, Transition{Address: address, Incarnation: p.incarnation, State: Removed, SinceReport: age})
 		case age > limit && !p.unreachable:
 			p.unreachable = true
@@ -151,55 +188,210 @@
 // relayed reports whether the fleet is too large for every host to report to every other one.
 func (d *Directory) relayed() bool { return len(d.peers)+1 > meshLimit }
 
-// Route is a destination for reports.
+// Scope selects reports by the zone of their host.
+type Scope int
+
+// Scopes of reports.
+const (
+	NoReports Scope = iota
+	OwnReport
+	ZoneReports
+	AllReports
+)
+
+// Route is a destination of a round of reports.
 type Route struct {
 	Address string
-	// Relay selects the zones whose reports are forwarded in addition to this host's own; nil selects none.
-	Relay func(zone string) bool
+	// Send selects the reports to send, Pull those to ask for.
+	Send, Pull Scope
+	// Standby is set for a relay that is kept informed for the case that the first one fails.
+	Standby bool
 }
 
 // Routes returns the destinations of a round of reports, sorted by address. It records the time of each attempt to
-// contact an address that has not reported yet.
+// contact a host that is unreachable or has not reported yet.
 func (d *Directory) Routes(now time.Time) []Route {
 	var routes []Route
-	relay := d.relayOf(d.zone)
-	for address, p := range d.peers {
-		switch {
-		case !d.relayed() || p.unreachable:
-			routes = append(routes, Route{Address: address})
-		case p.zone == d.zone && relay == d.self:
-			routes = append(routes, Route{Address: address, Relay: func(zone string) bool { return zone != d.zone }})
-		case p.zone == d.zone:
-			routes = append(routes, Route{Address: address})
-		case relay == d.self && d.relayOf(p.zone) == address:
-			routes = append(routes, Route{Address: address, Relay: func(zone string) bool { return zone == d.zone }})
+	if !d.relayed() {
+		for address, p := range d.peers {
+			if !p.unreachable {
+				routes = append(routes, Route{Address: address, Send: OwnReport})
+			}
+		}
+	} else {
+		routes = d.relayRoutes(now)
+	}
+	routes = append(routes, d.attempts(now)...)
+	slices.SortFunc(routes, func(a, b Route) int { return strings.Compare(a.Address, b.Address) })
+	return routes
+}
+
+// relayRoutes returns the destinations in a fleet with relays, without those that are contacted for the first time.
+func (d *Directory) relayRoutes(now time.Time) []Route {
+	relays := d.relaysOf(d.zone, now)
+	own := slices.Index(relays, d.self)
+	if own == 0 {
+		return d.zoneRoutes(now)
+	}
+	send := OwnReport
+	if own > 0 {
+		// What a host could send to the second relay only reaches the first one this way.
+		send = ZoneReports
+	}
+	routes := []Route{{Address: relays[0], Send: send, Pull: AllReports}}
+	if own < 0 && len(relays) > 1 {
+		routes = append(routes, Route{Address: relays[1], Send: OwnReport, Standby: true})
+	}
+	return routes
+}
+
+// zoneRoutes returns the first relays of the other zones.
+func (d *Directory) zoneRoutes(now time.Time) []Route {
+	var routes []Route
+	for zone := range d.zones() {
+		if zone == d.zone {
+			continue
 		}
+		if relays := d.relaysOf(zone, now); len(relays) > 0 {
+			routes = append(routes, Route{Address: relays[0], Send: ZoneReports, Pull: ZoneReports})
+		}
+	}
+	return routes
+}
+
+// attempts returns the unreachable and unknown hosts that are contacted in this round, those first that were not
+// contacted for the longest time. In a fleet with relays only the first relay of a zone contacts hosts of other zones.
+func (d *Directory) attempts(now time.Time) []Route {
+	type attempt struct {
+		address string
+		last    *time.Time
 	}
-	for address, last := range d.candidates {
-		if now.Sub(last) >= seedPause || last.IsZero() {
-			d.candidates[address] = now
-			routes = append(routes, Route{Address: address})
+	var due []attempt
+	consider := func(address, zone string, last *time.Time) {
+		allowed := zone == "" || zone == d.zone || !d.relayed() || d.IsRelay(now)
+		if allowed && (last.IsZero() || now.Sub(*last) >= seedPause) {
+			due = append(due, attempt{address, last})
 		}
 	}
-	slices.SortFunc(routes, func(a, b Route) int { return strings.Compare(a.Address, b.Address) })
+	for address, p := range d.peers {
+		if p.unreachable {
+			consider(address, p.zone, &p.lastAttempt)
+		}
+	}
+	for address, c := range d.candidates {
+		consider(address, c.zone, &c.lastAttempt)
+	}
+	slices.SortFunc(due, func(a, b attempt) int {
+		return cmp.Or(a.last.Compare(*b.last), strings.Compare(a.address, b.address))
+	})
+	var routes []Route
+	for _, a := range due[:min(len(due), maxAttempts)] {
+		*a.last = now
+		routes = append(routes, Route{Address: a.address, Send: OwnReport, Pull: ZoneReports})
+	}
 	return routes
 }
 
-// IsRelay reports whether this host is the relay of its zone.
-func (d *Directory) IsRelay() bool { return d.relayed() && d.relayOf(d.zone) == d.self }
+// zones returns the zones of the reachable hosts.
+func (d *Directory) zones() map[string]bool {
+	zones := map[string]bool{d.zone: true}
+	for _, p := range d.peers {
+		if !p.unreachable {
+			zones[p.zone] = true
+		}
+	}
+	return zones
+}
 
-// relayOf returns the relay of a zone: the reachable host with the lowest address.
-func (d *Directory) relayOf(zone string) string {
-	relay := ""
+// IsRelay reports whether this host is the first relay of its zone.
+func (d *Directory) IsRelay(now time.Time) bool {
+	return d.relayed() && d.relaysOf(d.zone, now)[0] == d.self
+}
+
+// FollowsRelay reports whether the relays of the zone, and not this host, read the store.
+func (d *Directory) FollowsRelay(now time.Time) bool {
+	return d.relayed() && !slices.Contains(d.relaysOf(d.zone, now), d.self)
+}
+
+// relaysOf returns the relays of a zone, the first one first: the reachable hosts with the fastest links, and among
+// equal ones those with the lowest addresses. Hosts to which a call has just failed come last.
+func (d *Directory) relaysOf(zone string, now time.Time) []string {
+	type ranked struct {
+		address string
+		avoided bool
+		link    int32
+	}
+	var all []ranked
 	if zone == d.zone {
-		relay = d.self
+		all = append(all, ranked{d.self, false, d.linkMbps})
 	}
 	for address, p := range d.peers {
-		if p.zone == zone && !p.unreachable && (relay == "" || address < relay) {
-			relay = address
+		if p.zone == zone && !p.unreachable {
+			all = append(all, ranked{address, now.Before(p.avoidUntil), p.linkMbps})
+		}
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		if a.avoided != b.avoided {
+			if a.avoided {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(b.link, a.link), strings.Compare(a.address, b.address))
+	})
+	var relays []string
+	for _, r := range all[:min(len(all), relaysPerZone)] {
+		relays = append(relays, r.address)
+	}
+	return relays
+}
+
+// RecordCall records the result of a call to a host.
+func (d *Directory) RecordCall(address string, ok bool, now time.Time) {
+	p := d.peers[address]
+	switch {
+	case p == nil:
+	case ok:
+		p.avoidUntil = time.Time{}
+	default:
+		p.avoidUntil = now.Add(avoidAfterFailure)
+	}
+}
+
+// HostCount returns the number of reachable hosts, including this one.
+func (d *Directory) HostCount() int {
+	n := 1
+	for _, p := range d.peers {
+		if !p.unreachable {
+			n++
 		}
 	}
-	return relay
+	return n
+}
+
+// LeaveRoutes returns the addresses to which this host says that it leaves: those that pass it on, or all hosts in a
+// small fleet.
+func (d *Directory) LeaveRoutes(now time.Time) []string {
+	if !d.relayed() {
+		return d.Contacts()
+	}
+	var out []string
+	for zone := range d.zones() {
+		for i, address := range d.relaysOf(zone, now) {
+			if address != d.self && (i == 0 || zone == d.zone) {
+				out = append(out, address)
+			}
+		}
+	}
+	return out
+}
+
+// Zone returns the zone of a known host.
+func (d *Directory) Zone(address string) string {
+	if p := d.peers[address]; p != nil {
+		return p.zone
+	}
+	return ""
 }
 
 // Contacts returns the sorted addresses of the reachable hosts.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -17,13 +17,22 @@
 )
 
 const (
-	// interval is the longest time between two reports; unreachableAfter is a multiple of it.
+	// interval is the longest time between two rounds of reports in a small fleet; unreachableAfter is a multiple of it.
 	interval = 250 * time.Millisecond
-	// spacing is the shortest time between two reports, so that changes in quick succession share a report.
+	// spacing is the shortest time between two rounds, so that changes in quick succession share a report.
 	spacing = 20 * time.Millisecond
 	// relayedInterval and relayedSpacing apply in fleets with relays, where each host has fewer streams to report.
-	relayedInterval = 500 * time.Millisecond
+	relayedInterval = 400 * time.Millisecond
 	relayedSpacing  = 30 * time.Millisecond
+	// spacingHosts is the number of hosts above which the spacing grows in proportion to the fleet. The reports that a
+	// host receives in a second then stay the same, and so do the hosts that change within one round.
+	spacingHosts = 40
+	// livenessInterval is the time after which a host without changes sends a new report, so that it counts as reachable.
+	livenessInterval = 500 * time.Millisecond
+	// standbyInterval is the time between two reports to a relay that is not in use.
+	standbyInterval = 250 * time.Millisecond
+	// contactsInterval is the time between two requests for the addresses of other hosts.
+	contactsInterval = time.Second
 	// reportTimeout bounds one report call. It is below unreachableAfter, so that a dead connection is detected in time.
 	reportTimeout = 700 * time.Millisecond
 	// maxTimeouts is the number of consecutive time-outs after which a connection is closed, since it may be dead while
@@ -31,20 +40,26 @@
 	maxTimeouts = 2
 	// fetchTimeout bounds the transfer of another host's copy of the store.
 	fetchTimeout = time.Second
+	// connectionIdle is how long a connection to a host that is no destination any more stays open.
+	connectionIdle = 10 * time.Second
 )
 
 // Local is the local host: it supplies the contents of reports and receives those of other hosts.
 type Local interface {
 	// Fill sets the resource usage and the state version in a report.
 	Fill(r *peerv1.FrontReport)
-	// ReportReceived is called with each report of another host that is newer than its previous one.
-	ReportReceived(r *peerv1.FrontReport)
+	// ReportsReceived is called with the reports of other hosts that one message contained, as far as they are newer than
+	// the previous ones. The first report of an incarnation is complete; later ones may be partial.
+	ReportsReceived(reports []*peerv1.FrontReport)
 	// Changed is called on each state transition of another host.
 	Changed(t Transition)
-	// State returns the local copy of the store.
-	State() *peerv1.FetchStateResponse
-	// ApplyState receives another host's copy of the store, which was requested at requestedAt.
-	ApplyState(from string, state *peerv1.FetchStateResponse, requestedAt time.Time)
+	// State returns what has changed in the local copy of the store after a revision; 0 stands for all of it.
+	State(since int64) *peerv1.FetchStateResponse
+	// StateRevision returns the revision of the local copy of the store.
+	StateRevision() int64
+	// ApplyState receives another host's copy of the store, or the changes of it after the local revision, requested at
+	// requestedAt. fromRelay is set when the other host is the relay that reads the store for this one.
+	ApplyState(from string, state *peerv1.FetchStateResponse, requestedAt time.Time, fromRelay bool)
 	// ShouldFetch reports whether a copy of the store with the given revision and age is newer than the local one while
 	// the store does not respond to this host.
 	ShouldFetch(revision int64, age time.Duration) bool
@@ -62,6 +77,7 @@
 
 	name, self  string
 	zone        string
+	linkMbps    int32
 	incarnation uint64
 	local       Local
 	pool        Pool
@@ -73,16 +89,26 @@
 
 	mu        sync.Mutex
 	directory *Directory
-	sequence  uint64
+	feed      *feed
 	leaving   bool
-	// busy holds the addresses to which a call is in progress; timeouts counts consecutive time-outs by address.
-	busy     map[string]bool
-	timeouts map[string]int
-	fetching bool
-	// newest holds the latest report of each known host, by the host's address. sent holds, for each destination
-	// address, the versions of the relayed reports as of the last successful call.
-	newest map[string]*peerv1.FrontReport
-	sent   map[string]map[string]uint64
+	// bumpedAt is when the sequence of this host's report last rose. contactsAskedAt is when contacts were last asked for.
+	bumpedAt, contactsAskedAt time.Time
+	links                     map[string]*link
+	fetching                  bool
+}
+
+// link is the state of the reports between this host and another address.
+type link struct {
+	// busy is set while a call is in progress; timeouts counts consecutive time-outs.
+	busy     bool
+	timeouts int
+	// incarnation is the process at the address. It has all reports up to the position acknowledged of this host's feed,
+	// and this host has received those up to the position received of its feed.
+	incarnation            uint64
+	acknowledged, received uint64
+	// send and pull are the scopes to which the positions apply.
+	send, pull Scope
+	lastCall   time.Time
 }
 
 // Options are the dependencies and settings of an Exchange. Address is the address at which other hosts reach this one,
@@ -90,21 +116,23 @@
 type Options struct {
 	Name, Address string
 	Zone          string
-	Incarnation   uint64
-	Seeds         []string
-	Local         Local
-	Pool          Pool
-	Log           logr.Logger
-	Metrics       *metrics.Registry
-	Now           func() time.Time
+	// LinkMbps is the bandwidth of this host's network link.
+	LinkMbps    int32
+	Incarnation uint64
+	Seeds       []string
+	Local       Local
+	Pool        Pool
+	Log         logr.Logger
+	Metrics     *metrics.Registry
+	Now         func() time.Time
 }
 
 // New returns an exchange. It sends no reports until Serve is called.
 func New(o Options) *Exchange {
 	return &Exchange{
-		name: o.Name, self: o.Address, zone: o.Zone, incarnation: o.Incarnation, local: o.Local, pool: o.Pool, log: o.Log, metrics: o.Metrics,
-		now: o.Now, wake: make(chan struct{}, 1), directory: NewDirectory(o.Address, o.Zone, o.Seeds),
-		busy: map[string]bool{}, timeouts: map[string]int{}, newest: map[string]*peerv1.FrontReport{}, sent: map[string]map[string]uint64{},
+		name: o.Name, self: o.Address, zone: o.Zone, linkMbps: o.LinkMbps, incarnation: o.Incarnation, local: o.Local, pool: o.Pool, log: o.Log,
+		metrics: o.Metrics, now: o.Now, wake: make(chan struct{}, 1), directory: NewDirectory(o.Address, o.Zone, o.LinkMbps, o.Seeds),
+		feed: newFeed(), links: map[string]*link{},
 	}
 }
 
@@ -126,6 +154,13 @@
 	return e.directory.Hosts()
 }
 
+// FollowsRelay reports whether the relays of the zone read the store for this host.
+func (e *Exchange) FollowsRelay() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.directory.FollowsRelay(e.now())
+}
+
 // Contacts returns the sorted addresses of the reachable hosts.
 func (e *Exchange) Contacts() []string {
 	e.mu.Lock()
@@ -154,46 +189,63 @@
 	}
 }
 
-// pace returns the longest and the shortest time between two reports.
+// pace returns the longest and the shortest time between two rounds of reports.
 func (e *Exchange) pace() (longest, shortest time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.directory.relayed() {
-		return relayedInterval, relayedSpacing
+	if !e.directory.relayed() {
+		return interval, spacing
 	}
-	return interval, spacing
+	shortest = max(relayedSpacing, relayedSpacing*time.Duration(e.directory.HostCount())/spacingHosts)
+	return max(relayedInterval, shortest), shortest
 }
 
-// Leave notifies every reachable host that this one serves no more requests. It returns when all calls have ended.
+// Leave tells the other hosts, directly or through the relays, that this one serves no more requests. It returns when
+// all calls have ended.
 func (e *Exchange) Leave(ctx context.Context) {
 	e.mu.Lock()
 	e.leaving = true
+	routes := e.directory.LeaveRoutes(e.now())
 	e.mu.Unlock()
+	e.refresh()
 	var group sync.WaitGroup
-	for _, address := range e.Contacts() {
-		group.Go(func() { e.send(ctx, Route{Address: address}) })
+	for _, address := range routes {
+		group.Go(func() { e.send(ctx, Route{Address: address, Send: OwnReport}) })
 	}
 	group.Wait()
 }
 
 func (e *Exchange) sendRound(ctx context.Context) {
+	e.refresh()
 	e.mu.Lock()
 	now := e.now()
 	changes := e.directory.Check(now)
+	for _, c := range changes {
+		if c.State == Removed {
+			e.feed.remove(c.Address, c.Incarnation)
+		}
+	}
+	e.feed.expire(now)
 	var routes []Route
 	for _, r := range e.directory.Routes(now) {
-		if !e.busy[r.Address] {
-			e.busy[r.Address] = true
-			routes = append(routes, r)
+		l := e.linkTo(r.Address)
+		if l.busy || r.Standby && now.Sub(l.lastCall) < standbyInterval {
+			continue
 		}
+		l.busy, l.lastCall = true, now
+		routes = append(routes, r)
 	}
+	idle := e.idleLinks(now)
 	e.mu.Unlock()
 	e.applyTransitions(changes)
+	if len(idle) > 0 {
+		e.pool.Prune(func(address string) bool { return !idle[address] })
+	}
 	for _, r := range routes {
 		go func() {
 			defer func() {
 				e.mu.Lock()
-				delete(e.busy, r.Address)
+				e.linkTo(r.Address).busy = false
 				e.mu.Unlock()
 			}()
 			e.send(ctx, r)
@@ -201,44 +253,76 @@
 	}
 }
 
+// linkTo returns the link to an address. e.mu must be held.
+func (e *Exchange) linkTo(address string) *link {
+	l := e.links[address]
+	if l == nil {
+		l = &link{}
+		e.links[address] = l
+	}
+	return l
+}
+
+// idleLinks removes the links that have not been used for connectionIdle and returns their addresses. e.mu must be held.
+func (e *Exchange) idleLinks(now time.Time) map[string]bool {
+	idle := map[string]bool{}
+	for address, l := range e.links {
+		if !l.busy && now.Sub(l.lastCall) > connectionIdle {
+			delete(e.links, address)
+			idle[address] = true
+		}
+	}
+	return idle
+}
+
 func (e *Exchange) applyTransitions(changes []Transition) {
 	for _, c := range changes {
-		if c.State == Removed {
-			e.mu.Lock()
-			delete(e.newest, c.Address)
-			delete(e.sent, c.Address)
-			e.mu.Unlock()
-		}
 		e.log.Info("host "+string(c.State), "address", c.Address, "incarnation", fmt.Sprintf("%x", c.Incarnation), "quiet", c.SinceReport)
 		e.metrics.Inc("host_changes", metrics.L("state", string(c.State)))
 		e.local.Changed(c)
 	}
 }
 
+// refresh brings this host's report in the feed up to date.
+func (e *Exchange) refresh() {
+	e.mu.Lock()
+	r := &peerv1.FrontReport{
+		Name: e.name, Address: e.self, Zone: e.zone, LinkMbps: e.linkMbps, Incarnation: e.incarnation, Leaving: e.leaving,
+	}
+	e.mu.Unlock()
+	e.local.Fill(r)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	bump := !e.directory.relayed() || now.Sub(e.bumpedAt) >= livenessInterval
+	if e.feed.update(r, bump) || bump {
+		e.bumpedAt = now
+	}
+}
+
 func (e *Exchange) send(ctx context.Context, r Route) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	request, versions := e.request(r)
+	request, sentUpTo := e.request(r)
+	requestedAt := e.now()
 	reply, err := peerv1.NewFrontsClient(e.pool.Conn(r.Address)).Report(ctx, request)
 	if err == nil {
-		e.mu.Lock()
-		delete(e.timeouts, r.Address)
-		e.sent[r.Address] = versions
-		for _, address := range reply.Peers {
-			e.directory.AddCandidate(address)
+		if reply.State != nil {
+			e.local.ApplyState(r.Address, reply.State, requestedAt, true)
 		}
-		e.mu.Unlock()
+		e.replied(r, reply, request, sentUpTo)
 		return
 	}
 	e.metrics.Inc("reports_failed")
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return
-	}
 	e.mu.Lock()
-	e.timeouts[r.Address]++
-	closeConn := e.timeouts[r.Address] >= maxTimeouts
-	if closeConn {
-		delete(e.timeouts, r.Address)
+	e.directory.RecordCall(r.Address, false, e.now())
+	l := e.linkTo(r.Address)
+	closeConn := false
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		l.timeouts++
+		if closeConn = l.timeouts >= maxTimeouts; closeConn {
+			l.timeouts = 0
+		}
 	}
 	e.mu.Unlock()
 	if closeConn {
@@ -246,82 +330,195 @@
 	}
 }
 
-// request builds the message for a route: this host's report, and those reports to relay whose version differs from the
-// one that was last sent to the address. It also returns the versions to store in sent if the call succeeds.
-func (e *Exchange) request(r Route) (*peerv1.ReportRequest, map[string]uint64) {
-	own := e.report()
+// request builds the message for a route, and returns the position of the feed that it leads to.
+func (e *Exchange) request(r Route) (*peerv1.ReportRequest, uint64) {
+	revision := e.local.StateRevision()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	request := &peerv1.ReportRequest{Reports: []*peerv1.FrontReport{own}, Contacts: int32(len(e.directory.Contacts()))}
-	if r.Relay == nil {
-		return request, nil
+	l := e.linkTo(r.Address)
+	if l.send != r.Send {
+		l.send, l.acknowledged = r.Send, 0
 	}
-	versions := map[string]uint64{}
-	for address, report := range e.newest {
-		if address == r.Address || !r.Relay(report.Zone) {
-			continue
+	if l.pull != r.Pull {
+		l.pull, l.received = r.Pull, 0
+	}
+	request := &peerv1.ReportRequest{
+		Reports: e.feed.since(l.acknowledged, e.scopeFilter(r.Send, r.Address)), Caller: e.self, Incarnation: e.incarnation,
+		Pull: scopeToWire[r.Pull], Since: l.received, SinceIncarnation: l.incarnation,
+	}
+	now := e.now()
+	if r.Pull == AllReports && e.directory.FollowsRelay(now) {
+		request.FollowsStore, request.StoreRevision = true, revision
+	}
+	if r.Pull != NoReports && now.Sub(e.contactsAskedAt) >= contactsInterval || !e.directory.relayed() {
+		e.contactsAskedAt = now
+		request.Contacts = int32(e.directory.HostCount())
+	}
+	return request, e.feed.position
+}
+
+var scopeToWire = map[Scope]peerv1.Scope{
+	NoReports: peerv1.Scope_SCOPE_NONE, OwnReport: peerv1.Scope_SCOPE_OWN, ZoneReports: peerv1.Scope_SCOPE_ZONE, AllReports: peerv1.Scope_SCOPE_ALL,
+}
+
+// scopeFilter selects the reports of a scope, except that of the host which receives them. e.mu must be held while the
+// filter is used.
+func (e *Exchange) scopeFilter(scope Scope, receiver string) func(r *peerv1.FrontReport) bool {
+	return func(r *peerv1.FrontReport) bool {
+		if r.Address == receiver {
+			return false
 		}
-		versions[address] = report.Sequence ^ report.Incarnation
-		if e.sent[r.Address][address] != versions[address] {
-			request.Reports = append(request.Reports, report)
+		switch scope {
+		case NoReports:
+			return false
+		case OwnReport:
+			return r.Address == e.self
+		case ZoneReports:
+			return r.Zone == e.zone
+		default:
+			return true
 		}
 	}
-	return request, versions
 }
 
-func (e *Exchange) report() *peerv1.FrontReport {
+// replied evaluates the response to a report.
+func (e *Exchange) replied(r Route, reply *peerv1.ReportResponse, request *peerv1.ReportRequest, sentUpTo uint64) {
+	complete := e.receive(reply.Reports)
 	e.mu.Lock()
-	e.sequence++
-	r := &peerv1.FrontReport{
-		Name: e.name, Address: e.self, Zone: e.zone, Incarnation: e.incarnation, Sequence: e.sequence, Leaving: e.leaving,
+	defer e.mu.Unlock()
+	now := e.now()
+	e.directory.RecordCall(r.Address, true, now)
+	l := e.linkTo(r.Address)
+	l.timeouts = 0
+	switch {
+	case reply.Incarnation != l.incarnation:
+		// The process at the address is another one than the request was meant for. If nothing was left out of the
+		// request, it has what it needs.
+		if l.acknowledged != 0 {
+			sentUpTo = 0
+		}
+		l.incarnation, l.acknowledged, l.received = reply.Incarnation, sentUpTo, 0
+	case reply.NeedsFull:
+		l.acknowledged = 0
+	default:
+		l.acknowledged = max(l.acknowledged, sentUpTo)
 	}
-	e.mu.Unlock()
-	e.local.Fill(r)
-	return r
+	if r.Pull != NoReports {
+		l.received = reply.Position
+		if !complete {
+			l.received = 0
+		}
+	}
+	for _, c := range reply.Peers {
+		e.directory.AddCandidate(c.Address, c.Zone)
+	}
+	if request.Pull == peerv1.Scope_SCOPE_ALL && carriesChanges(reply.Reports) {
+		// More changes are likely, so the next round does not wait for the interval.
+		e.Notify()
+	}
+}
+
+// carriesChanges reports whether any of the reports is more than a sign of life.
+func carriesChanges(reports []*peerv1.FrontReport) bool {
+	for _, r := range reports {
+		if !r.Partial || !r.KeepsUses || len(r.Admitted) > 0 || len(r.Generations) > 0 {
+			return true
+		}
+	}
+	return false
 }
 
-// Report receives the reports of another host. The response contains this host's contacts when the sender has fewer, so
-// that hosts discover each other.
+// Report receives the reports of another host and returns those that it asks for. The response contains this host's
+// contacts when the caller has fewer, so that hosts discover each other.
 func (e *Exchange) Report(_ context.Context, r *peerv1.ReportRequest) (*peerv1.ReportResponse, error) {
-	for _, report := range r.Reports {
-		e.receive(report)
+	complete := e.receive(r.Reports)
+	var state *peerv1.FetchStateResponse
+	if r.FollowsStore {
+		state = e.local.State(r.StoreRevision)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	reply := &peerv1.ReportResponse{}
-	if contacts := e.directory.Contacts(); len(contacts) > int(r.Contacts) {
-		reply.Peers = contacts
+	since := r.Since
+	if r.SinceIncarnation != e.incarnation {
+		since = 0
+	}
+	reply := &peerv1.ReportResponse{
+		Reports: e.feed.since(since, e.scopeFilter(scopeFromWire(r.Pull), r.Caller)), Position: e.feed.position, Incarnation: e.incarnation,
+		NeedsFull: !complete, State: state,
+	}
+	if r.Contacts > 0 && e.directory.HostCount() > int(r.Contacts) {
+		for _, address := range e.directory.Contacts() {
+			reply.Peers = append(reply.Peers, &peerv1.Contact{Address: address, Zone: e.directory.Zone(address)})
+		}
 	}
 	return reply, nil
 }
 
+func scopeFromWire(s peerv1.Scope) Scope {
+	for scope, wire := range scopeToWire {
+		if wire == s {
+			return scope
+		}
+	}
+	return NoReports
+}
+
 // FetchState returns this host's copy of the store.
 func (e *Exchange) FetchState(context.Context, *peerv1.FetchStateRequest) (*peerv1.FetchStateResponse, error) {
-	return e.local.State(), nil
+	return e.local.State(0), nil
 }
 
-func (e *Exchange) receive(r *peerv1.FrontReport) {
-	e.mu.Lock()
-	newer, changes := e.directory.Receive(r.Address, r.Zone, r.Incarnation, r.Sequence, r.Leaving, e.now())
-	if newer {
-		e.newest[r.Address] = r
+// receive records reports of other hosts and passes on those that are newer than the recorded ones. It returns false
+// when one of them is partial and its base is missing here.
+func (e *Exchange) receive(reports []*peerv1.FrontReport) bool {
+	if len(reports) == 0 {
+		return true
 	}
-	if r.Leaving {
-		delete(e.newest, r.Address)
+	complete := true
+	var newer []*peerv1.FrontReport
+	var changes []Transition
+	var addresses []string
+	e.mu.Lock()
+	now := e.now()
+	for _, r := range reports {
+		if r.Incarnation == e.incarnation {
+			continue
+		}
+		known := r
+		if r.Partial {
+			if known = e.feed.incarnation(r.Incarnation); known == nil {
+				// A host that has left is not needed again.
+				complete = complete && r.Leaving
+				continue
+			}
+		}
+		host := Host{Address: known.Address, Zone: known.Zone, LinkMbps: known.LinkMbps}
+		isNewer, transitions := e.directory.Receive(host, r.Incarnation, r.Sequence, r.Leaving, now)
+		changes = append(changes, transitions...)
+		if isNewer || r.Leaving && len(transitions) > 0 {
+			e.feed.merge(r, now)
+		}
+		if isNewer {
+			newer, addresses = append(newer, r), append(addresses, known.Address)
+		}
 	}
-	relay := e.directory.IsRelay()
+	relay := e.directory.IsRelay(now)
 	e.mu.Unlock()
-	if newer && relay {
-		e.Notify()
-	}
 	e.applyTransitions(changes)
-	if !newer {
-		return
+	if len(newer) == 0 {
+		return complete
 	}
-	e.local.ReportReceived(r)
-	if e.local.ShouldFetch(r.StateRevision, time.Duration(r.StateAgeMillis)*time.Millisecond) {
-		e.fetch(r.Address)
+	if relay && carriesChanges(newer) {
+		e.Notify()
+	}
+	e.local.ReportsReceived(newer)
+	for i, r := range newer {
+		if e.local.ShouldFetch(r.StateRevision, time.Duration(r.StateAgeMillis)*time.Millisecond) {
+			e.fetch(addresses[i])
+			break
+		}
 	}
+	return complete
 }
 
 // fetch requests another host's copy of the store in the background. Only one transfer runs at a time; further calls
@@ -349,6 +546,6 @@
 			e.log.Error(err, "failed to fetch store copy from another host", "from", address)
 			return
 		}
-		e.local.ApplyState(address, state, requestedAt)
+		e.local.ApplyState(address, state, requestedAt, false)
 	}()
 }
--- /dev/null
+++ b/internal/exchange/feed.go
@@ -0,0 +1,242 @@
+package exchange
+
+import (
+	"maps"
+	"time"
+
+	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
+)
+
+// tombstoneTime is how long the last report of a host that has left is passed on.
+const tombstoneTime = 5 * time.Second
+
+// feed holds the newest report of each host, this one included, and the position at which each part of it last changed.
+// Positions count the changes of this feed. A receiver that has everything up to a position needs only what changed
+// after it, so that reports grow with the changes and not with the number of workspaces and hosts. feed is not safe for
+// concurrent use.
+type feed struct {
+	position uint64
+	// entries are kept by the host's address; addresses finds the address of an incarnation.
+	entries   map[string]*feedEntry
+	addresses map[uint64]string
+}
+
+type feedEntry struct {
+	// report is the complete newest report. Its maps change; what they and its slices refer to does not.
+	report *peerv1.FrontReport
+	// recorded is the position at which this incarnation was first recorded, position that of the last change.
+	recorded, position    uint64
+	uses                  uint64
+	admitted, generations map[string]uint64
+	leftAt                time.Time
+}
+
+func newFeed() *feed { return &feed{entries: map[string]*feedEntry{}, addresses: map[uint64]string{}} }
+
+// update records this host's own report, which is complete, and reports whether its contents have changed. The recorded
+// sequence rises when they have, or when bump is set.
+func (f *feed) update(r *peerv1.FrontReport, bump bool) bool {
+	old := f.entries[r.Address]
+	if old == nil || old.report.Incarnation != r.Incarnation {
+		r.Sequence = 1
+		f.record(r)
+		return true
+	}
+	r.KeepsUses = sameUses(old.report, r)
+	changed := old.report.Leaving != r.Leaving || !r.KeepsUses || countersChanged(old.report, r)
+	if changed || bump {
+		r.Sequence = old.report.Sequence + 1
+		f.overlay(old, r)
+	}
+	return changed
+}
+
+// countersChanged reports whether a counter of r is new or differs from that of old.
+func countersChanged(old, r *peerv1.FrontReport) bool {
+	for name, v := range r.Admitted {
+		if known, present := old.Admitted[name]; !present || known != v {
+			return true
+		}
+	}
+	for name, v := range r.Generations {
+		if known, present := old.Generations[name]; !present || !sameTotals(known, v) {
+			return true
+		}
+	}
+	return false
+}
+
+// record replaces the entry of a host by a complete report.
+func (f *feed) record(r *peerv1.FrontReport) {
+	if old := f.entries[r.Address]; old != nil {
+		delete(f.addresses, old.report.Incarnation)
+	}
+	f.position++
+	e := &feedEntry{report: r, recorded: f.position, position: f.position, uses: f.position, admitted: map[string]uint64{}, generations: map[string]uint64{}}
+	if r.Admitted == nil {
+		r.Admitted = map[string]int64{}
+	}
+	if r.Generations == nil {
+		r.Generations = map[string]*peerv1.GenerationTotals{}
+	}
+	f.entries[r.Address] = e
+	f.addresses[r.Incarnation] = r.Address
+}
+
+// merge records a report of another host, which must be newer than the recorded one.
+func (f *feed) merge(r *peerv1.FrontReport, now time.Time) {
+	e := f.entries[f.addresses[r.Incarnation]]
+	if e == nil {
+		if r.Partial {
+			return
+		}
+		f.record(cloneReport(r))
+		e = f.entries[r.Address]
+	} else {
+		f.overlay(e, r)
+	}
+	if r.Leaving && e.leftAt.IsZero() {
+		e.leftAt = now
+	}
+}
+
+// overlay applies what a report contains to the entry of the same incarnation. A complete report, too, can only add
+// entries to the maps, since counters never disappear.
+func (f *feed) overlay(e *feedEntry, r *peerv1.FrontReport) {
+	f.position++
+	e.position = f.position
+	to := e.report
+	to.Sequence, to.Leaving, to.StateRevision, to.StateAgeMillis = r.Sequence, r.Leaving, r.StateRevision, r.StateAgeMillis
+	if !r.KeepsUses {
+		to.Uses, to.ChangingStage, e.uses = r.Uses, r.ChangingStage, f.position
+	}
+	for name, v := range r.Admitted {
+		if old, known := to.Admitted[name]; !known || old != v {
+			to.Admitted[name], e.admitted[name] = v, f.position
+		}
+	}
+	for name, v := range r.Generations {
+		if old, known := to.Generations[name]; !known || !sameTotals(old, v) {
+			to.Generations[name], e.generations[name] = v, f.position
+		}
+	}
+}
+
+// incarnation returns the recorded report of an incarnation, or nil.
+func (f *feed) incarnation(id uint64) *peerv1.FrontReport {
+	if e := f.entries[f.addresses[id]]; e != nil {
+		return e.report
+	}
+	return nil
+}
+
+// since returns what has changed after a position, for the hosts that include selects.
+func (f *feed) since(position uint64, include func(r *peerv1.FrontReport) bool) []*peerv1.FrontReport {
+	var out []*peerv1.FrontReport
+	for _, e := range f.entries {
+		if e.position <= position || !include(e.report) {
+			continue
+		}
+		if e.recorded > position {
+			out = append(out, cloneReport(e.report))
+			continue
+		}
+		r := &peerv1.FrontReport{
+			Partial: true, Incarnation: e.report.Incarnation, Sequence: e.report.Sequence, Leaving: e.report.Leaving,
+			StateRevision: e.report.StateRevision, StateAgeMillis: e.report.StateAgeMillis, KeepsUses: e.uses <= position,
+			Admitted: map[string]int64{}, Generations: map[string]*peerv1.GenerationTotals{},
+		}
+		if !r.KeepsUses {
+			r.Uses, r.ChangingStage = e.report.Uses, e.report.ChangingStage
+		}
+		for name, at := range e.admitted {
+			if at > position {
+				r.Admitted[name] = e.report.Admitted[name]
+			}
+		}
+		for name, at := range e.generations {
+			if at > position {
+				r.Generations[name] = e.report.Generations[name]
+			}
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// remove forgets a host, unless its address belongs to another incarnation by now.
+func (f *feed) remove(address string, incarnation uint64) {
+	if e := f.entries[address]; e != nil && e.report.Incarnation == incarnation {
+		delete(f.entries, address)
+		delete(f.addresses, incarnation)
+	}
+}
+
+// expire forgets the hosts that left more than tombstoneTime ago.
+func (f *feed) expire(now time.Time) {
+	for address, e := range f.entries {
+		if !e.leftAt.IsZero() && now.Sub(e.leftAt) > tombstoneTime {
+			f.remove(address, e.report.Incarnation)
+		}
+	}
+}
+
+// cloneReport returns a complete copy whose maps are not shared.
+func cloneReport(r *peerv1.FrontReport) *peerv1.FrontReport {
+	return &peerv1.FrontReport{
+		Name: r.Name, Address: r.Address, Zone: r.Zone, LinkMbps: r.LinkMbps, Incarnation: r.Incarnation, Sequence: r.Sequence, Leaving: r.Leaving,
+		Admitted: maps.Clone(r.Admitted), Uses: r.Uses, StateRevision: r.StateRevision, StateAgeMillis: r.StateAgeMillis,
+		Generations: maps.Clone(r.Generations), ChangingStage: r.ChangingStage,
+	}
+}
+
+// sameUses compares what two reports say of backend servers. The progress of a run is left out, because receivers
+// extrapolate it.
+func sameUses(a, b *peerv1.FrontReport) bool {
+	if len(a.Uses) != len(b.Uses) || len(a.ChangingStage) != len(b.ChangingStage) {
+		return false
+	}
+	for key := range a.ChangingStage {
+		if _, present := b.ChangingStage[key]; !present {
+			return false
+		}
+	}
+	uses := make(map[string]*peerv1.ServerUse, len(a.Uses))
+	for _, u := range a.Uses {
+		uses[u.Key] = u
+	}
+	for _, u := range b.Uses {
+		old := uses[u.Key]
+		if old == nil || old.Slots != u.Slots || !sameRuns(old.Runs, u.Runs) {
+			return false
+		}
+	}
+	return true
+}
+
+// sameRuns compares runs without regard to their order and progress.
+func sameRuns(a, b []*peerv1.GenerationRun) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	type identity struct {
+		prompt, maxOutput int64
+		logMean, logSigma float32
+	}
+	count := map[identity]int{}
+	for _, r := range a {
+		count[identity{r.Prompt, r.MaxOutput, r.LogMean, r.LogSigma}]++
+	}
+	for _, r := range b {
+		id := identity{r.Prompt, r.MaxOutput, r.LogMean, r.LogSigma}
+		if count[id]--; count[id] < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func sameTotals(a, b *peerv1.GenerationTotals) bool {
+	return a.Arrived == b.Arrived && a.Prompt == b.Prompt && a.Output == b.Output && a.PrefillMicros == b.PrefillMicros &&
+		a.PrefillTokens == b.PrefillTokens && a.SlotMicros == b.SlotMicros && a.SlotTokens == b.SlotTokens
+}
--- /dev/null
+++ b/internal/exchange/fleet_test.go
@@ -0,0 +1,395 @@
+package exchange_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/boragecourse/boragecourse/internal/exchange"
+	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
+)
+
+// network is a fleet of exchanges whose calls are delivered in the same process, after a delay, unless a fault prevents
+// it.
+type network struct {
+	t *testing.T
+	g *WithT
+
+	// mu guards the fields below and those of all members.
+	mu    sync.Mutex
+	hosts map[string]*member
+	// cut reports whether calls from one address to another get lost.
+	cut   func(from, to string) bool
+	calls int
+	// sent counts the bytes by sending host, for requests and responses.
+	sent map[string]int
+}
+
+// member is one host. It implements exchange.Local: it admits tokens, and sums what the other hosts report.
+type member struct {
+	network *network
+	address string
+	zone    string
+	// incarnation identifies the process.
+	incarnation uint64
+	exchange    *exchange.Exchange
+	stop        context.CancelFunc
+	paused      bool
+
+	admitted map[string]int64
+	uses     map[string]int32
+	// seen holds what the other hosts reported, by incarnation.
+	seen map[uint64]*view
+}
+
+// view is what a member knows of another one.
+type view struct {
+	address  string
+	admitted map[string]int64
+	uses     map[string]int32
+}
+
+func newNetwork(t *testing.T) *network {
+	return &network{t: t, g: NewWithT(t), hosts: map[string]*member{}, cut: func(string, string) bool { return false }, sent: map[string]int{}}
+}
+
+var incarnations uint64
+
+func (n *network) start(address, zone string, seeds ...string) *member {
+	incarnations++
+	m := &member{
+		network: n, address: address, zone: zone, incarnation: incarnations, admitted: map[string]int64{}, uses: map[string]int32{}, seen: map[uint64]*view{},
+	}
+	m.exchange = exchange.New(exchange.Options{
+		Name: address, Address: address, Zone: zone, Incarnation: m.incarnation, Seeds: seeds, Local: m, Pool: &caller{n, address, m}, Log: logr.Discard(),
+		Now: time.Now,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	n.mu.Lock()
+	n.hosts[address] = m
+	n.mu.Unlock()
+	go func() { _ = m.exchange.Serve(ctx) }()
+	return m
+}
+
+func (n *network) kill(m *member) {
+	m.stop()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.hosts, m.address)
+}
+
+// caller implements exchange.Pool for one host.
+type caller struct {
+	network *network
+	from    string
+	member  *member
+}
+
+func (c *caller) Conn(address string) grpc.ClientConnInterface { return &conn{c, address} }
+
+func (c *caller) Prune(func(string) bool) {}
+
+type conn struct {
+	*caller
+	to string
+}
+
+const latency = time.Millisecond
+
+func (c *conn) Invoke(ctx context.Context, _ string, request, reply any, _ ...grpc.CallOption) error {
+	r := proto.Clone(request.(*peerv1.ReportRequest)).(*peerv1.ReportRequest)
+	time.Sleep(latency)
+	to, lost := c.deliver(c.from, c.to, r)
+	if to == nil && !lost {
+		return status.Error(codes.Unavailable, "no host at the address")
+	}
+	if lost {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	response, err := to.exchange.Report(ctx, r)
+	if err != nil {
+		return err
+	}
+	response = proto.Clone(response).(*peerv1.ReportResponse)
+	if _, lost := c.deliver(c.to, c.from, response); lost {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	time.Sleep(latency)
+	proto.Merge(reply.(*peerv1.ReportResponse), response)
+	return nil
+}
+
+// deliver counts a message and returns its receiver, and whether a fault holds it back.
+func (c *conn) deliver(from, to string, message proto.Message) (*member, bool) {
+	n := c.network
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.calls++
+	n.sent[from] += proto.Size(message)
+	receiver := n.hosts[to]
+	return receiver, receiver != nil && (n.cut(from, to) || receiver.paused || c.member.paused)
+}
+
+func (c *conn) NewStream(context.Context, *grpc.StreamDesc, string, ...grpc.CallOption) (grpc.ClientStream, error) {
+	return nil, status.Error(codes.Unimplemented, "no streams")
+}
+
+// Fill implements exchange.Local.
+func (m *member) Fill(r *peerv1.FrontReport) {
+	m.network.mu.Lock()
+	defer m.network.mu.Unlock()
+	r.Admitted = maps.Clone(m.admitted)
+	for key, slots := range m.uses {
+		r.Uses = append(r.Uses, &peerv1.ServerUse{Key: key, Slots: slots})
+	}
+}
+
+// ReportsReceived implements exchange.Local. It overlays reports as a host does.
+func (m *member) ReportsReceived(reports []*peerv1.FrontReport) {
+	m.network.mu.Lock()
+	defer m.network.mu.Unlock()
+	for _, r := range reports {
+		v := m.seen[r.Incarnation]
+		if v == nil {
+			if r.Partial {
+				m.network.t.Errorf("%s: first report of %d is partial", m.address, r.Incarnation)
+			}
+			v = &view{address: r.Address, admitted: map[string]int64{}}
+			m.seen[r.Incarnation] = v
+		}
+		maps.Copy(v.admitted, r.Admitted)
+		if !r.KeepsUses {
+			v.uses = map[string]int32{}
+			for _, u := range r.Uses {
+				v.uses[u.Key] = u.Slots
+			}
+		}
+	}
+}
+
+// Changed implements exchange.Local.
+func (m *member) Changed(t exchange.Transition) {
+	m.network.mu.Lock()
+	defer m.network.mu.Unlock()
+	if t.State == exchange.Left || t.State == exchange.Restarted || t.State == exchange.Removed {
+		delete(m.seen, t.Incarnation)
+	}
+}
+
+// State, StateRevision, ApplyState and ShouldFetch implement exchange.Local.
+func (m *member) State(int64) *peerv1.FetchStateResponse { return &peerv1.FetchStateResponse{} }
+
+func (m *member) StateRevision() int64 { return 0 }
+
+func (m *member) ApplyState(string, *peerv1.FetchStateResponse, time.Time, bool) {}
+
+func (m *member) ShouldFetch(int64, time.Duration) bool { return false }
+
+// expectConsistent checks that each host knows exactly what all others have admitted and use.
+func (n *network) expectConsistent(when string) {
+	n.t.Helper()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, m := range n.hosts {
+		n.g.Expect(m.seen).To(HaveLen(len(n.hosts)-1), "%s: hosts known to %s", when, m.address)
+		for _, other := range n.hosts {
+			if other == m {
+				continue
+			}
+			v := m.seen[other.incarnation]
+			n.g.Expect(v).NotTo(BeNil(), "%s: %s does not know %s", when, m.address, other.address)
+			n.g.Expect(v.admitted).To(Equal(other.admitted), "%s: tokens of %s as known to %s", when, other.address, m.address)
+			n.g.Expect(v.uses).To(Equal(other.uses), "%s: uses of %s as known to %s", when, other.address, m.address)
+		}
+	}
+}
+
+// work lets random hosts admit tokens and take or free slots for a while.
+func (n *network) work(r *rand.Rand, steps int, pause time.Duration) {
+	for range steps {
+		n.mu.Lock()
+		for _, address := range slices.Sorted(maps.Keys(n.hosts)) {
+			m := n.hosts[address]
+			if m.paused || r.IntN(4) > 0 {
+				continue
+			}
+			m.admitted["w"+strconv.Itoa(r.IntN(40))] += 1 + r.Int64N(100)
+			key := "s" + strconv.Itoa(r.IntN(50))
+			if m.uses[key]++; r.IntN(2) == 0 {
+				delete(m.uses, key)
+			}
+			m.exchange.Notify()
+		}
+		n.mu.Unlock()
+		time.Sleep(pause)
+	}
+}
+
+func (n *network) lock(f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f()
+}
+
+func (n *network) setCut(cut func(from, to string) bool) { n.lock(func() { n.cut = cut }) }
+
+func (n *network) stopAll() {
+	for _, m := range n.hosts {
+		m.stop()
+	}
+	// Calls that are in progress end within their time limit.
+	time.Sleep(time.Second)
+}
+
+// grow starts hosts in equal zones. The first two are the seeds.
+func (n *network) grow(hosts, zones int) []*member {
+	var out []*member
+	for i := range hosts {
+		out = append(out, n.start(hostAddress(i, zones), "z"+strconv.Itoa(i%zones), hostAddress(0, zones), hostAddress(1, zones)))
+	}
+	return out
+}
+
+func hostAddress(i, zones int) string { return fmt.Sprintf("10.%d.0.%03d", i%zones, i) }
+
+// settled is long enough for reports to reach all hosts after the last change, and for hosts to find each other again
+// after a fault.
+const settled = 6 * time.Second
+
+// Guards against a host whose reports do not reach all others, in fleets of every shape.
+func TestReportsReachEveryHost(t *testing.T) {
+	for _, c := range []struct{ hosts, zones int }{{2, 1}, {5, 4}, {8, 3}, {9, 3}, {10, 9}, {33, 4}, {60, 3}} {
+		t.Run(fmt.Sprintf("%d hosts in %d zones", c.hosts, c.zones), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(t)
+				n.grow(c.hosts, c.zones)
+				time.Sleep(settled)
+				n.work(rand.New(rand.NewPCG(1, 1)), 20, 50*time.Millisecond)
+				time.Sleep(settled)
+				n.expectConsistent("at the end")
+				n.stopAll()
+			})
+		})
+	}
+}
+
+// Guards against sums that miss or repeat what a host admitted, and against hosts that stay unknown, when relays are
+// killed, replaced at the same address, paused, cut off in one direction or cut off with their zone.
+func TestReportsSurviveFaults(t *testing.T) {
+	const hosts, zones = 15, 3
+	for name, fault := range map[string]func(n *network, all []*member) (heal func()){
+		"relay killed": func(n *network, all []*member) func() { n.kill(all[0]); return func() {} },
+		"both relays killed": func(n *network, all []*member) func() {
+			n.kill(all[0])
+			n.kill(all[zones])
+			return func() {}
+		},
+		"relay replaced at its address": func(n *network, all []*member) func() {
+			n.kill(all[0])
+			return func() { n.start(all[0].address, all[0].zone, all[1].address) }
+		},
+		"relay paused": func(n *network, all []*member) func() {
+			n.lock(func() { all[0].paused = true })
+			return func() { n.lock(func() { all[0].paused = false }) }
+		},
+		"relay cut off from some hosts": func(n *network, all []*member) func() {
+			n.setCut(func(from, to string) bool {
+				return from == all[0].address && to > all[8].address || to == all[0].address && from > all[8].address
+			})
+			return func() { n.setCut(func(string, string) bool { return false }) }
+		},
+		"relay cannot be called": func(n *network, all []*member) func() {
+			n.setCut(func(_, to string) bool { return to == all[0].address })
+			return func() { n.setCut(func(string, string) bool { return false }) }
+		},
+		"relay cannot call": func(n *network, all []*member) func() {
+			n.setCut(func(from, _ string) bool { return from == all[0].address })
+			return func() { n.setCut(func(string, string) bool { return false }) }
+		},
+		"zone cut off": func(n *network, all []*member) func() {
+			n.setCut(func(from, to string) bool { return (n.hosts[from].zone == "z0") != (n.hosts[to].zone == "z0") })
+			return func() { n.setCut(func(string, string) bool { return false }) }
+		},
+		"hosts leave": func(n *network, all []*member) func() {
+			for _, m := range []*member{all[0], all[5]} {
+				m.exchange.Leave(context.Background())
+				n.kill(m)
+			}
+			return func() {}
+		},
+		"all restarted": func(n *network, all []*member) func() {
+			for _, m := range all {
+				n.kill(m)
+			}
+			return func() { n.grow(hosts, zones) }
+		},
+	} {
+		for _, duration := range []time.Duration{time.Second, 18 * time.Second} {
+			t.Run(fmt.Sprintf("%s, %v", name, duration), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					n := newNetwork(t)
+					all := n.grow(hosts, zones)
+					r := rand.New(rand.NewPCG(2, uint64(duration)))
+					time.Sleep(settled)
+					n.work(r, 20, 50*time.Millisecond)
+					heal := fault(n, all)
+					n.work(r, int(duration/(200*time.Millisecond)), 200*time.Millisecond)
+					heal()
+					n.work(r, 20, 50*time.Millisecond)
+					// Hosts that were killed are removed 15 s after their last report.
+					time.Sleep(15*time.Second + settled)
+					n.expectConsistent("after the fault")
+					n.stopAll()
+				})
+			})
+		}
+	}
+}
+
+// Guards against messages and bytes that grow with the square of the number of hosts: a host's share of them may grow by
+// no more than the hosts that change.
+func TestReportTrafficOfLargeFleets(t *testing.T) {
+	measure := func(hosts, zones int) (callsPerHost float64, busiest int) {
+		synctest.Test(t, func(t *testing.T) {
+			n := newNetwork(t)
+			n.grow(hosts, zones)
+			time.Sleep(settled)
+			n.mu.Lock()
+			n.calls, n.sent = 0, map[string]int{}
+			n.mu.Unlock()
+			n.work(rand.New(rand.NewPCG(3, 3)), 100, 50*time.Millisecond)
+			n.mu.Lock()
+			callsPerHost = float64(n.calls) / float64(hosts)
+			for _, sent := range n.sent {
+				busiest = max(busiest, sent)
+			}
+			n.mu.Unlock()
+			n.stopAll()
+		})
+		return callsPerHost, busiest
+	}
+	g := NewWithT(t)
+	small, _ := measure(33, 4)
+	large, busiest := measure(119, 6)
+	g.Expect(large).To(BeNumerically("<", small), "messages of a host in 5 s")
+	// A relay's link of 24 Mbit/s must carry callers' requests as well.
+	g.Expect(busiest).To(BeNumerically("<", 5*24_000_000/8/4), "bytes sent by the busiest host in 5 s")
+}
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -19,7 +19,9 @@
 	Store string
 
 	MemoryBytes int64
-	Limits      OperatingLimits
+	// LinkMbps is the bandwidth of the host's network link, in Mbit/s.
+	LinkMbps float64
+	Limits   OperatingLimits
 }
 
 // OperatingLimits are the fleet-wide time limits and budgets that the platform sets.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -67,7 +67,7 @@
 	peers    *grpc.Server
 
 	reportsMu sync.Mutex
-	reports   map[uint64]peerReport
+	reports   map[uint64]*peerReport
 
 	startedAt time.Time
 	open      atomic.Int64
@@ -88,19 +88,21 @@
 func New(settings fleet.HostSettings, store Store, log logr.Logger, reg *metrics.Registry) (*Front, error) {
 	f := &Front{
 		settings: settings, incarnation: rand.Uint64(), log: log, metrics: reg, now: time.Now, backends: platform.NewBackends(reg),
-		groups: map[string]*group{}, limiter: ratelimit.New(settings.Limits.Quota), reports: map[uint64]peerReport{},
+		groups: map[string]*group{}, limiter: ratelimit.New(settings.Limits.Quota), reports: map[uint64]*peerReport{},
 		pool: peer.NewPool("", nil), peers: peer.NewServer("", nil), startedAt: time.Now(), LogLinesDropped: func() int64 { return 0 },
 	}
 	f.runTable = newRunTable(f.now)
 	f.stages = newStages()
 	f.exchange = exchange.New(exchange.Options{
-		Name: settings.Name, Address: settings.Peers, Zone: settings.Zone, Incarnation: f.incarnation, Seeds: settings.Seeds, Local: f, Pool: f.pool,
+		Name: settings.Name, Address: settings.Peers, Zone: settings.Zone, LinkMbps: int32(settings.LinkMbps),
+		Incarnation: f.incarnation, Seeds: settings.Seeds, Local: f, Pool: f.pool,
 		Log: log, Metrics: reg, Now: f.now,
 	})
 	f.exchange.Register(f.peers)
 	f.state = newState(store, log, reg, f.now)
 	f.state.onServers = f.setServers
 	f.state.onConfig = f.configure
+	f.state.follows, f.state.hosts = f.exchange.FollowsRelay, f.hosts
 	f.leader = leader.New(leader.Options{
 		Host: settings.Name, Process: settings.Name + "/" + processName(f.incarnation), Handover: settings.Limits.CommandHandover,
 		Store: store, StoreCopy: f.state.OwnItems, HostCount: f.hosts, Log: log, Metrics: reg,
--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -130,9 +130,11 @@
 	return used
 }
 
-// setRemoteUse replaces the number of slots that other hosts use, by key of the backend server.
-func (g *group) setRemoteUse(used map[string]int) {
+// setRemoteUse replaces the number of slots that other hosts use, by key of the backend server. hosts is the number of
+// hosts of the fleet.
+func (g *group) setRemoteUse(used map[string]int, hosts int) {
 	for _, p := range g.pools() {
+		p.SetHosts(hosts)
 		p.SetRemoteUse(used)
 	}
 }
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -1,12 +1,14 @@
 package front
 
 import (
+	"maps"
 	"strconv"
 	"time"
 
 	"github.com/boragecourse/boragecourse/internal/exchange"
 	"github.com/boragecourse/boragecourse/internal/kvmemory"
 	"github.com/boragecourse/boragecourse/internal/kvstore"
+	"github.com/boragecourse/boragecourse/internal/replica"
 	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
 )
 
@@ -14,12 +16,13 @@
 // within this time.
 const useTTL = 4 * time.Second
 
-// peerReport is the latest report received from another host.
+// peerReport is what another host has reported.
 type peerReport struct {
-	at   time.Time
-	uses []*peerv1.ServerUse
+	// at is when the last report was received, usesAt when the last one with uses was.
+	at, usesAt time.Time
+	uses       []*peerv1.ServerUse
 	// loadTotals holds the host's load counters by service. changing holds the engines that the host has commanded to
-	// change their stage, with the remaining time in milliseconds.
+	// change their stage, with the remaining time in milliseconds as of usesAt.
 	loadTotals map[string]*peerv1.GenerationTotals
 	changing   map[string]int64
 }
@@ -40,18 +43,36 @@
 	r.StateRevision, r.StateAgeMillis = revision, f.now().Sub(confirmed).Milliseconds()
 }
 
-// ReportReceived implements exchange.Local.
-func (f *Front) ReportReceived(r *peerv1.FrontReport) {
+// ReportsReceived implements exchange.Local.
+func (f *Front) ReportsReceived(reports []*peerv1.FrontReport) {
 	now := f.now()
 	f.limiterMu.Lock()
-	f.limiter.ApplyReport(processName(r.Incarnation), r.Admitted, now)
+	for _, r := range reports {
+		f.limiter.ApplyReport(processName(r.Incarnation), r.Admitted, r.Partial, now)
+	}
 	f.limiterMu.Unlock()
 	f.reportsMu.Lock()
-	f.reports[r.Incarnation] = peerReport{at: now, uses: r.Uses, loadTotals: r.Generations, changing: r.ChangingStage}
+	for _, r := range reports {
+		f.recordReport(r, now)
+	}
 	f.reportsMu.Unlock()
 	f.applyPeerUse(now)
 }
 
+// recordReport overlays a report of another host on what it has reported before. f.reportsMu must be held.
+func (f *Front) recordReport(r *peerv1.FrontReport, now time.Time) {
+	p := f.reports[r.Incarnation]
+	if p == nil || !r.Partial {
+		p = &peerReport{loadTotals: map[string]*peerv1.GenerationTotals{}}
+		f.reports[r.Incarnation] = p
+	}
+	p.at = now
+	maps.Copy(p.loadTotals, r.Generations)
+	if !r.KeepsUses {
+		p.usesAt, p.uses, p.changing = now, r.Uses, r.ChangingStage
+	}
+}
+
 func processName(incarnation uint64) string { return strconv.FormatUint(incarnation, 16) }
 
 // Changed implements exchange.Local.
@@ -65,7 +86,7 @@
 		f.limiter.RemovePeer(processName(t.Incarnation), now)
 	}
 	f.limiterMu.Unlock()
-	if t.State == exchange.Left || t.State == exchange.Restarted {
+	if t.State == exchange.Left || t.State == exchange.Restarted || t.State == exchange.Removed {
 		f.reportsMu.Lock()
 		delete(f.reports, t.Incarnation)
 		f.reportsMu.Unlock()
@@ -79,19 +100,18 @@
 	runs := map[string][]kvmemory.Run{}
 	changing := f.stages.idleEngines(now)
 	f.reportsMu.Lock()
-	for incarnation, report := range f.reports {
+	for _, report := range f.reports {
 		if now.Sub(report.at) > useTTL {
-			delete(f.reports, incarnation)
 			continue
 		}
 		for key, left := range report.changing {
-			changing[key] = report.at.Add(time.Duration(left) * time.Millisecond)
+			changing[key] = report.usesAt.Add(time.Duration(left) * time.Millisecond)
 		}
 		for _, u := range report.uses {
 			slots[u.Key] += int(u.Slots)
 			for _, r := range u.Runs {
 				runs[u.Key] = append(runs[u.Key], kvmemory.Run{
-					Prompt: r.Prompt, Generated: r.Generated, At: report.at,
+					Prompt: r.Prompt, Generated: r.Generated, At: report.usesAt,
 					Output: kvmemory.Output{LogMean: float64(r.LogMean), LogSigma: float64(r.LogSigma), Max: r.MaxOutput},
 				})
 			}
@@ -99,29 +119,54 @@
 	}
 	f.reportsMu.Unlock()
 	f.runTable.setRemoteUse(runs)
+	hosts := f.hosts()
 	for _, g := range f.allGroups() {
-		g.setRemoteUse(slots)
+		g.setRemoteUse(slots, hosts)
 		g.setChanging(changing)
 	}
 }
 
 // State implements exchange.Local.
-func (f *Front) State() *peerv1.FetchStateResponse {
-	items, revision, confirmed := f.state.Copy()
-	out := &peerv1.FetchStateResponse{Revision: revision, AgeMillis: f.now().Sub(confirmed).Milliseconds()}
-	for _, item := range items {
+func (f *Front) State(since int64) *peerv1.FetchStateResponse {
+	t := f.state.Since(since)
+	now := f.now()
+	out := &peerv1.FetchStateResponse{
+		Revision: t.Revision, AgeMillis: now.Sub(t.ConfirmedAt).Milliseconds(), Partial: t.Partial, StoreLost: t.StoreLost,
+	}
+	if !t.RecoveredAt.IsZero() {
+		out.Recovered, out.RecoveredAgeMillis = true, now.Sub(t.RecoveredAt).Milliseconds()
+	}
+	for _, item := range t.Items {
 		out.Items = append(out.Items, &peerv1.StateItem{Key: item.Key, Value: item.Value, Revision: item.ModRevision})
 	}
+	for _, r := range t.Removed {
+		out.Removed = append(out.Removed, &peerv1.RemovedItem{Key: r.Key, Revision: r.Revision})
+	}
 	return out
 }
 
 // ApplyState implements exchange.Local.
-func (f *Front) ApplyState(from string, state *peerv1.FetchStateResponse, requestedAt time.Time) {
-	items := make([]kvstore.KeyValue, len(state.Items))
-	for i, item := range state.Items {
-		items[i] = kvstore.KeyValue{Key: item.Key, Value: item.Value, ModRevision: item.Revision}
+func (f *Front) ApplyState(from string, state *peerv1.FetchStateResponse, requestedAt time.Time, fromRelay bool) {
+	t := Transfer{
+		Partial: state.Partial, Revision: state.Revision, StoreLost: state.StoreLost,
+		ConfirmedAt: requestedAt.Add(-time.Duration(state.AgeMillis) * time.Millisecond),
+	}
+	if state.Recovered {
+		t.RecoveredAt = requestedAt.Add(-time.Duration(state.RecoveredAgeMillis) * time.Millisecond)
+	}
+	for _, item := range state.Items {
+		t.Items = append(t.Items, kvstore.KeyValue{Key: item.Key, Value: item.Value, ModRevision: item.Revision})
 	}
-	f.state.ReplaceCopy(from, items, state.Revision, requestedAt.Add(-time.Duration(state.AgeMillis)*time.Millisecond))
+	for _, r := range state.Removed {
+		t.Removed = append(t.Removed, replica.Removal{Key: r.Key, Revision: r.Revision})
+	}
+	f.state.ReceiveCopy(from, t, fromRelay)
+}
+
+// StateRevision implements exchange.Local.
+func (f *Front) StateRevision() int64 {
+	revision, _ := f.state.Version()
+	return revision
 }
 
 // ShouldFetch implements exchange.Local.
--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -184,7 +184,11 @@
 	totals := map[uint64]stagesplit.Totals{f.incarnation: g.loadTotals()}
 	f.reportsMu.Lock()
 	defer f.reportsMu.Unlock()
+	now := f.now()
 	for incarnation, report := range f.reports {
+		if now.Sub(report.at) > useTTL {
+			continue
+		}
 		// A host without counters for the service counts as zero.
 		totals[incarnation] = decodeTotals(report.loadTotals[g.service])
 	}
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -27,8 +28,17 @@
 	// watchPause is the pause after a watch that returned changes. It batches changes and so limits the rate of calls when
 	// many backend servers change.
 	watchPause = 250 * time.Millisecond
-	// retryPause is the pause after a failed call to the store.
-	retryPause = 300 * time.Millisecond
+	// retryPause is the pause after a failed call to the store, and retryPausePerHost its least value for each host of the
+	// fleet, so that the calls of a large fleet to a store that is away do not grow with it.
+	retryPause        = 300 * time.Millisecond
+	retryPausePerHost = 8 * time.Millisecond
+	// followLimit is the age of the copy up to which a host relies on the relays of its zone instead of reading the
+	// store. The copy of a relay is confirmed at least every 2*watchWait + watchPause.
+	followLimit = 2*watchWait + watchPause + 500*time.Millisecond
+	// followCheck is the interval at which a host that relies on relays checks the age of its copy.
+	followCheck = 250 * time.Millisecond
+	// recoveryNotice is how long a host tells others of the end of an outage of the store.
+	recoveryNotice = 10 * time.Second
 	// outageThreshold is the downtime of the store after which registrations may have expired only because backend servers
 	// could not renew them.
 	outageThreshold = 2 * time.Second
@@ -63,6 +73,13 @@
 	// ownPrefix is the prefix of this project's own keys in the store, which are watched as well.
 	ownPrefix    string
 	lastAnswered time.Time
+	// recoveredAt is when the last outage of the store ended. storeLost is set while the store does not respond to this
+	// host, relayLostStore while it does not respond to the relay that this host follows.
+	recoveredAt               time.Time
+	storeLost, relayLostStore bool
+	// follows reports whether relays read the store for this host. hosts is the number of hosts of the fleet.
+	follows func() bool
+	hosts   func() int
 	// configRevision is the store revision of the configuration that was decoded last.
 	configRevision int64
 }
@@ -70,23 +87,30 @@
 func newState(store Store, log logr.Logger, reg *metrics.Registry, now func() time.Time) *State {
 	return &State{
 		ownPrefix: leader.KeyPrefix, store: store, log: log, metrics: reg, now: now, servers: registry.New(), unreadable: map[string]bool{},
-		onServers: func([]registry.State) {}, onConfig: func(*fleet.Configuration) {},
+		onServers: func([]registry.State) {}, onConfig: func(*fleet.Configuration) {}, follows: func() bool { return false },
+		hosts: func() int { return 1 },
 	}
 }
 
 // Configuration returns the active configuration, or nil before the first one was read.
 func (s *State) Configuration() *fleet.Configuration { return s.configuration.Load() }
 
-// Serve reads and watches the store until ctx ends. It implements suture.Service.
+// Serve reads and watches the store until ctx ends, except while the relays of the zone do so for this host. It
+// implements suture.Service.
 func (s *State) Serve(ctx context.Context) error {
 	read := false
 	for ctx.Err() == nil {
+		if s.follow(ctx) {
+			// The copy is complete, so a watch can continue from it.
+			read = true
+			continue
+		}
 		if !read {
 			err := s.readAll(ctx)
 			s.recordStoreResult(err)
 			read = err == nil
 			if err != nil {
-				_ = wait.For(ctx, retryPause)
+				_ = wait.For(ctx, s.retryWait())
 			}
 			continue
 		}
@@ -101,7 +125,7 @@
 		case err != nil:
 			// The watch may have missed changes that are compacted by the time it is resumed, so read a full snapshot.
 			read = false
-			_ = wait.For(ctx, retryPause)
+			_ = wait.For(ctx, s.retryWait())
 		case changed:
 			_ = wait.For(ctx, watchPause)
 		}
@@ -109,6 +133,31 @@
 	return ctx.Err()
 }
 
+func (s *State) retryWait() time.Duration {
+	return max(retryPause, time.Duration(s.hosts())*retryPausePerHost)
+}
+
+// follow waits while the relays of the zone keep the copy current, and reports whether they did so at all. When they
+// stop, it waits a little more, so that the hosts of the zone do not all read the store at once.
+func (s *State) follow(ctx context.Context) bool {
+	followed := false
+	for ctx.Err() == nil && s.follows() && s.copyFollowed() {
+		followed = true
+		_ = wait.For(ctx, followCheck)
+	}
+	if followed {
+		_ = wait.For(ctx, rand.N(retryPause))
+	}
+	return followed
+}
+
+// copyFollowed reports whether the copy is as current as relays keep it.
+func (s *State) copyFollowed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.copy.Revision() > 0 && !s.relayLostStore && s.now().Sub(s.copy.ConfirmedAt()) < followLimit
+}
+
 func (s *State) readAll(ctx context.Context) error {
 	requestedAt := s.now()
 	configuration, configurationAt, err := s.store.Snapshot(ctx, platform.ConfigurationKey)
@@ -143,9 +192,14 @@
 	if err != nil {
 		return false, err
 	}
+	confirmedAt := requestedAt
+	if len(events) == 0 {
+		// The store has waited before it responded.
+		confirmedAt = requestedAt.Add(watchWait)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.copy.Apply(s.relevant(events), at, requestedAt) {
+	if s.copy.Apply(s.relevant(events), at, confirmedAt) {
 		s.applyCopy()
 	}
 	return len(events) > 0, nil
@@ -174,9 +228,10 @@
 			s.log.Error(err, "store lost", "revision", s.copy.Revision())
 			s.metrics.Inc("store_lost")
 		}
-		s.storeOK = false
+		s.storeOK, s.storeLost = false, true
 		return
 	}
+	s.storeLost = false
 	if !s.storeOK {
 		s.logStoreReachable(now)
 	}
@@ -192,6 +247,7 @@
 	downtime := now.Sub(s.lastAnswered)
 	s.log.Info("store reachable again", "away", downtime.Round(time.Millisecond))
 	if downtime > outageThreshold {
+		s.recoveredAt = now
 		s.servers.StoreRecovered(now)
 	}
 }
@@ -288,11 +344,29 @@
 	return s.copy.Revision(), s.copy.ConfirmedAt()
 }
 
-// Copy returns the items of the copy, its store revision, and the time at which it was last known to be current.
-func (s *State) Copy() ([]kvstore.KeyValue, int64, time.Time) {
+// Transfer is what one host passes on of its copy of the store.
+type Transfer struct {
+	// Items are all items, or with Partial those that have changed after a revision. Removed are the keys removed since.
+	Items    []kvstore.KeyValue
+	Removed  []replica.Removal
+	Partial  bool
+	Revision int64
+	// ConfirmedAt is when the copy was last known to be current; RecoveredAt is when the last outage of the store ended,
+	// zero when that was long ago. StoreLost is set while the store does not respond to the host.
+	ConfirmedAt, RecoveredAt time.Time
+	StoreLost                bool
+}
+
+// Since returns what has changed in the copy after a revision, or all of it when that is not known.
+func (s *State) Since(revision int64) Transfer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.copy.Items(), s.copy.Revision(), s.copy.ConfirmedAt()
+	t := Transfer{Revision: s.copy.Revision(), ConfirmedAt: s.copy.ConfirmedAt(), StoreLost: s.storeLost}
+	if s.now().Sub(s.recoveredAt) < recoveryNotice {
+		t.RecoveredAt = s.recoveredAt
+	}
+	t.Items, t.Removed, t.Partial = s.copy.Since(revision)
+	return t
 }
 
 // OwnItems returns this project's own items in the copy. It reports false when no copy has been read yet.
@@ -309,22 +383,53 @@
 }
 
 // ShouldFetch reports whether a peer's copy with the given revision and age should be fetched: it is newer, and the
-// store has not confirmed the local copy for staleAfter.
+// store has not confirmed the local copy for as long as it should have.
 func (s *State) ShouldFetch(revision int64, age time.Duration) bool {
+	limit := staleAfter
+	if s.follows() {
+		limit = followLimit
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	return revision > s.copy.Revision() && now.Sub(s.copy.ConfirmedAt()) > staleAfter && now.Add(-age).After(s.copy.ConfirmedAt())
+	return revision > s.copy.Revision() && now.Sub(s.copy.ConfirmedAt()) > limit && now.Add(-age).After(s.copy.ConfirmedAt())
 }
 
-// ReplaceCopy replaces the copy with that of another host if the other copy is newer.
-func (s *State) ReplaceCopy(from string, items []kvstore.KeyValue, revision int64, confirmed time.Time) {
+// ReceiveCopy applies what another host passes on of its copy, if that is newer. fromRelay is set when that host reads
+// the store for this one.
+func (s *State) ReceiveCopy(from string, t Transfer, fromRelay bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if revision <= s.copy.Revision() || !s.copy.Replace(items, revision, confirmed) {
+	if fromRelay {
+		s.relayLostStore = t.StoreLost
+		s.storeLost = s.storeLost && t.StoreLost
+	}
+	if t.Revision < s.copy.Revision() || t.Revision == 0 {
+		return
+	}
+	if t.RecoveredAt.After(s.recoveredAt) {
+		s.recoveredAt = t.RecoveredAt
+		s.servers.StoreRecovered(t.RecoveredAt)
+	}
+	newer := t.Revision > s.copy.Revision()
+	events := make([]kvstore.Event, 0, len(t.Items)+len(t.Removed))
+	for _, item := range t.Items {
+		events = append(events, kvstore.Event{KeyValue: item})
+	}
+	for _, r := range t.Removed {
+		events = append(events, kvstore.Event{KeyValue: kvstore.KeyValue{Key: r.Key, ModRevision: r.Revision}, Deleted: true})
+	}
+	if t.Partial {
+		s.copy.Apply(events, t.Revision, t.ConfirmedAt)
+	} else {
+		s.copy.Replace(t.Items, t.Revision, t.ConfirmedAt)
+	}
+	if !newer {
 		return
 	}
-	s.log.Info("store copy replaced by a newer one from another host", "from", from, "revision", revision, "age", s.now().Sub(confirmed))
-	s.metrics.Inc("state_transfers")
+	if !fromRelay {
+		s.log.Info("store copy replaced by a newer one from another host", "from", from, "revision", t.Revision, "age", s.now().Sub(t.ConfirmedAt))
+		s.metrics.Inc("state_transfers")
+	}
 	s.applyCopy()
 }
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -5,6 +5,7 @@
 package ratelimit
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -40,8 +41,10 @@
 // peer is the state of another host, as this one knows it.
 type peer struct {
 	// admitted is the number of tokens that the peer last reported as admitted since its process started, by
-	// workspace.
+	// workspace. When baseUnknown is set, the first report was partial, so that a workspace may be missing although the
+	// peer had admitted tokens of it before.
 	admitted    map[string]int64
+	baseUnknown bool
 	unreachable bool
 	// presumed is the number of tokens subtracted from the buckets on behalf of the peer since it became unreachable,
 	// by workspace.
@@ -127,20 +130,27 @@
 }
 
 // ApplyReport applies a report of a peer: the number of tokens that it admitted since its process started, by
-// workspace. id identifies one incarnation of a host. If the peer was unreachable, the share that was subtracted on its
-// behalf is replaced by the reported use.
-func (l *Limiter) ApplyReport(id string, admitted map[string]int64, now time.Time) {
+// workspace. A partial report leaves out workspaces whose number has not changed. id identifies one incarnation of a
+// host. If the peer was unreachable, the share that was subtracted on its behalf is replaced by the reported use.
+func (l *Limiter) ApplyReport(id string, admitted map[string]int64, partial bool, now time.Time) {
 	p := l.peers[id]
 	if p == nil {
 		// What the peer admitted before its first report is not subtracted: most of it is too old to matter.
-		l.peers[id] = &peer{admitted: admitted}
+		p = &peer{admitted: map[string]int64{}, baseUnknown: partial}
+		maps.Copy(p.admitted, admitted)
+		l.peers[id] = p
 		return
 	}
 	l.subtractUnreachable(now)
 	for name, total := range admitted {
+		before, known := p.admitted[name]
+		p.admitted[name] = total
+		if !known && p.baseUnknown {
+			continue
+		}
 		if t := l.buckets[name]; t != nil {
 			l.refill(t, now)
-			t.level = math.Min(t.capacity, t.level-float64(total-p.admitted[name])+p.presumed[name])
+			t.level = math.Min(t.capacity, t.level-float64(total-before)+p.presumed[name])
 		}
 		delete(p.presumed, name)
 	}
@@ -149,7 +159,7 @@
 			t.level = math.Min(t.capacity, t.level+v)
 		}
 	}
-	p.admitted, p.unreachable, p.presumed = admitted, false, nil
+	p.unreachable, p.presumed = false, nil
 }
 
 // MarkUnreachable records that a peer is unreachable but may still admit requests. Until its next report, or until
--- a/internal/ratelimit/limiter_test.go
+++ b/internal/ratelimit/limiter_test.go
@@ -81,7 +81,7 @@
 			switch {
 			case a == b:
 			case linked(a, b, at):
-				h.limiters[b].ApplyReport(h.name(a), h.limiters[a].Admitted(), now)
+				h.limiters[b].ApplyReport(h.name(a), h.limiters[a].Admitted(), false, now)
 				lastReport[[2]int{a, b}] = at
 			case at-lastReport[[2]int{a, b}] > time.Second:
 				h.limiters[b].MarkUnreachable(h.name(a), now)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -18,8 +18,14 @@
 	revision int64
 	// confirmed is when the copy was last known to match the store.
 	confirmed time.Time
+	// removed holds the revisions at which keys were removed after the revision removalsFrom.
+	removed      map[string]int64
+	removalsFrom int64
 }
 
+// maxRemovals is the number of removed keys that a copy remembers.
+const maxRemovals = 1000
+
 // Revision returns the store revision of the copy, 0 before the first Replace or Apply.
 func (c *Copy) Revision() int64 { return c.revision }
 
@@ -42,9 +48,19 @@
 	if revision < c.revision {
 		return false
 	}
+	old := c.items
 	c.items = make(map[string]kvstore.KeyValue, len(items))
 	for _, item := range items {
 		c.items[item.Key] = item
+		delete(c.removed, item.Key)
+	}
+	if old == nil {
+		c.removed, c.removalsFrom = map[string]int64{}, revision
+	}
+	for key := range old {
+		if _, kept := c.items[key]; !kept {
+			c.remember(key, revision)
+		}
 	}
 	c.revision = revision
 	c.confirm(confirmed)
@@ -61,11 +77,13 @@
 		}
 		if e.Deleted {
 			delete(c.items, e.Key)
+			c.remember(e.Key, e.ModRevision)
 		} else {
 			if c.items == nil {
 				c.items = map[string]kvstore.KeyValue{}
 			}
 			c.items[e.Key] = e.KeyValue
+			delete(c.removed, e.Key)
 		}
 		changed = true
 	}
@@ -74,6 +92,42 @@
 	return changed
 }
 
+// remember records the removal of a key. When too many are recorded, it forgets all of them.
+func (c *Copy) remember(key string, revision int64) {
+	if c.removed == nil || len(c.removed) >= maxRemovals {
+		c.removed, c.removalsFrom = map[string]int64{}, revision
+		return
+	}
+	c.removed[key] = revision
+}
+
+// Removal is a key that was removed from the store at a revision.
+type Removal struct {
+	Key      string
+	Revision int64
+}
+
+// Since returns what has changed after a revision. It reports false when that is not known; the items are then all items
+// of the copy.
+func (c *Copy) Since(revision int64) ([]kvstore.KeyValue, []Removal, bool) {
+	if revision < c.removalsFrom || revision == 0 {
+		return c.Items(), nil, false
+	}
+	var items []kvstore.KeyValue
+	for _, item := range c.items {
+		if item.ModRevision > revision {
+			items = append(items, item)
+		}
+	}
+	var removals []Removal
+	for key, at := range c.removed {
+		if at > revision {
+			removals = append(removals, Removal{key, at})
+		}
+	}
+	return items, removals, true
+}
+
 // confirm advances the confirmation time; an earlier time has no effect.
 func (c *Copy) confirm(at time.Time) {
 	if at.After(c.confirmed) {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -1,6 +1,7 @@
 package replica_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -31,3 +32,40 @@
 	c.Apply(nil, 14, now.Add(-time.Second))
 	g.Expect(c.ConfirmedAt()).To(Equal(now), "an earlier confirmation has no effect")
 }
+
+// Guards against a copy that is passed on in parts and keeps a removed item or misses a changed one: the receiver has an
+// older revision, one from before the first read, or one whose removals were forgotten.
+func TestChangesSinceARevision(t *testing.T) {
+	g := NewWithT(t)
+	at := time.Unix(1000, 0)
+	item := func(key string, revision int64) kvstore.KeyValue {
+		return kvstore.KeyValue{Key: key, Value: []byte(key), ModRevision: revision}
+	}
+	var source, follower replica.Copy
+	source.Replace([]kvstore.KeyValue{item("a", 1), item("b", 2), item("c", 3)}, 10, at)
+	_, _, partial := source.Since(5)
+	g.Expect(partial).To(BeFalse(), "removals before the first read are not known")
+	items, _, partial := source.Since(0)
+	g.Expect(partial).To(BeFalse())
+	follower.Replace(items, 10, at)
+	source.Apply([]kvstore.Event{{KeyValue: item("a", 11), Deleted: true}, {KeyValue: item("d", 12)}}, 12, at)
+	// A second read finds that c is gone as well.
+	source.Replace([]kvstore.KeyValue{item("b", 2), item("d", 12), item("e", 14)}, 15, at)
+	items, removals, partial := source.Since(10)
+	g.Expect(partial).To(BeTrue())
+	var events []kvstore.Event
+	for _, i := range items {
+		events = append(events, kvstore.Event{KeyValue: i})
+	}
+	for _, r := range removals {
+		events = append(events, kvstore.Event{KeyValue: kvstore.KeyValue{Key: r.Key, ModRevision: r.Revision}, Deleted: true})
+	}
+	follower.Apply(events, 15, at)
+	g.Expect(follower.Items()).To(Equal(source.Items()))
+	g.Expect(follower.Revision()).To(BeEquivalentTo(15))
+	for n := range int64(2000) {
+		source.Apply([]kvstore.Event{{KeyValue: item("x", 16+2*n)}, {KeyValue: item("x"+strconv.FormatInt(n, 10), 17+2*n), Deleted: true}}, 17+2*n, at)
+	}
+	_, _, partial = source.Since(15)
+	g.Expect(partial).To(BeFalse(), "too many removals to remember")
+}
--- a/test/standin/users/store.go
+++ b/test/standin/users/store.go
@@ -69,6 +69,14 @@
 
 	mu    sync.Mutex
 	fault Fault
+	calls int
+}
+
+// Calls returns the number of calls that were made to the endpoint.
+func (e *Endpoint) Calls() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.calls
 }
 
 // StartEndpoint serves the store at a new loopback address until the returned Endpoint is closed.
@@ -101,6 +109,9 @@
 
 // ServeHTTP implements http.Handler.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	e.calls++
+	e.mu.Unlock()
 	switch fault := e.currentFault(); {
 	case fault == Refusing:
 		w.WriteHeader(http.StatusServiceUnavailable)
