--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -12,6 +12,19 @@
 // Error implements error.
 func (e *TimeoutError) Error() string { return "request deadline exceeded" }
 
+// RateExceededError reports a request whose cost exceeds the level of its workspace's token bucket on this host. All
+// values are in tokens, Rate in tokens per second.
+type RateExceededError struct {
+	Cost        int64
+	Level       float64
+	Rate, Burst float64
+}
+
+// Error implements error.
+func (e *RateExceededError) Error() string {
+	return fmt.Sprintf("cost %d exceeds level %.0f (rate %.0f/s, burst %.0f)", e.Cost, e.Level, e.Rate, e.Burst)
+}
+
 // RetriesExhaustedError reports that a request failed and may not be retried. Reason says which rule forbids the retry.
 type RetriesExhaustedError struct {
 	Reason string
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -201,12 +201,15 @@
 		return nil
 	}
 	cost := x.request.Cost(x.workspace)
+	now := f.now()
 	f.limiterMu.Lock()
-	ok, until := f.limiter.Admit(x.workspace.Name, cost, f.now())
+	ok, until := f.limiter.Admit(x.workspace.Name, cost, now)
+	level := f.limiter.Level(x.workspace.Name, now)
 	f.limiterMu.Unlock()
 	if !ok {
 		refusal := outcome.Refuse(http.StatusTooManyRequests, outcome.CodeRateExceeded, "workspace rate limit exceeded")
 		refusal.RetryAfter = until
+		refusal.Cause = &RateExceededError{Cost: cost, Level: level, Rate: x.workspace.Rate, Burst: x.workspace.Burst}
 		return refusal
 	}
 	x.charged = cost
