Tell a server that fails during work from one that dropped an idle connection

A dropped connection answers within a round trip; a failure after 20 ms counts against the server again. TestFailureDuringWorkIsNoDrop failed before.

--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -21,6 +21,9 @@
 	// bytes. It fits into the send buffer of a socket. Larger bodies are written while the response is read, since a
 	// server may respond early and leave the rest of the body unread.
 	directWrite = 4 << 10
+	// dropTime is the time after a request was sent within which the reset of a dropped connection arrives: a round trip
+	// between zones takes a few milliseconds. A connection that ends later was most likely in use by the server.
+	dropTime = 20 * time.Millisecond
 	// maxInformational is the number of informational responses (1xx) that may precede a response.
 	maxInformational = 5
 )
@@ -34,7 +37,9 @@
 	headLeft, headLimit int64
 	// received and sent count the bytes of the current exchange.
 	received, sent int64
-	reused         bool
+	// sentAt is when the current exchange began, on the pool's clock.
+	sentAt time.Duration
+	reused bool
 	// idleSince is when the connection became idle, on the pool's clock; idleTime is how long it may stay so.
 	idleSince, idleTime time.Duration
 }
@@ -100,7 +105,7 @@
 
 // exchange sends a request on a connection and reads the head of the response.
 func (p *Pool) exchange(ctx context.Context, c *connection, req *http.Request) (*Response, error) {
-	c.sent, c.received, c.headLeft = 0, 0, c.headLimit
+	c.sent, c.received, c.headLeft, c.sentAt = 0, 0, c.headLimit, p.o.Clock()
 	// Closing the connection is what interrupts reads and writes, and makes the server abort the request.
 	stop := context.AfterFunc(ctx, c.close)
 	resp, written, err := c.roundTrip(req) //nolint:bodyclose // Response.Close ends the connection; closing the body would read it to its end.
@@ -116,7 +121,7 @@
 	if ctx.Err() != nil && c.sent > 0 {
 		return nil, context.Cause(ctx)
 	}
-	return nil, c.failure(err)
+	return nil, c.failure(err, p.o.Clock()-c.sentAt)
 }
 
 // roundTrip writes a request and reads the head of its response. The returned channel is that of write.
@@ -129,15 +134,15 @@
 	return resp, written, err
 }
 
-// failure classifies an exchange that ended without the head of a response.
-func (c *connection) failure(err error) error {
+// failure classifies an exchange that ended without the head of a response after a time.
+func (c *connection) failure(err error, after time.Duration) error {
 	var tooLarge *HeadTooLargeError
 	switch {
 	case errors.As(err, &tooLarge):
 		return tooLarge
 	case c.sent == 0:
 		return &NotSentError{Cause: err}
-	case c.reused && c.received == 0:
+	case c.reused && c.received == 0 && after <= dropTime:
 		return &DroppedConnectionError{Cause: err}
 	}
 	return &ExchangeError{Cause: err}
--- a/internal/connpool/errors.go
+++ b/internal/connpool/errors.go
@@ -20,8 +20,8 @@
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.Cause }
 
-// DroppedConnectionError reports a reused connection that ended before the first byte of a response. The server has most
-// likely dropped the idle connection, but it may have received the request.
+// DroppedConnectionError reports a reused connection that ended before the first byte of a response and right after the
+// request was sent. The server has most likely dropped the idle connection, but it may have received the request.
 type DroppedConnectionError struct{ Cause error }
 
 // Error implements error.
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -195,6 +195,21 @@
 	e.g.Expect(errors.As(err, &failed)).To(BeTrue(), "%v", err)
 }
 
+// Guards against a server that fails while it works on a request and counts as healthy, because the request came on a
+// reused connection.
+func TestFailureDuringWorkIsNoDrop(t *testing.T) {
+	var e *env
+	e = newEnv(t, func(c *rawserver.Conn) {
+		c.Respond(c.Request(), "a")
+		c.Request()
+		e.clock.Add(int64(60 * time.Millisecond))
+	})
+	e.expectServed("a", connpool.AnyConnection, 1)
+	_, err := e.do("b", connpool.AnyConnection)
+	var failed *connpool.ExchangeError
+	e.g.Expect(errors.As(err, &failed)).To(BeTrue(), "%v", err)
+}
+
 // Guards against a response that was cut, canceled or left unread and whose connection carries another request.
 func TestIncompleteResponsesCloseTheConnection(t *testing.T) {
 	e := newEnv(t, func(c *rawserver.Conn) {
