--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -107,6 +107,9 @@
 		}
 		if !read {
 			err := s.readAll(ctx)
+			if ctx.Err() != nil {
+				break
+			}
 			s.recordStoreResult(err)
 			read = err == nil
 			if err != nil {
@@ -115,6 +118,9 @@
 			continue
 		}
 		changed, err := s.readChanges(ctx)
+		if ctx.Err() != nil {
+			break
+		}
 		s.recordStoreResult(err)
 		var compacted *platform.CompactedError
 		switch {
--- a/test/users/path_test.go
+++ b/test/users/path_test.go
@@ -204,9 +204,7 @@
 // the zero time in the first lines.
 func TestLogLinesNameTheirHost(t *testing.T) {
 	p := newDeployment(t, 1)
-	text, err := os.ReadFile(filepath.Join(p.procs.Logs, filepath.Base(p.hosts[0].settings)+"-1.log"))
-	p.g.Expect(err).NotTo(HaveOccurred())
-	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	lines := strings.Split(strings.TrimSpace(p.firstLog(p.hosts[0])), "\n")
 	p.g.Expect(len(lines)).To(BeNumerically(">", 5))
 	for _, line := range lines {
 		p.g.Expect(line).To(MatchRegexp(` host=host-0\.toml( |$)`))
@@ -257,6 +255,14 @@
 	p.g.Expect(a.err).NotTo(HaveOccurred())
 	p.g.Expect(events(a.body)).To(Equal(sequence(10)))
 	p.g.Expect(<-stopped).To(BeTrue())
+	p.g.Expect(p.firstLog(p.hosts[0])).NotTo(ContainSubstring("store lost"), "its own end is no outage of the store")
+}
+
+// firstLog returns what the first process of a host has logged.
+func (f *fleet) firstLog(h *host) string {
+	text, err := os.ReadFile(filepath.Join(f.procs.Logs, filepath.Base(h.settings)+"-1.log"))
+	f.g.Expect(err).NotTo(HaveOccurred())
+	return string(text)
 }
 
 // Guards against a host that, during its shutdown, refuses connections while streams are open, accepts streams that it
