exchange: count the messages of an idle round again

TestMessagesPerRoundDoNotGrowQuadratically went with the simulation of the routes that reports no longer take, when reports began to go through relays.

--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -364,6 +364,26 @@
 	}
 }
 
+// Guards against a number of messages that grows with the square of the number of hosts: a host reports to two relays of
+// its zone, and the relays to each other.
+func TestMessagesPerRoundDoNotGrowQuadratically(t *testing.T) {
+	const rounds, interval = 10, 400 * time.Millisecond
+	for _, c := range []struct{ hosts, zones int }{{33, 4}, {96, 6}} {
+		synctest.Test(t, func(t *testing.T) {
+			n := newNetwork(t)
+			n.grow(c.hosts, c.zones)
+			time.Sleep(settled)
+			n.lock(func() { n.calls = 0 })
+			time.Sleep(rounds * interval)
+			n.lock(func() {
+				// A call has a request and a response.
+				n.g.Expect(n.calls/2).To(BeNumerically("<=", rounds*(2*c.hosts+c.zones*(c.zones-1))), "%d hosts", c.hosts)
+			})
+			n.stopAll()
+		})
+	}
+}
+
 // Guards against messages and bytes that grow with the square of the number of hosts: a host's share of them may grow by
 // no more than the hosts that change.
 func TestReportTrafficOfLargeFleets(t *testing.T) {
