--- a/internal/ratelimit/limiter_test.go
+++ b/internal/ratelimit/limiter_test.go
@@ -246,3 +246,40 @@
 	t.Logf("%.0f of %.0f", h.worstWindow(), allowed())
 	g.Expect(h.worstWindow()).To(BeNumerically("<=", allowed()))
 }
+
+// Guards against tokens of another host that are subtracted twice, or not at all, when its reports leave out what has not
+// changed: after a complete first report, after a partial one, and after a time in which it was unreachable.
+func TestPartialReports(t *testing.T) {
+	now := time.Unix(100, 0)
+	workspaces := []*fleet.Workspace{{Name: "v", Rate: 1, Burst: 100_000}, {Name: "w", Rate: 1, Burst: 100_000}}
+	type report struct {
+		admitted map[string]int64
+		partial  bool
+	}
+	for name, c := range map[string]struct {
+		reports []report
+		v, w    float64
+	}{
+		"complete, then changes": {[]report{{map[string]int64{"v": 1000}, false}, {map[string]int64{"w": 50}, true}, {map[string]int64{"w": 70}, true}}, 0, 70},
+		"partial first": {[]report{
+			{map[string]int64{"v": 1000}, true}, {map[string]int64{"w": 5000}, true}, {map[string]int64{"v": 1010, "w": 5030}, true},
+		}, 10, 30},
+		"the same twice": {[]report{{map[string]int64{}, false}, {map[string]int64{"v": 40}, true}, {map[string]int64{"v": 40}, true}}, 40, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			l := ratelimit.New(limits)
+			l.Configure(workspaces, now)
+			before := map[string]float64{"v": l.Level("v", now), "w": l.Level("w", now)}
+			for _, r := range c.reports {
+				l.ApplyReport("peer", r.admitted, r.partial, now)
+			}
+			g.Expect(before["v"] - l.Level("v", now)).To(BeNumerically("~", c.v, 0.01))
+			g.Expect(before["w"] - l.Level("w", now)).To(BeNumerically("~", c.w, 0.01))
+			l.MarkUnreachable("peer", now)
+			g.Expect(before["v"]-l.Level("v", now)).To(BeNumerically(">", c.v+1), "its share counts while it is unreachable")
+			l.ApplyReport("peer", map[string]int64{"w": c.reports[len(c.reports)-1].admitted["w"]}, true, now)
+			g.Expect(before["v"]-l.Level("v", now)).To(BeNumerically("~", c.v, 0.01), "unchanged after the time")
+		})
+	}
+}
