--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -1,6 +1,6 @@
 // Package connpool is an HTTP/1.1 client for backend servers that keeps connections open between requests. Unlike
 // http.Transport it never sends a request again on its own, and it reports whether a request was sent at all. It is
-// written for servers that cannot be trusted: a connection is reused only after a complete response with nothing after
+// written for servers that deviate from HTTP: a connection is reused only after a complete response with nothing after
 // it, and only while it is silent. The size of a response head is bounded.
 package connpool
 
@@ -16,8 +16,8 @@
 )
 
 const (
-	// maxIdle is the total number of idle connections. With its buffer and the kernel's state, a connection takes less
-	// than 10 KB.
+	// maxIdle is the total number of idle connections. Each holds a read buffer of readBuffer bytes and a file
+	// descriptor.
 	maxIdle = 384
 	// defaultIdleTime is how long a connection stays idle if the server does not announce its own idle time-out.
 	defaultIdleTime = 4 * time.Second
@@ -26,8 +26,8 @@
 	// announcedShare is the fraction of a server's announced idle time-out for which a connection is reused. Some
 	// servers close earlier than they announce.
 	announcedShare = 0.6
-	// recentlyUsed is the idle time up to which a connection may carry a request that must not run twice. A server that
-	// drops idle connections without notice does so after longer idle times.
+	// recentlyUsed is the idle time up to which a connection may carry a request that must not run twice. The shorter it
+	// is, the less likely is it that the server has dropped the connection without notice.
 	recentlyUsed = 700 * time.Millisecond
 	// sweepInterval is how often expired idle connections are closed.
 	sweepInterval = time.Second
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -24,8 +24,8 @@
 	// relayedInterval and relayedSpacing apply in fleets with relays, where each host has fewer streams to report.
 	relayedInterval = 400 * time.Millisecond
 	relayedSpacing  = 30 * time.Millisecond
-	// spacingHosts is the number of hosts above which the spacing grows in proportion to the fleet. The reports that a
-	// host receives in a second then stay the same, and so do the hosts that change within one round.
+	// spacingHosts is the number of hosts above which the spacing grows in proportion to the fleet. Rounds then carry the
+	// changes of more hosts, but there are fewer of them in a second.
 	spacingHosts = 40
 	// livenessInterval is the time after which a host without changes sends a new report, so that it counts as reachable.
 	livenessInterval = 500 * time.Millisecond
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -28,8 +28,8 @@
 	// watchPause is the pause after a watch that returned changes. It batches changes and so limits the rate of calls when
 	// many backend servers change.
 	watchPause = 250 * time.Millisecond
-	// retryPause is the pause after a failed call to the store, and retryPausePerHost its least value for each host of the
-	// fleet, so that the calls of a large fleet to a store that is away do not grow with it.
+	// retryPause is the shortest pause after a failed call to the store. The pause is at least retryPausePerHost times the
+	// number of hosts, so that the calls to a store that is away do not grow with the fleet.
 	retryPause        = 300 * time.Millisecond
 	retryPausePerHost = 8 * time.Millisecond
 	// followLimit is the age of the copy up to which a host relies on the relays of its zone instead of reading the
