Log and count requests whose connection the host itself has closed

A request's context ends in the same way whichever side closes its connection, so the log named every cut request "canceled by caller". The connections of callers now record that the host has closed them; such a request is logged as "request cut" and counted in requests_cut.

--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/boragecourse/boragecourse/internal/keepalive"
 	"github.com/boragecourse/boragecourse/internal/outcome"
 	"github.com/boragecourse/boragecourse/internal/wait"
 )
@@ -33,7 +34,7 @@
 // drain waits for a termination signal and then takes the host out of service. Readiness fails at once, and requests
 // are still accepted until the load balancer has removed the host. After that, new streams are refused while the open
 // ones finish. Plain requests are still served until the listener closes, since some callers may reach no other host.
-func (f *Front) drain(ctx context.Context, signals <-chan os.Signal, servers []*http.Server) {
+func (f *Front) drain(ctx context.Context, signals <-chan os.Signal, servers []*keepalive.Server) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -89,7 +90,7 @@
 
 // closeCallers stops accepting connections and waits for the open requests. These are plain requests, which are short,
 // unless streams were still open when the drain time ended.
-func (f *Front) closeCallers(ctx context.Context, server *http.Server) {
+func (f *Front) closeCallers(ctx context.Context, server *keepalive.Server) {
 	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) && f.open.Load() > 0 {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -22,6 +22,7 @@
 
 	"github.com/boragecourse/boragecourse/internal/exchange"
 	"github.com/boragecourse/boragecourse/internal/fleet"
+	"github.com/boragecourse/boragecourse/internal/keepalive"
 	"github.com/boragecourse/boragecourse/internal/leader"
 	"github.com/boragecourse/boragecourse/internal/metrics"
 	"github.com/boragecourse/boragecourse/internal/peer"
@@ -165,7 +166,7 @@
 }
 
 // serve starts the HTTP servers. The first one serves the callers.
-func (f *Front) serve() []*http.Server {
+func (f *Front) serve() []*keepalive.Server {
 	ready := chi.NewRouter()
 	ready.Get(platform.ReadyPath, f.readyPage)
 	metricsRouter := chi.NewRouter()
@@ -177,7 +178,7 @@
 	})
 	callers := chi.NewRouter()
 	callers.HandleFunc("/*", f.handle)
-	var servers []*http.Server
+	var servers []*keepalive.Server
 	for _, s := range []struct {
 		listener net.Listener
 		handler  http.Handler
@@ -185,11 +186,11 @@
 		if s.listener == nil {
 			continue
 		}
-		server := &http.Server{
+		server := keepalive.New(&http.Server{
 			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerLimit,
-		}
+		}, s.listener)
 		servers = append(servers, server)
-		go func() { _ = server.Serve(s.listener) }()
+		go func() { _ = server.Serve() }()
 	}
 	return servers
 }
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -10,6 +10,7 @@
 
 	"github.com/boragecourse/boragecourse/internal/dispatch"
 	"github.com/boragecourse/boragecourse/internal/fleet"
+	"github.com/boragecourse/boragecourse/internal/keepalive"
 	"github.com/boragecourse/boragecourse/internal/metrics"
 	"github.com/boragecourse/boragecourse/internal/outcome"
 	"github.com/boragecourse/boragecourse/platform"
@@ -277,6 +278,11 @@
 		f.logRequest(x, "request served", nil, elapsed)
 		return
 	}
+	if r.Context().Err() != nil && keepalive.ClosedByHost(r.Context()) {
+		f.metrics.Inc("requests_cut")
+		f.logRequest(x, "request cut: its connection was closed by this host", err, elapsed)
+		panic(http.ErrAbortHandler)
+	}
 	if r.Context().Err() != nil && !x.started {
 		f.metrics.Inc("requests_canceled")
 		f.logRequest(x, "request canceled by caller", err, elapsed)
