Do not close a connection whose next request has been read

Callers saw: while a host drained, a request got neither a response nor a refusal; its connection ended about 2.5 s after SIGTERM. Cause: 2.5 s into a drain the host disabled keep-alive on its HTTP server, and net/http then closes each connection that it takes for idle. It takes a connection for idle until the next request has been read and parsed, so the request that a host had just read was canceled with its connection, after a backend server had begun to run it. http.Server.Shutdown, at the end of a drain, closes connections in the same way, and besides drops requests that are parsed after it has begun. The class of fault: a resource is released by another goroutine than the one that uses it, by a state that lags behind the use. Change: internal/keepalive ends connections in the goroutine that reads from them. It is woken by a read deadline and ends a connection only if no byte of a request has arrived, neither before nor at that moment. Shutdown waits for requests, also for those on connections that were accepted just before; responses of a draining host that had begun before the signal announce the end of their connection, too. The wait for plain requests at the end is bounded by the drain time instead of one second. Ruled out: the caller's own cancellation (the host closed first) and the end of the drain (it is seconds later).

--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"os"
 	"syscall"
@@ -25,8 +24,6 @@
 	// open for drainIdle, since a caller may be about to send a request on a connection that it has already opened.
 	drainPoll = 20 * time.Millisecond
 	drainIdle = 100 * time.Millisecond
-	// closeTimeout bounds the wait for requests that are still open when the listener closes.
-	closeTimeout = time.Second
 	// drainRetry is the Retry-After for streams that a draining host refuses; the retry reaches another host.
 	drainRetry = 200 * time.Millisecond
 )
@@ -52,16 +49,19 @@
 	end := f.now().Add(remaining)
 	f.drainEnd.Store(&end)
 	f.draining.Store(true)
+	callers := servers[0]
+	// The next request of a caller whose connection has ended goes through the load balancer to another host.
+	callers.AnnounceClose()
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
 	_ = wait.For(ctx, loadBalancerDelay)
 	f.refusingStreams.Store(true)
-	servers[0].SetKeepAlivesEnabled(false)
+	callers.EndIdle()
 	if err := f.awaitStreams(ctx); err != nil {
 		f.log.Error(err, "drain time ended with streams still open", "open", f.open.Load(), "streams", f.openStreams.Load())
 		f.metrics.Inc("drains_cut_short")
 	}
-	f.closeCallers(ctx, servers[0])
+	f.closeCallers(ctx, callers)
 	leaveCtx, cancelLeave := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
 	defer cancelLeave()
 	f.exchange.Leave(leaveCtx)
@@ -88,12 +88,10 @@
 	}
 }
 
-// closeCallers stops accepting connections and waits for the open requests. These are plain requests, which are short,
-// unless streams were still open when the drain time ended.
+// closeCallers stops accepting connections and waits for the open requests until the drain time ends. These are plain
+// requests, which are short, unless streams were still open when the drain time ended.
 func (f *Front) closeCallers(ctx context.Context, server *keepalive.Server) {
-	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) && f.open.Load() > 0 {
+	if err := server.Shutdown(ctx); err != nil {
 		f.log.Error(err, "failed to finish open requests within the drain time", "open", f.open.Load())
 		f.metrics.Inc("drains_cut_short")
 	}
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -87,10 +87,6 @@
 func (f *Front) handle(w http.ResponseWriter, r *http.Request) {
 	f.open.Add(1)
 	defer f.open.Add(-1)
-	if f.draining.Load() {
-		// Closing the connection makes the caller's next request go through the load balancer to another host.
-		w.Header().Set("Connection", "close")
-	}
 	x := &call{w: w}
 	ctx, cancel, err := f.admit(r, x)
 	if err == nil {
