Close the listener before the drain time ends, not at its end

Cause: the listener stayed open for as long as streams were open, up to the end of the drain time, and the requests of that moment were cut. Change: at the latest one second before the drain time ends the listener closes and idle connections end; streams go on until the end.

--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -16,6 +16,9 @@
 	// loadBalancerDelay is how long the load balancer takes to stop sending new connections: it probes readiness once a
 	// second and removes a host after two failed probes.
 	loadBalancerDelay = 2500 * time.Millisecond
+	// closeReserve is the last part of the drain time, in which no request is accepted so that plain requests that were
+	// accepted before can end.
+	closeReserve = time.Second
 	// exitMargin is the part of the shutdown grace period that is reserved for the process to exit before SIGKILL.
 	exitMargin = 400 * time.Millisecond
 	// leaveTimeout bounds the final report to the other hosts.
@@ -57,9 +60,10 @@
 	_ = wait.For(ctx, loadBalancerDelay)
 	f.refusingStreams.Store(true)
 	callers.EndIdle()
-	if err := f.awaitStreams(ctx); err != nil {
-		f.log.Error(err, "drain time ended with streams still open", "open", f.open.Load(), "streams", f.openStreams.Load())
-		f.metrics.Inc("drains_cut_short")
+	accepting, cancelAccepting := context.WithDeadline(ctx, end.Add(-closeReserve))
+	defer cancelAccepting()
+	if err := f.awaitStreams(accepting); err != nil {
+		f.log.Info("streams are still open as the listener closes", "open", f.open.Load(), "streams", f.openStreams.Load())
 	}
 	f.closeCallers(ctx, callers)
 	leaveCtx, cancelLeave := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
@@ -88,8 +92,7 @@
 	}
 }
 
-// closeCallers stops accepting connections and waits for the open requests until the drain time ends. These are plain
-// requests, which are short, unless streams were still open when the drain time ended.
+// closeCallers stops accepting connections and waits for the open requests until the drain time ends.
 func (f *Front) closeCallers(ctx context.Context, server *keepalive.Server) {
 	if err := server.Shutdown(ctx); err != nil {
 		f.log.Error(err, "failed to finish open requests within the drain time", "open", f.open.Load())
--- a/internal/front/drain_test.go
+++ b/internal/front/drain_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"strconv"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -17,10 +19,88 @@
 
 	"github.com/boragecourse/boragecourse/internal/fleet"
 	"github.com/boragecourse/boragecourse/internal/metrics"
+	"github.com/boragecourse/boragecourse/internal/outcome"
 	"github.com/boragecourse/boragecourse/platform"
 	"github.com/boragecourse/boragecourse/test/standin/users"
 )
 
+// drainFixture is a host with a plain backend server and an engine.
+type drainFixture struct {
+	*Front
+	g             *WithT
+	plain, engine *users.Worker
+	signals       chan os.Signal
+	stopped       chan error
+}
+
+// newDrainFixture runs a host. prepare is called before it starts.
+func newDrainFixture(t *testing.T, grace time.Duration, prepare func(f *Front)) *drainFixture {
+	t.Helper()
+	d := &drainFixture{g: NewWithT(t), signals: make(chan os.Signal, 1), stopped: make(chan error, 1)}
+	store := users.NewStore()
+	endpoint, err := store.StartEndpoint()
+	d.g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(endpoint.Close)
+	config := users.Configuration("stays.example", users.Tenant("guests", []string{"key"}, 100000))
+	config["version"] = 1
+	text, err := json.Marshal(config)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	store.Put("op/config", text)
+	d.plain = d.worker(t, store, users.WorkerOptions{ID: "app-1", Service: "app", Slots: 4, Work: 100 * time.Millisecond})
+	d.engine = d.worker(t, store, users.WorkerOptions{ID: "decode-1", Service: "llm", Stage: "decode", Slots: 4, Events: 10, EventPause: 370 * time.Millisecond})
+
+	settings := fleet.HostSettings{
+		Name: "front-1", Zone: "piran-a", FirstStart: true,
+		Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0", Peers: "127.0.0.1:0", Metrics: "127.0.0.1:0",
+	}
+	settings.Limits.ShutdownGrace = grace
+	d.Front, err = New(settings, platform.NewStore(endpoint.Addr), logr.Discard(), metrics.New())
+	d.g.Expect(err).NotTo(HaveOccurred())
+	prepare(d.Front)
+	go func() { d.stopped <- d.Run(context.Background(), d.signals) }()
+	d.g.Eventually(func() int { return len(d.allGroups()) }).WithTimeout(5 * time.Second).Should(Equal(2))
+	return d
+}
+
+func (d *drainFixture) worker(t *testing.T, store *users.Store, o users.WorkerOptions) *users.Worker {
+	t.Helper()
+	o.Zone = "piran-a"
+	w, err := users.StartWorker(o, "")
+	d.g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(w.Close)
+	w.Register(store, "ready")
+	return w
+}
+
+// send sends a request and returns its id, and an error unless its response is complete and successful.
+func (d *drainFixture) send(ctx context.Context, client *http.Client, path string) (string, error) {
+	id := strconv.FormatInt(requestNumber.Add(1), 10)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.callers.Addr().String()+path, http.NoBody)
+	if err != nil {
+		return id, err
+	}
+	req.Host = "stays.example"
+	for name, value := range map[string]string{
+		"Request-Id": id, "Authorization": "Bearer key", "Model": "m", "Token-Counts": "100,100", "Length-Hint": "50",
+	} {
+		req.Header.Set(name, value)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return id, err
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return id, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return id, &outcome.Error{Status: resp.StatusCode, Message: "unexpected status"}
+	}
+	return id, nil
+}
+
+var requestNumber atomic.Int64
+
 // heldListener accepts connections whose reads hold back what they have received while hold is open.
 type heldListener struct {
 	net.Listener
@@ -54,61 +134,65 @@
 // Guards against a request that is cut because the host, while it drains, closes a connection whose next request it has just
 // read.
 func TestDrainServesRequestsThatItHasRead(t *testing.T) {
-	g := NewWithT(t)
-	store := users.NewStore()
-	endpoint, err := store.StartEndpoint()
-	g.Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(endpoint.Close)
-	config := users.Configuration("stays.example", users.Tenant("guests", []string{"key"}, 100000))
-	config["version"] = 1
-	text, err := json.Marshal(config)
-	g.Expect(err).NotTo(HaveOccurred())
-	store.Put("op/config", text)
-	worker, err := users.StartWorker(users.WorkerOptions{ID: "app-1", Service: "app", Slots: 4, Zone: "piran-a"}, "")
-	g.Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(worker.Close)
-	worker.Register(store, "ready")
-
-	settings := fleet.HostSettings{Name: "front-1", Zone: "piran-a", Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0", Peers: "127.0.0.1:0", Metrics: "127.0.0.1:0", FirstStart: true}
-	settings.Limits.ShutdownGrace = 8 * time.Second
-	f, err := New(settings, platform.NewStore(endpoint.Addr), logr.Discard(), metrics.New())
-	g.Expect(err).NotTo(HaveOccurred())
 	hold := make(chan struct{})
-	f.callers = &heldListener{Listener: f.callers, hold: hold}
-	signals, stopped := make(chan os.Signal, 1), make(chan error, 1)
-	go func() { stopped <- f.Run(context.Background(), signals) }()
-
+	d := newDrainFixture(t, 8*time.Second, func(f *Front) { f.callers = &heldListener{Listener: f.callers, hold: hold} })
 	client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
-	reserve := func() error {
-		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+f.callers.Addr().String()+"/reserve/1", http.NoBody)
-		if err != nil {
-			return err
-		}
-		req.Host = "stays.example"
-		req.Header.Set("Request-Id", fmt.Sprint(time.Now().UnixNano()))
-		req.Header.Set("Authorization", "Bearer key")
-		resp, err := client.Do(req)
-		if err != nil {
-			return err
-		}
-		defer resp.Body.Close()
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return err
-		}
-		if resp.StatusCode != http.StatusOK {
-			return fmt.Errorf("status %d", resp.StatusCode)
-		}
-		return nil
-	}
-	g.Eventually(func() int { return len(f.allGroups()) }).Should(BeNumerically(">", 0))
-	g.Expect(reserve()).To(Succeed())
-	signals <- syscall.SIGTERM
+	_, err := d.send(t.Context(), client, "/reserve/1")
+	d.g.Expect(err).NotTo(HaveOccurred())
+	d.signals <- syscall.SIGTERM
 	time.Sleep(loadBalancerDelay - 200*time.Millisecond)
 	second := make(chan error, 1)
-	go func() { second <- reserve() }()
-	g.Eventually(f.refusingStreams.Load).WithTimeout(time.Second).Should(BeTrue())
+	go func() {
+		_, err := d.send(t.Context(), client, "/reserve/1")
+		second <- err
+	}()
+	d.g.Eventually(d.refusingStreams.Load).WithTimeout(time.Second).Should(BeTrue())
 	time.Sleep(50 * time.Millisecond)
 	close(hold)
-	g.Expect(<-second).To(Succeed())
-	g.Expect(<-stopped).To(Succeed())
+	d.g.Expect(<-second).To(Succeed())
+	d.g.Expect(<-d.stopped).To(Succeed())
+}
+
+// Guards against plain requests that are accepted just before the drain time ends, because streams are still open, and cut
+// at its end.
+func TestDrainServesRequestsThatItAcceptsLast(t *testing.T) {
+	d := newDrainFixture(t, 4500*time.Millisecond, func(*Front) {})
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for range 20 {
+		_, err := d.send(t.Context(), client, "/reserve/1")
+		d.g.Expect(err).NotTo(HaveOccurred())
+	}
+	d.signals <- syscall.SIGTERM
+	time.Sleep(loadBalancerDelay - 500*time.Millisecond)
+	go func() { _, _ = d.send(t.Context(), client, "/note/1") }()
+	type result struct {
+		id  string
+		err error
+	}
+	results := make(chan result)
+	for range 3 {
+		go func() {
+			for {
+				id, err := d.send(t.Context(), client, "/reserve/1")
+				results <- result{id, err}
+				if errors.Is(err, syscall.ECONNREFUSED) {
+					return
+				}
+			}
+		}()
+	}
+	served := 0
+	for refused := 0; refused < 3; {
+		r := <-results
+		switch {
+		case r.err == nil:
+			served++
+		case errors.Is(r.err, syscall.ECONNREFUSED):
+			refused++
+		default:
+			d.g.Expect(d.plain.Runs()[r.id]).To(BeZero(), "request %s ran and ended with %v", r.id, r.err)
+		}
+	}
+	d.g.Expect(served).To(BeNumerically(">", 0))
+	<-d.stopped
 }
