--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -10,6 +10,8 @@
 
 	"github.com/thejerf/suture/v4"
 	"google.golang.org/grpc"
+
+	"github.com/boragecourse/boragecourse/internal/keepalive"
 )
 
 // Supervision limits. A service that fails more often than failureThreshold, with failures decaying over failureDecay,
@@ -88,8 +90,8 @@
 		work.Add(s)
 	}
 	front := d.newSupervisor("front")
-	front.Add(&httpService{name: "callers", server: d.callerServer(), listener: d.listeners.callers})
-	front.Add(&httpService{name: "operators", server: d.operatorServer(), listener: d.listeners.operators})
+	front.Add(&httpService{name: "callers", server: keepalive.New(d.callerServer(), d.listeners.callers)})
+	front.Add(&httpService{name: "operators", server: keepalive.New(d.operatorServer(), d.listeners.operators)})
 	for _, s := range []*suture.Supervisor{control, peers, work, front} {
 		root.Add(s)
 	}
@@ -108,15 +110,14 @@
 
 // httpService runs an HTTP server on a listener that New has opened.
 type httpService struct {
-	name     string
-	server   *http.Server
-	listener net.Listener
+	name   string
+	server *keepalive.Server
 }
 
 // Serve implements suture.Service. The drain finishes open requests before ctx ends.
 func (h *httpService) Serve(ctx context.Context) error {
 	failed := make(chan error, 1)
-	go func() { failed <- h.server.Serve(h.listener) }()
+	go func() { failed <- h.server.Serve() }()
 	select {
 	case err := <-failed:
 		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
@@ -127,7 +128,7 @@
 		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout/2)
 		defer cancel()
 		if err := h.server.Shutdown(stop); err != nil {
-			_ = h.server.Close()
+			return errors.Join(ctx.Err(), err)
 		}
 		return ctx.Err()
 	}
