--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -37,6 +37,9 @@
 	if served < len(c.done)/4 {
 		g.t.Errorf("only %d of %d requests served", served, len(c.done))
 	}
+	if !slices.ContainsFunc(g.choices, func(f faultChoice) bool { return !slices.Contains(plannedWork, f) }) {
+		g.checkLost(c, runs)
+	}
 	g.checkRequests(c)
 	g.checkKey(c)
 	g.checkDrains(c)
@@ -50,6 +53,15 @@
 	g.checkIdle()
 }
 
+// checkLost checks that each request that ran and was not canceled by its caller got a complete response.
+func (g *soakRun) checkLost(c *callers, runs map[string]int) {
+	for _, o := range c.done {
+		if runs[o.id] > 0 && !o.canceled && (o.err != nil || o.broken) {
+			g.t.Errorf("%s %s ran at %s but got no complete response: status %d, %v", o.kind.name, o.id, g.f.hosts[o.host].spec.Name, o.status, o.err)
+		}
+	}
+}
+
 // checkRequests checks that requests reach backend servers with the workspace of the caller's key and without the key.
 func (g *soakRun) checkRequests(c *callers) {
 	sent := map[string]kind{}
