--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -11,14 +11,16 @@
 	"time"
 )
 
-// phase is what a connection is waiting for.
+// phase is the state of a connection with regard to its next request.
 type phase int
 
 const (
-	// fresh connections have carried no request yet.
+	// fresh connections have received nothing yet.
 	fresh phase = iota
-	// busy connections have received at least a part of a request that has not been responded to.
-	busy
+	// receiving connections have received a part of a request head.
+	receiving
+	// serving connections have a request that the handler has not finished.
+	serving
 	// idle connections wait for another request.
 	idle
 )
@@ -36,31 +38,32 @@
 	phase phase
 	// idleDeadlines counts the read deadlines that were set since the connection became idle.
 	idleDeadlines int
-	// endIdle and endNew are those of the server.
-	endIdle, endNew bool
+	// endIdle and endUnread are those of the server.
+	endIdle, endUnread bool
 	// deadline is the read deadline that the HTTP server has set. interrupted is set while past replaces it.
 	deadline    time.Time
 	interrupted bool
 }
 
-// Read implements net.Conn. It returns io.EOF if the connection is to end and no part of a request has arrived.
+// Read implements net.Conn. It returns io.EOF if the connection is to end and nothing more has arrived on it.
 func (c *conn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
 		if n > 0 {
-			c.setPhase(busy)
+			c.received()
 			return n, err
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.restoreDeadline() {
 			return n, err
 		}
-		if c.isBusy() {
+		if !c.ending() {
 			continue
 		}
 		if n := available(c.Conn, b); n > 0 {
-			c.setPhase(busy)
+			c.received()
 			return n, nil
 		}
+		c.closed.Store(true)
 		return 0, io.EOF
 	}
 }
@@ -75,33 +78,48 @@
 	if err != nil {
 		return 0
 	}
-	err = fd.Read(func(fd uintptr) bool {
-		n, err = syscall.Read(int(fd), b)
-		return true
-	})
-	if err != nil {
+	// Unlike Read, Control does not depend on the read deadline, which another goroutine may have moved to the past again.
+	var readErr error
+	err = fd.Control(func(fd uintptr) { n, readErr = syscall.Read(int(fd), b) })
+	if err != nil || readErr != nil {
 		return 0
 	}
-	return max(n, 0)
+	return n
 }
 
 // end asks the connection to end as soon as it is in one of the selected phases.
-func (c *conn) end(idle, fresh bool) {
+func (c *conn) end(endIdle, endUnread bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.endIdle, c.endNew = idle, fresh
+	c.endIdle, c.endUnread = endIdle, endUnread
 	c.interruptIfEnding()
 }
 
 // interruptIfEnding interrupts the read of a connection that is to end. c.mu must be held.
 func (c *conn) interruptIfEnding() {
-	if c.ending() && !c.interrupted {
+	if c.endsNow() && !c.interrupted {
 		c.interrupted = true
 		_ = c.Conn.SetReadDeadline(past)
 	}
 }
 
-func (c *conn) ending() bool { return c.phase == idle && c.endIdle || c.phase == fresh && c.endNew }
+// endsNow reports whether the connection is to end in its present phase. c.mu must be held.
+func (c *conn) endsNow() bool {
+	switch c.phase {
+	case idle:
+		return c.endIdle
+	case fresh, receiving:
+		return c.endUnread
+	default:
+		return false
+	}
+}
+
+func (c *conn) ending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.endsNow()
+}
 
 // restoreDeadline ends an interruption. It returns false if there was none.
 func (c *conn) restoreDeadline() bool {
@@ -121,10 +139,10 @@
 	defer c.mu.Unlock()
 	c.deadline = t
 	if c.phase == idle {
-		// The HTTP server sets the first deadline before it waits for the next request and the second one when the request has
-		// begun, which may be without a read: its beginning can arrive together with the previous request.
+		// net/http sets the first deadline before it waits for the next request and the second one when the request has begun.
+		// That may be without a read, since its beginning can arrive together with the previous request.
 		if c.idleDeadlines++; c.idleDeadlines == 2 {
-			c.phase = busy
+			c.phase = receiving
 		}
 	}
 	if c.interrupted {
@@ -138,6 +156,15 @@
 	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
 }
 
+// received records that bytes have arrived.
+func (c *conn) received() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == fresh || c.phase == idle {
+		c.phase = receiving
+	}
+}
+
 func (c *conn) setPhase(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -145,10 +172,18 @@
 	c.interruptIfEnding()
 }
 
-func (c *conn) isBusy() bool {
+func (c *conn) isServing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.phase == busy
+	return c.phase == serving
+}
+
+// CloseWrite ends the sending direction. net/http uses it to end a connection without losing its last response.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
 }
 
 // Close implements net.Conn.
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -2,8 +2,8 @@
 //
 // Server.Shutdown and Server.SetKeepAlivesEnabled of net/http close the connections that they take for idle. They take a
 // connection for idle until its next request has been parsed, so that they can cut a request that was read meanwhile.
-// Here the goroutine that reads from a connection decides: when it is told to end the connection, it does so only if no
-// part of a request has arrived.
+// Here the goroutine that reads from a connection decides: when it is told to end the connection, it does so only if it
+// still waits for the beginning of a request. Connections are plain TCP, without TLS, and may not be hijacked.
 package keepalive
 
 import (
@@ -20,8 +20,9 @@
 const (
 	// shutdownPoll is the interval at which Shutdown counts the open connections.
 	shutdownPoll = 5 * time.Millisecond
-	// firstRequestTime is how long Shutdown waits for the first request on a new connection.
-	firstRequestTime = 500 * time.Millisecond
+	// receiveTime is how long Shutdown waits for requests that have not been received completely, or not at all on a new
+	// connection.
+	receiveTime = 500 * time.Millisecond
 )
 
 // Server is an HTTP server with its listener.
@@ -29,14 +30,15 @@
 	http     *http.Server
 	listener net.Listener
 	// served is closed when Serve has returned, after which no connection is added.
-	served chan struct{}
+	served     chan struct{}
+	servedOnce sync.Once
 	// closing is set when responses announce the end of their connections.
 	closing atomic.Bool
 
 	mu    sync.Mutex
 	conns map[*conn]bool
-	// endIdle and endNew are set when connections in these phases are to end.
-	endIdle, endNew bool
+	// endIdle is set when idle connections are to end, endUnread when those are on which no complete request has arrived.
+	endIdle, endUnread bool
 }
 
 // New returns a server for the connections of a listener. It sets ConnContext and ConnState of the HTTP server and wraps
@@ -46,11 +48,7 @@
 	server.Handler = s.wrap(server.Handler)
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	server.ConnState = func(c net.Conn, state http.ConnState) {
-		switch c, ok := c.(*conn); {
-		case !ok:
-		case state == http.StateActive:
-			c.setPhase(busy)
-		case state == http.StateIdle:
+		if c, ok := c.(*conn); ok && state == http.StateIdle {
 			c.setPhase(idle)
 		}
 	}
@@ -59,12 +57,11 @@
 
 // Serve accepts connections until the server is shut down or closed. It returns the error that ended it.
 func (s *Server) Serve() error {
-	defer close(s.served)
+	defer s.servedOnce.Do(func() { close(s.served) })
 	return s.http.Serve((*listener)(s))
 }
 
-// AnnounceClose makes the responses whose header has not been sent yet, and all later ones, the last ones on their
-// connections.
+// AnnounceClose makes the responses to all later requests the last ones on their connections.
 func (s *Server) AnnounceClose() { s.closing.Store(true) }
 
 // EndIdle ends the connections that wait for another request, now and whenever a connection becomes idle later.
@@ -78,19 +75,18 @@
 // interrupt wakes the readers of all connections that are to end. s.mu must be held.
 func (s *Server) interrupt() {
 	for c := range s.conns {
-		c.end(s.endIdle, s.endNew)
+		c.end(s.endIdle, s.endUnread)
 	}
 }
 
-// UnfinishedError reports connections that were cut at the end of a shutdown.
+// UnfinishedError reports the number of requests that were cut at the end of a shutdown.
 type UnfinishedError struct {
-	// Busy is the number of connections on which at least a part of a request had arrived.
-	Busy  int
-	Cause error
+	Requests int
+	Cause    error
 }
 
 func (e *UnfinishedError) Error() string {
-	return fmt.Sprintf("%d requests unfinished at the end of the shutdown: %v", e.Busy, e.Cause)
+	return fmt.Sprintf("%d requests unfinished at the end of the shutdown: %v", e.Requests, e.Cause)
 }
 
 func (e *UnfinishedError) Unwrap() error { return e.Cause }
@@ -105,28 +101,28 @@
 	case <-s.served:
 	case <-ctx.Done():
 	}
-	firstRequest := time.NewTimer(firstRequestTime)
-	defer firstRequest.Stop()
+	receive := time.NewTimer(receiveTime)
+	defer receive.Stop()
 	poll := time.NewTicker(shutdownPoll)
 	defer poll.Stop()
 	for {
-		open, working := s.count()
-		if open == 0 {
+		if open, _ := s.count(); open == 0 {
 			return s.http.Close()
 		}
 		select {
 		case <-poll.C:
-		case <-firstRequest.C:
+		case <-receive.C:
 			s.mu.Lock()
-			s.endNew = true
+			s.endUnread = true
 			s.interrupt()
 			s.mu.Unlock()
 		case <-ctx.Done():
+			_, requests := s.count()
 			_ = s.http.Close()
-			if working == 0 {
+			if requests == 0 {
 				return nil
 			}
-			return &UnfinishedError{Busy: working, Cause: context.Cause(ctx)}
+			return &UnfinishedError{Requests: requests, Cause: context.Cause(ctx)}
 		}
 	}
 }
@@ -143,56 +139,31 @@
 	return err
 }
 
-// count returns the number of open connections and of those that are busy.
-func (s *Server) count() (open, working int) {
+// count returns the number of open connections and of requests being served.
+func (s *Server) count() (open, requests int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.isBusy() {
-			working++
+		if c.isServing() {
+			requests++
 		}
 	}
-	return len(s.conns), working
+	return len(s.conns), requests
 }
 
-// wrap marks the connection of each request as busy. Without that, a request that arrived together with the previous one
-// would leave its connection idle, since nothing more is read from it.
+// wrap marks the connection of a request as serving, and announces the end of the connection if the server does so.
 func (s *Server) wrap(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
-			c.setPhase(busy)
+			c.setPhase(serving)
 		}
-		handler.ServeHTTP(&responseWriter{ResponseWriter: w, server: s}, r)
+		if s.closing.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
 	})
 }
 
-// responseWriter announces the end of the connection in the response header if the server does so.
-type responseWriter struct {
-	http.ResponseWriter
-	server  *Server
-	started bool
-}
-
-// WriteHeader implements http.ResponseWriter.
-func (w *responseWriter) WriteHeader(status int) {
-	if !w.started && w.server.closing.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	w.started = true
-	w.ResponseWriter.WriteHeader(status)
-}
-
-// Write implements http.ResponseWriter.
-func (w *responseWriter) Write(b []byte) (int, error) {
-	if !w.started {
-		w.WriteHeader(http.StatusOK)
-	}
-	return w.ResponseWriter.Write(b)
-}
-
-// Unwrap supports http.ResponseController.
-func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
-
 type connKey struct{}
 
 // ClosedByHost reports whether this host has closed the connection of a request. It returns false while the request is
@@ -214,7 +185,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = true
-	c.end(l.endIdle, l.endNew)
+	c.end(l.endIdle, l.endUnread)
 	return c, nil
 }
 
