Log the era of the store and configurations with a repeated revision

The logs of a store that is restored from an older copy showed revisions only, so that two changes with the same number could not be told apart.

--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -49,6 +50,8 @@
 type Store interface {
 	Snapshot(ctx context.Context, prefix string) ([]kvstore.KeyValue, int64, error)
 	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]kvstore.Event, int64, error)
+	// Era returns the era that the store named last; it rises when the store is restored from an older copy.
+	Era() int64
 	leader.LeaseStore
 }
 
@@ -83,6 +86,9 @@
 	hosts   func() int
 	// configRevision is the store revision of the configuration that was decoded last.
 	configRevision int64
+	// configValue is the value that was decoded last, era the last known era of the store.
+	configValue []byte
+	era         int64
 }
 
 func newState(store Store, log logr.Logger, reg *metrics.Registry, now func() time.Time) *State {
@@ -183,8 +189,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	revision := min(configurationAt, serversAt, ownAt)
+	if era := s.store.Era(); era != s.era {
+		if s.copy.Revision() > 0 {
+			s.log.Info("store restored from an older copy", "era", era, "previousEra", s.era, "revision", revision, "previousRevision", s.copy.Revision())
+			s.metrics.Inc("store_restored")
+		}
+		s.era = era
+	}
 	if !s.copy.Replace(slices.Concat(configuration, servers, own), revision, requestedAt) {
-		s.log.Info("store snapshot older than local copy, not applied", "revision", revision, "present", s.copy.Revision())
+		s.log.Info("store snapshot older than local copy, not applied", "era", s.era, "revision", revision, "present", s.copy.Revision())
+		s.metrics.Inc("store_snapshots_refused")
 	}
 	s.applyCopy()
 	return nil
@@ -316,6 +330,11 @@
 
 func (s *State) applyConfiguration(item kvstore.KeyValue) {
 	if item.ModRevision == s.configRevision {
+		if !bytes.Equal(item.Value, s.configValue) {
+			s.configValue = item.Value
+			s.log.Info("another configuration has the revision of the present one, not decoded", "era", s.era, "revision", item.ModRevision)
+			s.metrics.Inc("configuration_revision_repeats")
+		}
 		return
 	}
 	next, err := platform.DecodeConfiguration(item.Value)
@@ -323,12 +342,12 @@
 		s.recordUnreadable(item.Key, err)
 		return
 	}
-	s.configRevision = item.ModRevision
+	s.configRevision, s.configValue = item.ModRevision, item.Value
 	if present := s.configuration.Load(); present != nil && next.Version <= present.Version {
 		return
 	}
 	s.configuration.Store(next)
-	s.log.Info("configuration activated", "version", next.Version, "revision", item.ModRevision)
+	s.log.Info("configuration activated", "version", next.Version, "era", s.era, "revision", item.ModRevision)
 	s.metrics.Set("configuration_version", int64(next.Version))
 	s.onConfig(next)
 }
