Test a store that is restored from an older copy, red

The stand-in of the store can be restored from an earlier content: the era rises, revisions and lease ids go back and are given out again, and a watch from a revision that it does not have gets 410.

--- a/test/standin/users/store.go
+++ b/test/standin/users/store.go
@@ -6,8 +6,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -53,11 +55,45 @@
 	revision  int64
 	leases    map[int64]*lease
 	changed   chan struct{}
+	// era rises with each Restore.
+	era int64
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{items: map[string]item{}, leases: map[int64]*lease{}, changed: make(chan struct{}), revision: 1}
+	return &Store{items: map[string]item{}, leases: map[int64]*lease{}, changed: make(chan struct{}), revision: 1, era: 1}
+}
+
+// Backup is the content of a store at an earlier time.
+type Backup struct {
+	items    map[string]item
+	history  []item
+	leases   map[int64]*lease
+	revision int64
+}
+
+// Backup copies the content of the store.
+func (s *Store) Backup() Backup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Backup{maps.Clone(s.items), slices.Clone(s.history), maps.Clone(s.leases), s.revision}
+}
+
+// Restore replaces the content of the store by an earlier one and begins a new era. Later writes get revisions that were
+// given out before.
+func (s *Store) Restore(b Backup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.items, s.history, s.leases, s.revision = maps.Clone(b.items), slices.Clone(b.history), maps.Clone(b.leases), b.revision
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) setEra(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 }
 
 // Endpoint is an HTTP endpoint of the store with its own injected fault.
@@ -114,6 +150,7 @@
 	e.mu.Unlock()
 	switch fault := e.currentFault(); {
 	case fault == Refusing:
+		e.store.setEra(w)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case fault == Unresponsive:
@@ -135,6 +172,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.expire()
+	s.setEra(w)
 	switch {
 	case r.URL.Path == "/api/kv-key":
 		s.serveKey(w, r)
@@ -198,7 +236,8 @@
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		if after < s.compacted {
+		if after < s.compacted || after > s.revision {
+			w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 			s.mu.Unlock()
 			reply(w, http.StatusGone, map[string]any{})
 			return
@@ -210,6 +249,7 @@
 			}
 		}
 		at, changed := s.revision, s.changed
+		w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 		s.mu.Unlock()
 		if len(events) > 0 {
 			reply(w, http.StatusOK, map[string]any{"events": events, "at": at})
--- a/test/users/store_test.go
+++ b/test/users/store_test.go
@@ -97,3 +97,33 @@
 	g.Expect(errors.As(err, &unavailable)).To(BeTrue())
 	g.Expect(time.Since(started)).To(BeNumerically("<", 3*time.Second))
 }
+
+// Guards against a revision that repeats and a lease of somebody else that is renewed after the store was restored.
+func TestStoreClientKeepsErasApart(t *testing.T) {
+	g := NewWithT(t)
+	store, _, client := openStore(t)
+	backup := store.Backup()
+	first, _, err := client.GrantLease(t.Context(), time.Minute)
+	g.Expect(err).NotTo(HaveOccurred())
+	written, err := client.Txn(t.Context(), nil, []kvstore.Write{{Key: "a", Value: []byte("1"), Lease: first}})
+	g.Expect(err).NotTo(HaveOccurred())
+	_, at, err := client.Snapshot(t.Context(), "a")
+	g.Expect(err).NotTo(HaveOccurred())
+
+	store.Restore(backup)
+	second, _, err := client.GrantLease(t.Context(), time.Minute)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(second).NotTo(Equal(first))
+	_, err = client.KeepAlive(t.Context(), first)
+	var expired *kvstore.LeaseExpiredError
+	g.Expect(errors.As(err, &expired)).To(BeTrue(), "the lease belongs to an earlier era")
+	again, err := client.Txn(t.Context(), nil, []kvstore.Write{{Key: "a", Value: []byte("2"), Lease: second}})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(again.Revision).To(BeNumerically(">", written.Revision))
+	items, _, err := client.Snapshot(t.Context(), "a")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(items[0].ModRevision).To(Equal(again.Revision))
+	g.Expect(items[0].Lease).To(Equal(second))
+	_, _, err = client.Changes(t.Context(), "a", at, 20*time.Millisecond)
+	g.Expect(err).To(HaveOccurred(), "the changes after a revision of an earlier era are not known")
+}
