Keep incarnations that left before a restore of the store out of use

A store that is restored from an older copy lists backend servers again that have left, some of them as ready although they had announced their departure, and misses those that registered in the lost time. Once hosts take the restored content, callers would be sent to servers that are gone, or to another service at the same address, and be refused while sound servers register again.

The registry remembers which incarnations have left, up to 1000. For 10 s after a restore it ignores entries of those that had left before; a later incarnation that is known under the id stays. Servers that are missing get the same grace as after an outage, however short the outage was.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -18,6 +18,13 @@
 // address. It is longer than a changed registration usually takes to arrive.
 const misdirectedPause = time.Second
 
+// restoredWindow is the time after a restore of the store within which it may list earlier states of backend servers. The
+// servers that are running have registered again by its end, and the entries of others have expired.
+const restoredWindow = 10 * time.Second
+
+// maxDeparted is the number of incarnations that have left which a Registry remembers.
+const maxDeparted = 1000
+
 // State is the registered state of one incarnation of a backend server.
 type State struct {
 	fleet.Server
@@ -55,20 +62,45 @@
 	servers map[string]*State
 	// storeRecovered is when the store became available again after an outage.
 	storeRecovered time.Time
+	// storeRestored is when the store was restored from an older copy, departed when incarnations left.
+	storeRestored time.Time
+	departed      map[incarnation]time.Time
+	// withheld is set while an entry is ignored because it may be from before the restore.
+	withheld bool
+}
+
+type incarnation struct {
+	id          string
+	startMillis int64
 }
 
 // New returns an empty registry.
-func New() *Registry { return &Registry{servers: map[string]*State{}} }
+func New() *Registry {
+	return &Registry{servers: map[string]*State{}, departed: map[incarnation]time.Time{}}
+}
 
 // StoreRecovered records that the store is available again after an outage. Backend servers whose registrations expired
 // in the meantime are kept for expiryGrace, so that they can register again.
 func (r *Registry) StoreRecovered(now time.Time) { r.storeRecovered = now }
 
+// StoreRestored records that the store was restored from an older copy. Backend servers that are missing there are kept
+// for expiryGrace, and incarnations that had left before are ignored for restoredWindow.
+func (r *Registry) StoreRestored(now time.Time) {
+	r.storeRecovered, r.storeRestored = now, now
+}
+
 // Update replaces the set of registered backend servers by the listed ones and returns the changes in order of id.
 func (r *Registry) Update(listed []fleet.Server, now time.Time) []Change {
 	var changes []Change
 	present := make(map[string]bool, len(listed))
+	r.withheld = false
 	for _, s := range listed {
+		if r.isFromBeforeRestore(s, now) {
+			r.withheld = true
+			// A known later incarnation counts as registered.
+			present[s.ID] = r.servers[s.ID] != nil
+			continue
+		}
 		present[s.ID] = true
 		if kind, changed := r.put(s, now); changed {
 			changes = append(changes, Change{Server: s, Kind: kind})
@@ -86,6 +118,7 @@
 			continue
 		}
 		delete(r.servers, id)
+		r.recordDeparture(s.Server, now)
 		changes = append(changes, Change{Server: s.Server, Kind: Removed})
 	}
 	sort.Slice(changes, func(i, j int) bool { return changes[i].Server.ID < changes[j].Server.ID })
@@ -100,6 +133,9 @@
 		r.servers[s.ID] = &State{Server: s, FirstSeen: now}
 		return Added, true
 	case old.StartMillis != s.StartMillis || old.Address != s.Address:
+		if old.StartMillis != s.StartMillis {
+			r.recordDeparture(old.Server, now)
+		}
 		r.servers[s.ID] = &State{Server: s, FirstSeen: now}
 		return Replaced, true
 	}
@@ -115,6 +151,23 @@
 	return Changed, changed
 }
 
+func (r *Registry) recordDeparture(s fleet.Server, now time.Time) {
+	if len(r.departed) >= maxDeparted {
+		clear(r.departed)
+	}
+	r.departed[incarnation{s.ID, s.StartMillis}] = now
+}
+
+// isFromBeforeRestore reports whether an entry may only be listed because the store was restored: its incarnation had
+// left before.
+func (r *Registry) isFromBeforeRestore(s fleet.Server, now time.Time) bool {
+	if r.storeRestored.IsZero() || now.Sub(r.storeRestored) >= restoredWindow {
+		return false
+	}
+	left, known := r.departed[incarnation{s.ID, s.StartMillis}]
+	return known && !left.After(r.storeRestored)
+}
+
 // mayReturn reports whether a missing registration may have expired only because the store was unavailable. A draining
 // backend server does not register again.
 func (r *Registry) mayReturn(s *State, now time.Time) bool {
@@ -134,6 +187,9 @@
 			next = at
 		}
 	}
+	if at := r.storeRestored.Add(restoredWindow); r.withheld && at.After(now) && (next.IsZero() || at.Before(next)) {
+		next = at
+	}
 	return next, !next.IsZero()
 }
 
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -89,3 +89,39 @@
 	g.Expect(due).To(BeTrue())
 	g.Expect(r.Usable(at)).To(HaveLen(1))
 }
+
+// Guards against work for incarnations that had left before the store was restored from a copy in which they are listed,
+// and against excluding an incarnation that registers later.
+func TestServersThatLeftBeforeARestoreGetNoWork(t *testing.T) {
+	g := NewWithT(t)
+	r := registry.New()
+	restarted, leaving := server("b"), server("c")
+	restarted.StartMillis, leaving.Draining = 2, true
+	before := []fleet.Server{server("a"), server("b"), server("c"), server("d")}
+	r.Update(before, start)
+	r.Update([]fleet.Server{restarted, leaving, server("d")}, start)
+	r.StoreRestored(start.Add(time.Second))
+	now := start.Add(1100 * time.Millisecond)
+	r.Update(before, now)
+	usable := r.Usable(now)
+	g.Expect(ids(usable)).To(Equal([]string{"b", "d"}), "a has left, c is draining")
+	g.Expect(usable[0].StartMillis).To(BeEquivalentTo(2))
+	at, due := r.NextCheck(now)
+	g.Expect(due).To(BeTrue())
+	r.Update([]fleet.Server{server("a"), restarted}, at)
+	g.Expect(ids(r.Usable(at))).To(Equal([]string{"a", "b"}))
+}
+
+// Guards against removing a backend server that a restored store does not list yet.
+func TestServersThatARestoreLostMayRegisterAgain(t *testing.T) {
+	g := NewWithT(t)
+	r := registry.New()
+	r.Update([]fleet.Server{server("a")}, start)
+	r.StoreRestored(start)
+	r.Update(nil, start.Add(time.Second))
+	g.Expect(ids(r.Usable(start))).To(Equal([]string{"a"}))
+	at, due := r.NextCheck(start.Add(time.Second))
+	g.Expect(due).To(BeTrue())
+	r.Update(nil, at)
+	g.Expect(r.Usable(at)).To(BeEmpty())
+}
