Order revisions of the store by its era

Cause: the store gives revisions out again after a restore, and hosts took a revision alone as the position in its history.

Change: the store's adapter adds the era that the store names to all revisions and lease ids (kvstore.InEra), so that they never go back and no number occurs twice; everything that compares them holds as it is. The hosts' copy takes a later era at any revision, and events only of its own. On the wire between hosts era and revision are separate, so that hosts of the build before, which send no era, keep working and do not set new ones back. Since the restored copy is now taken, the newest configuration travels between hosts by its version: a host that starts late gets it from the others although the store holds an older one, and is not ready before, for at most 3 s.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -9,7 +9,9 @@
 
 	"github.com/go-logr/logr"
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/boragecourse/boragecourse/internal/kvstore"
 	"github.com/boragecourse/boragecourse/internal/metrics"
 	"github.com/boragecourse/boragecourse/internal/peer"
 	"github.com/boragecourse/boragecourse/internal/wait"
@@ -44,6 +46,14 @@
 	connectionIdle = 10 * time.Second
 )
 
+// StateVersion is the version of a host's copy of the store.
+type StateVersion struct {
+	// Revision is the store's revision with its era (kvstore.InEra), 0 without a copy.
+	Revision int64
+	// Configuration is the version of the host's configuration, 0 if it has none.
+	Configuration uint64
+}
+
 // Local is the local host: it supplies the contents of reports and receives those of other hosts.
 type Local interface {
 	// Fill sets the resource usage and the state version in a report.
@@ -53,16 +63,16 @@
 	ReportsReceived(reports []*peerv1.FrontReport)
 	// Changed is called on each state transition of another host.
 	Changed(t Transition)
-	// State returns what has changed in the local copy of the store after a revision; 0 stands for all of it.
-	State(since int64) *peerv1.FetchStateResponse
-	// StateRevision returns the revision of the local copy of the store.
-	StateRevision() int64
+	// State returns what has changed in the local copy of the store after a version; revision 0 stands for all of it.
+	State(since StateVersion) *peerv1.FetchStateResponse
+	// StateVersion returns the version of the local copy of the store.
+	StateVersion() StateVersion
 	// ApplyState receives another host's copy of the store, or the changes of it after the local revision, requested at
 	// requestedAt. fromRelay is set when the other host is the relay that reads the store for this one.
 	ApplyState(from string, state *peerv1.FetchStateResponse, requestedAt time.Time, fromRelay bool)
-	// ShouldFetch reports whether a copy of the store with the given revision and age is newer than the local one while
-	// the store does not respond to this host.
-	ShouldFetch(revision int64, age time.Duration) bool
+	// ShouldFetch reports whether a copy of the store with the given version and age is needed: it is newer than the local
+	// one while the store does not respond to this host, or it has a configuration that the store no longer has.
+	ShouldFetch(version StateVersion, age time.Duration) bool
 }
 
 // Pool provides connections to other hosts. Prune closes those for which keep returns false.
@@ -343,7 +353,7 @@
 
 // request builds the message for a route, and returns the position of the feed that it leads to.
 func (e *Exchange) request(r Route) (*peerv1.ReportRequest, uint64) {
-	revision := e.local.StateRevision()
+	version := e.local.StateVersion()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	l := e.linkTo(r.Address)
@@ -359,7 +369,8 @@
 	}
 	now := e.now()
 	if r.Pull == AllReports && e.directory.FollowsRelay(now) {
-		request.FollowsStore, request.StoreRevision = true, revision
+		request.FollowsStore, request.StoreRevision = true, kvstore.WithoutEra(version.Revision)
+		request.StoreEra, request.ConfigurationVersion = proto.Int64(kvstore.Era(version.Revision)), version.Configuration
 	}
 	if r.Pull != NoReports && now.Sub(e.contactsAskedAt) >= contactsInterval || !e.directory.relayed() {
 		e.contactsAskedAt = now
@@ -445,7 +456,12 @@
 	complete := e.receive(r.Reports)
 	var state *peerv1.FetchStateResponse
 	if r.FollowsStore {
-		state = e.local.State(r.StoreRevision)
+		since := StateVersion{Revision: kvstore.InEra(r.GetStoreEra(), r.StoreRevision), Configuration: r.ConfigurationVersion}
+		if r.StoreEra == nil {
+			present := e.local.StateVersion()
+			since = StateVersion{kvstore.InEra(kvstore.Era(present.Revision), r.StoreRevision), present.Configuration}
+		}
+		state = e.local.State(since)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -475,8 +491,8 @@
 }
 
 // FetchState returns this host's copy of the store.
-func (e *Exchange) FetchState(context.Context, *peerv1.FetchStateRequest) (*peerv1.FetchStateResponse, error) {
-	return e.local.State(0), nil
+func (e *Exchange) FetchState(_ context.Context, r *peerv1.FetchStateRequest) (*peerv1.FetchStateResponse, error) {
+	return e.local.State(StateVersion{kvstore.InEra(r.Era, r.Revision), r.ConfigurationVersion}), nil
 }
 
 // receive records reports of other hosts and passes on those that are newer than the recorded ones. It returns false
@@ -491,6 +507,7 @@
 	var newer []*peerv1.FrontReport
 	var changes []Transition
 	var addresses []string
+	var versions []StateVersion
 	e.mu.Lock()
 	now := e.now()
 	for _, r := range reports {
@@ -513,6 +530,7 @@
 		}
 		if isNewer {
 			newer, addresses = append(newer, r), append(addresses, known.Address)
+			versions = append(versions, e.feed.version(r))
 		}
 	}
 	relay := e.directory.IsRelay(now)
@@ -526,7 +544,7 @@
 	}
 	e.local.ReportsReceived(newer)
 	for i, r := range newer {
-		if e.local.ShouldFetch(r.StateRevision, time.Duration(r.StateAgeMillis)*time.Millisecond) {
+		if e.local.ShouldFetch(versions[i], time.Duration(r.StateAgeMillis)*time.Millisecond) {
 			e.fetch(addresses[i])
 			break
 		}
@@ -553,7 +571,10 @@
 		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 		defer cancel()
 		requestedAt := e.now()
-		state, err := peerv1.NewFrontsClient(e.pool.Conn(address)).FetchState(ctx, &peerv1.FetchStateRequest{})
+		version := e.local.StateVersion()
+		state, err := peerv1.NewFrontsClient(e.pool.Conn(address)).FetchState(ctx, &peerv1.FetchStateRequest{
+			Revision: kvstore.WithoutEra(version.Revision), Era: kvstore.Era(version.Revision), ConfigurationVersion: version.Configuration,
+		})
 		if err != nil {
 			e.metrics.Inc("state_transfers_failed")
 			e.log.Error(err, "failed to fetch store copy from another host", "from", address)
--- a/internal/exchange/feed.go
+++ b/internal/exchange/feed.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/boragecourse/boragecourse/internal/kvstore"
 	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
 )
 
@@ -27,10 +28,10 @@
 	// report is the complete newest report. Its maps change; what they and its slices refer to does not.
 	report *peerv1.FrontReport
 	// recorded is the position at which this incarnation was first recorded, position that of the last change.
-	recorded, position     uint64
-	uses, evidence, limits uint64
-	admitted, generations  map[string]uint64
-	leftAt                 time.Time
+	recorded, position               uint64
+	uses, evidence, limits, versions uint64
+	admitted, generations            map[string]uint64
+	leftAt                           time.Time
 }
 
 func newFeed() *feed { return &feed{entries: map[string]*feedEntry{}, addresses: map[uint64]string{}} }
@@ -80,7 +81,7 @@
 		delete(f.addresses, old.report.Incarnation)
 	}
 	f.position++
-	e := &feedEntry{report: r, recorded: f.position, position: f.position, uses: f.position, evidence: f.position, limits: f.position, admitted: map[string]uint64{}, generations: map[string]uint64{}}
+	e := &feedEntry{report: r, recorded: f.position, position: f.position, uses: f.position, evidence: f.position, limits: f.position, versions: f.position, admitted: map[string]uint64{}, generations: map[string]uint64{}}
 	if r.Admitted == nil {
 		r.Admitted = map[string]int64{}
 	}
@@ -116,6 +117,10 @@
 	to := e.report
 	to.Sequence, to.Leaving, to.StateRevision, to.StateAgeMillis = r.Sequence, r.Leaving, r.StateRevision, r.StateAgeMillis
 	to.UptimeMillis = r.UptimeMillis
+	if r.StateEra > to.StateEra || r.ConfigurationVersion > to.ConfigurationVersion {
+		to.StateEra, to.ConfigurationVersion = max(r.StateEra, to.StateEra), max(r.ConfigurationVersion, to.ConfigurationVersion)
+		e.versions = f.position
+	}
 	if !r.KeepsUses {
 		to.Uses, to.ChangingStage, e.uses = r.Uses, r.ChangingStage, f.position
 	}
@@ -145,6 +150,16 @@
 	return nil
 }
 
+// version returns the version of the store's copy that a report names, completed by earlier reports of the host.
+func (f *feed) version(r *peerv1.FrontReport) StateVersion {
+	v := StateVersion{Revision: kvstore.InEra(r.StateEra, r.StateRevision), Configuration: r.ConfigurationVersion}
+	if known := f.incarnation(r.Incarnation); known != nil {
+		v.Revision = kvstore.InEra(max(r.StateEra, known.StateEra), r.StateRevision)
+		v.Configuration = max(r.ConfigurationVersion, known.ConfigurationVersion)
+	}
+	return v
+}
+
 // since returns what has changed after a position, for the hosts that include selects.
 func (f *feed) since(position uint64, include func(r *peerv1.FrontReport) bool) []*peerv1.FrontReport {
 	var out []*peerv1.FrontReport
@@ -171,6 +186,9 @@
 		if e.limits > position {
 			r.Limits = e.report.Limits
 		}
+		if e.versions > position {
+			r.StateEra, r.ConfigurationVersion = e.report.StateEra, e.report.ConfigurationVersion
+		}
 		for name, at := range e.admitted {
 			if at > position {
 				r.Admitted[name] = e.report.Admitted[name]
@@ -209,7 +227,7 @@
 		Name: r.Name, Address: r.Address, Zone: r.Zone, LinkMbps: r.LinkMbps, Incarnation: r.Incarnation, Sequence: r.Sequence, Leaving: r.Leaving,
 		Admitted: maps.Clone(r.Admitted), Uses: r.Uses, StateRevision: r.StateRevision, StateAgeMillis: r.StateAgeMillis,
 		Generations: maps.Clone(r.Generations), ChangingStage: r.ChangingStage, Evidence: r.Evidence, Limits: r.Limits,
-		UptimeMillis: r.UptimeMillis,
+		UptimeMillis: r.UptimeMillis, StateEra: r.StateEra, ConfigurationVersion: r.ConfigurationVersion,
 	}
 }
 
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -200,14 +200,16 @@
 	}
 }
 
-// State, StateRevision, ApplyState and ShouldFetch implement exchange.Local.
-func (m *member) State(int64) *peerv1.FetchStateResponse { return &peerv1.FetchStateResponse{} }
+// State, StateVersion, ApplyState and ShouldFetch implement exchange.Local.
+func (m *member) State(exchange.StateVersion) *peerv1.FetchStateResponse {
+	return &peerv1.FetchStateResponse{}
+}
 
-func (m *member) StateRevision() int64 { return 0 }
+func (m *member) StateVersion() exchange.StateVersion { return exchange.StateVersion{} }
 
 func (m *member) ApplyState(string, *peerv1.FetchStateResponse, time.Time, bool) {}
 
-func (m *member) ShouldFetch(int64, time.Duration) bool { return false }
+func (m *member) ShouldFetch(exchange.StateVersion, time.Duration) bool { return false }
 
 // expectConsistent checks that each host knows exactly what all others have admitted and use.
 func (n *network) expectConsistent(when string) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -206,9 +206,15 @@
 // one. Until a report is received, the process does not know which slots of the backend servers the other hosts use.
 const contactTimeout = 800 * time.Millisecond
 
-// startupDone reports whether another host is reachable or contactTimeout has passed since the start.
+// catchUpTimeout is how long a new process that has an older configuration than other hosts waits for theirs before it
+// becomes ready.
+const catchUpTimeout = 3 * time.Second
+
+// startupDone reports whether another host is reachable or contactTimeout has passed since the start, and the
+// configuration is as new as that of the other hosts or catchUpTimeout has passed.
 func (f *Front) startupDone() bool {
-	return len(f.exchange.Contacts()) > 0 || f.now().Sub(f.startedAt) > contactTimeout
+	uptime := f.now().Sub(f.startedAt)
+	return (len(f.exchange.Contacts()) > 0 || uptime > contactTimeout) && (uptime > catchUpTimeout || !f.state.Outdated())
 }
 
 // previousProcessEnd returns the latest time at which an earlier process of this host may have been running, or the
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -41,8 +41,9 @@
 	f.stages.fill(r, f.allGroups())
 	r.Evidence = f.quarantine.evidence()
 	f.limits.fill(r, f.startedAt, f.now())
-	revision, confirmed := f.state.Version()
-	r.StateRevision, r.StateAgeMillis = revision, f.now().Sub(confirmed).Milliseconds()
+	version, confirmed := f.state.Version()
+	r.StateRevision, r.StateEra = kvstore.WithoutEra(version.Revision), kvstore.Era(version.Revision)
+	r.ConfigurationVersion, r.StateAgeMillis = version.Configuration, f.now().Sub(confirmed).Milliseconds()
 }
 
 // ReportsReceived implements exchange.Local.
@@ -138,20 +139,20 @@
 }
 
 // State implements exchange.Local.
-func (f *Front) State(since int64) *peerv1.FetchStateResponse {
+func (f *Front) State(since exchange.StateVersion) *peerv1.FetchStateResponse {
 	t := f.state.Since(since)
 	now := f.now()
 	out := &peerv1.FetchStateResponse{
-		Revision: t.Revision, AgeMillis: now.Sub(t.ConfirmedAt).Milliseconds(), Partial: t.Partial, StoreLost: t.StoreLost,
+		Revision: kvstore.WithoutEra(t.Revision), Era: kvstore.Era(t.Revision), Configuration: t.Configuration, AgeMillis: now.Sub(t.ConfirmedAt).Milliseconds(), Partial: t.Partial, StoreLost: t.StoreLost,
 	}
 	if !t.RecoveredAt.IsZero() {
 		out.Recovered, out.RecoveredAgeMillis = true, now.Sub(t.RecoveredAt).Milliseconds()
 	}
 	for _, item := range t.Items {
-		out.Items = append(out.Items, &peerv1.StateItem{Key: item.Key, Value: item.Value, Revision: item.ModRevision})
+		out.Items = append(out.Items, &peerv1.StateItem{Key: item.Key, Value: item.Value, Revision: kvstore.WithoutEra(item.ModRevision)})
 	}
 	for _, r := range t.Removed {
-		out.Removed = append(out.Removed, &peerv1.RemovedItem{Key: r.Key, Revision: r.Revision})
+		out.Removed = append(out.Removed, &peerv1.RemovedItem{Key: r.Key, Revision: kvstore.WithoutEra(r.Revision)})
 	}
 	return out
 }
@@ -159,28 +160,28 @@
 // ApplyState implements exchange.Local.
 func (f *Front) ApplyState(from string, state *peerv1.FetchStateResponse, requestedAt time.Time, fromRelay bool) {
 	t := Transfer{
-		Partial: state.Partial, Revision: state.Revision, StoreLost: state.StoreLost,
+		Partial: state.Partial, Revision: kvstore.InEra(state.Era, state.Revision), Configuration: state.Configuration, StoreLost: state.StoreLost,
 		ConfirmedAt: requestedAt.Add(-time.Duration(state.AgeMillis) * time.Millisecond),
 	}
 	if state.Recovered {
 		t.RecoveredAt = requestedAt.Add(-time.Duration(state.RecoveredAgeMillis) * time.Millisecond)
 	}
 	for _, item := range state.Items {
-		t.Items = append(t.Items, kvstore.KeyValue{Key: item.Key, Value: item.Value, ModRevision: item.Revision})
+		t.Items = append(t.Items, kvstore.KeyValue{Key: item.Key, Value: item.Value, ModRevision: kvstore.InEra(state.Era, item.Revision)})
 	}
 	for _, r := range state.Removed {
-		t.Removed = append(t.Removed, replica.Removal{Key: r.Key, Revision: r.Revision})
+		t.Removed = append(t.Removed, replica.Removal{Key: r.Key, Revision: kvstore.InEra(state.Era, r.Revision)})
 	}
 	f.state.ReceiveCopy(from, t, fromRelay)
 }
 
-// StateRevision implements exchange.Local.
-func (f *Front) StateRevision() int64 {
-	revision, _ := f.state.Version()
-	return revision
+// StateVersion implements exchange.Local.
+func (f *Front) StateVersion() exchange.StateVersion {
+	version, _ := f.state.Version()
+	return version
 }
 
 // ShouldFetch implements exchange.Local.
-func (f *Front) ShouldFetch(revision int64, age time.Duration) bool {
-	return f.state.ShouldFetch(revision, age)
+func (f *Front) ShouldFetch(version exchange.StateVersion, age time.Duration) bool {
+	return f.state.ShouldFetch(version, age)
 }
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/boragecourse/boragecourse/internal/exchange"
 	"github.com/boragecourse/boragecourse/internal/fleet"
 	"github.com/boragecourse/boragecourse/internal/kvstore"
 	"github.com/boragecourse/boragecourse/internal/leader"
@@ -50,8 +51,6 @@
 type Store interface {
 	Snapshot(ctx context.Context, prefix string) ([]kvstore.KeyValue, int64, error)
 	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]kvstore.Event, int64, error)
-	// Era returns the era that the store named last; it rises when the store is restored from an older copy.
-	Era() int64
 	leader.LeaseStore
 }
 
@@ -86,9 +85,12 @@
 	hosts   func() int
 	// configRevision is the store revision of the configuration that was decoded last.
 	configRevision int64
-	// configValue is the value that was decoded last, era the last known era of the store.
+	// configValue is the value of the active configuration. The store may hold an older one after it was restored.
 	configValue []byte
-	era         int64
+	// reportedVersion is the highest version of a configuration that another host has reported, outdatedSince when this
+	// host was first found to have an older one.
+	reportedVersion uint64
+	outdatedSince   time.Time
 }
 
 func newState(store Store, log logr.Logger, reg *metrics.Registry, now func() time.Time) *State {
@@ -113,13 +115,13 @@
 			continue
 		}
 		if !read {
-			err := s.readAll(ctx)
+			applied, err := s.readAll(ctx)
 			if ctx.Err() != nil {
 				break
 			}
 			s.recordStoreResult(err)
 			read = err == nil
-			if err != nil {
+			if !applied {
 				_ = wait.For(ctx, s.retryWait())
 			}
 			continue
@@ -130,9 +132,12 @@
 		}
 		s.recordStoreResult(err)
 		var compacted *platform.CompactedError
+		var restored *platform.RestoredError
 		switch {
+		case errors.As(err, &restored):
+			read = false
 		case errors.As(err, &compacted):
-			s.log.Info("store history compacted; reading full snapshot", "after", compacted.After)
+			s.log.Info("store history compacted; reading full snapshot", "after", kvstore.WithoutEra(compacted.After))
 			s.metrics.Inc("store_compacted")
 			read = false
 		case err != nil:
@@ -171,37 +176,61 @@
 	return s.copy.Revision() > 0 && !s.relayLostStore && s.now().Sub(s.copy.ConfirmedAt()) < followLimit
 }
 
-func (s *State) readAll(ctx context.Context) error {
+// readAll replaces the copy by a snapshot of the store. It reports false if the snapshot is older than the copy.
+func (s *State) readAll(ctx context.Context) (bool, error) {
 	requestedAt := s.now()
-	configuration, configurationAt, err := s.store.Snapshot(ctx, platform.ConfigurationKey)
-	if err != nil {
-		return err
-	}
-	servers, serversAt, err := s.store.Snapshot(ctx, platform.RegistrationPrefix)
-	if err != nil {
-		return err
-	}
-	own, ownAt, err := s.store.Snapshot(ctx, s.ownPrefix)
+	items, revision, err := s.snapshot(ctx)
 	if err != nil {
-		return err
+		return false, err
 	}
 	s.recordStoreResult(nil)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	revision := min(configurationAt, serversAt, ownAt)
-	if era := s.store.Era(); era != s.era {
-		if s.copy.Revision() > 0 {
-			s.log.Info("store restored from an older copy", "era", era, "previousEra", s.era, "revision", revision, "previousRevision", s.copy.Revision())
-			s.metrics.Inc("store_restored")
-		}
-		s.era = era
-	}
-	if !s.copy.Replace(slices.Concat(configuration, servers, own), revision, requestedAt) {
-		s.log.Info("store snapshot older than local copy, not applied", "era", s.era, "revision", revision, "present", s.copy.Revision())
+	applied := s.replaceCopy(items, revision, requestedAt)
+	if !applied {
+		s.log.Info("store snapshot older than local copy, not applied", "era", kvstore.Era(revision), "revision", kvstore.WithoutEra(revision),
+			"present", kvstore.WithoutEra(s.copy.Revision()))
 		s.metrics.Inc("store_snapshots_refused")
 	}
 	s.applyCopy()
-	return nil
+	return applied, nil
+}
+
+// snapshot reads all keys of interest and returns the lowest of their revisions. The error is a *platform.RestoredError
+// if the store was restored meanwhile.
+func (s *State) snapshot(ctx context.Context) ([]kvstore.KeyValue, int64, error) {
+	var all []kvstore.KeyValue
+	var lowest int64
+	for _, prefix := range []string{platform.ConfigurationKey, platform.RegistrationPrefix, s.ownPrefix} {
+		items, revision, err := s.store.Snapshot(ctx, prefix)
+		if err != nil {
+			return nil, 0, err
+		}
+		if lowest != 0 && kvstore.Era(revision) != kvstore.Era(lowest) {
+			return nil, 0, &platform.RestoredError{Previous: kvstore.Era(lowest), Era: kvstore.Era(revision)}
+		}
+		if lowest == 0 || revision < lowest {
+			lowest = revision
+		}
+		all = append(all, items...)
+	}
+	return all, lowest, nil
+}
+
+// replaceCopy replaces the copy by a complete state of the store. It reports false if that is older. s.mu must be held.
+func (s *State) replaceCopy(items []kvstore.KeyValue, revision int64, confirmed time.Time) bool {
+	previous := s.copy.Revision()
+	if !s.copy.Replace(items, revision, confirmed) {
+		return false
+	}
+	if previous > 0 && kvstore.Era(revision) > kvstore.Era(previous) {
+		s.log.Info("store restored from an older copy", "era", kvstore.Era(revision), "previousEra", kvstore.Era(previous),
+			"revision", kvstore.WithoutEra(revision), "previousRevision", kvstore.WithoutEra(previous))
+		s.metrics.Inc("store_restored")
+		s.recoveredAt = s.now()
+		s.servers.StoreRestored(s.recoveredAt)
+	}
+	return true
 }
 
 func (s *State) readChanges(ctx context.Context) (bool, error) {
@@ -238,15 +267,16 @@
 }
 
 // recordStoreResult records the result of a call to the store and logs when the store becomes unreachable or reachable
-// again. A compaction error counts as success, since only a reachable store returns it.
+// again. Errors that only a reachable store returns count as success.
 func (s *State) recordStoreResult(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
 	var compacted *platform.CompactedError
-	if ok := err == nil || errors.As(err, &compacted); !ok {
+	var restored *platform.RestoredError
+	if ok := err == nil || errors.As(err, &compacted) || errors.As(err, &restored); !ok {
 		if s.storeOK {
-			s.log.Error(err, "store lost", "revision", s.copy.Revision())
+			s.log.Error(err, "store lost", "revision", kvstore.WithoutEra(s.copy.Revision()))
 			s.metrics.Inc("store_lost")
 		}
 		s.storeOK, s.storeLost = false, true
@@ -298,7 +328,7 @@
 	}
 	for _, c := range s.servers.Update(servers, now) {
 		s.log.Info("backend server "+string(c.Kind), "server", c.Server.ID, "service", c.Server.Service,
-			"address", c.Server.Address, "stage", c.Server.Stage, "born", c.Server.StartMillis, "revision", s.copy.Revision())
+			"address", c.Server.Address, "stage", c.Server.Stage, "born", c.Server.StartMillis, "revision", kvstore.WithoutEra(s.copy.Revision()))
 		s.metrics.Inc("registration_changes", metrics.L("kind", string(c.Kind)))
 	}
 	s.scheduleRecheck(now)
@@ -328,28 +358,44 @@
 	}
 }
 
+// applyConfiguration activates the stored configuration if it is newer than the active one. s.mu must be held.
 func (s *State) applyConfiguration(item kvstore.KeyValue) {
 	if item.ModRevision == s.configRevision {
-		if !bytes.Equal(item.Value, s.configValue) {
-			s.configValue = item.Value
-			s.log.Info("another configuration has the revision of the present one, not decoded", "era", s.era, "revision", item.ModRevision)
-			s.metrics.Inc("configuration_revision_repeats")
-		}
 		return
 	}
-	next, err := platform.DecodeConfiguration(item.Value)
+	if s.activate(item.Value, item.ModRevision) {
+		s.configRevision = item.ModRevision
+	}
+}
+
+// activate activates a configuration that was stored at a revision, 0 if that is not known, if it is newer than the
+// active one. It reports whether the value could be decoded. s.mu must be held.
+func (s *State) activate(value []byte, revision int64) bool {
+	next, err := platform.DecodeConfiguration(value)
 	if err != nil {
-		s.recordUnreadable(item.Key, err)
-		return
+		s.recordUnreadable(platform.ConfigurationKey, err)
+		return false
 	}
-	s.configRevision, s.configValue = item.ModRevision, item.Value
-	if present := s.configuration.Load(); present != nil && next.Version <= present.Version {
-		return
+	if next.Version <= s.configurationVersion() {
+		return true
 	}
+	s.configValue = value
 	s.configuration.Store(next)
-	s.log.Info("configuration activated", "version", next.Version, "era", s.era, "revision", item.ModRevision)
+	if next.Version >= s.reportedVersion {
+		s.outdatedSince = time.Time{}
+	}
+	s.log.Info("configuration activated", "version", next.Version, "era", kvstore.Era(revision), "revision", kvstore.WithoutEra(revision))
 	s.metrics.Set("configuration_version", int64(next.Version))
 	s.onConfig(next)
+	return true
+}
+
+// configurationVersion returns the version of the active configuration, 0 if there is none.
+func (s *State) configurationVersion() uint64 {
+	if present := s.configuration.Load(); present != nil {
+		return present.Version
+	}
+	return 0
 }
 
 // MarkMisdirected records that a response came from another backend server or stage than the one registered at the
@@ -366,11 +412,21 @@
 // the copy stays younger than this.
 const staleAfter = watchWait + watchPause + 250*time.Millisecond
 
-// Version returns the store revision of the copy and the time at which the copy was last known to be current.
-func (s *State) Version() (int64, time.Time) {
+// configurationLag is the time within which a configuration that another host has usually arrives from the store.
+const configurationLag = 500 * time.Millisecond
+
+// Version returns the version of the copy and the time at which the copy was last known to be current.
+func (s *State) Version() (exchange.StateVersion, time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.copy.Revision(), s.copy.ConfirmedAt()
+	return exchange.StateVersion{Revision: s.copy.Revision(), Configuration: s.configurationVersion()}, s.copy.ConfirmedAt()
+}
+
+// Outdated reports whether another host has a newer configuration that should have arrived by now.
+func (s *State) Outdated() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.outdatedSince.IsZero()
 }
 
 // Transfer is what one host passes on of its copy of the store.
@@ -380,21 +436,29 @@
 	Removed  []replica.Removal
 	Partial  bool
 	Revision int64
+	// Configuration is the newest configuration if the receiver lacks it and it is not among the items.
+	Configuration []byte
 	// ConfirmedAt is when the copy was last known to be current; RecoveredAt is when the last outage of the store ended,
 	// zero when that was long ago. StoreLost is set while the store does not respond to the host.
 	ConfirmedAt, RecoveredAt time.Time
 	StoreLost                bool
 }
 
-// Since returns what has changed in the copy after a revision, or all of it when that is not known.
-func (s *State) Since(revision int64) Transfer {
+// Since returns what has changed in the copy after a version, or all of it when that is not known.
+func (s *State) Since(version exchange.StateVersion) Transfer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := Transfer{Revision: s.copy.Revision(), ConfirmedAt: s.copy.ConfirmedAt(), StoreLost: s.storeLost}
 	if s.now().Sub(s.recoveredAt) < recoveryNotice {
 		t.RecoveredAt = s.recoveredAt
 	}
-	t.Items, t.Removed, t.Partial = s.copy.Since(revision)
+	t.Items, t.Removed, t.Partial = s.copy.Since(version.Revision)
+	included := slices.ContainsFunc(t.Items, func(item kvstore.KeyValue) bool {
+		return item.Key == platform.ConfigurationKey && bytes.Equal(item.Value, s.configValue)
+	})
+	if version.Configuration < s.configurationVersion() && !included {
+		t.Configuration = s.configValue
+	}
 	return t
 }
 
@@ -411,9 +475,9 @@
 	return own, s.copy.Revision() > 0
 }
 
-// ShouldFetch reports whether a peer's copy with the given revision and age should be fetched: it is newer, and the
-// store has not confirmed the local copy for as long as it should have.
-func (s *State) ShouldFetch(revision int64, age time.Duration) bool {
+// ShouldFetch reports whether a peer's copy with the given version and age should be fetched: it is newer, and the store
+// has not confirmed the local copy for as long as it should have, or it has a configuration that the store has lost.
+func (s *State) ShouldFetch(version exchange.StateVersion, age time.Duration) bool {
 	limit := staleAfter
 	if s.follows() {
 		limit = followLimit
@@ -421,7 +485,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	return revision > s.copy.Revision() && now.Sub(s.copy.ConfirmedAt()) > limit && now.Add(-age).After(s.copy.ConfirmedAt())
+	if s.lacksConfiguration(version.Configuration, now) {
+		return true
+	}
+	return version.Revision > s.copy.Revision() && now.Sub(s.copy.ConfirmedAt()) > limit && now.Add(-age).After(s.copy.ConfirmedAt())
+}
+
+// lacksConfiguration records the version of another host's configuration and reports whether this host has had an older
+// one for configurationLag. s.mu must be held.
+func (s *State) lacksConfiguration(reported uint64, now time.Time) bool {
+	if reported <= s.configurationVersion() {
+		return false
+	}
+	s.reportedVersion = max(s.reportedVersion, reported)
+	if s.outdatedSince.IsZero() {
+		s.outdatedSince = now
+	}
+	return now.Sub(s.outdatedSince) >= configurationLag
 }
 
 // ReceiveCopy applies what another host passes on of its copy, if that is newer. fromRelay is set when that host reads
@@ -433,6 +513,9 @@
 		s.relayLostStore = t.StoreLost
 		s.storeLost = s.storeLost && t.StoreLost
 	}
+	if t.Configuration != nil {
+		s.activate(t.Configuration, 0)
+	}
 	if t.Revision < s.copy.Revision() || t.Revision == 0 {
 		return
 	}
@@ -451,13 +534,13 @@
 	if t.Partial {
 		s.copy.Apply(events, t.Revision, t.ConfirmedAt)
 	} else {
-		s.copy.Replace(t.Items, t.Revision, t.ConfirmedAt)
+		s.replaceCopy(t.Items, t.Revision, t.ConfirmedAt)
 	}
 	if !newer {
 		return
 	}
 	if !fromRelay {
-		s.log.Info("store copy replaced by a newer one from another host", "from", from, "revision", t.Revision, "age", s.now().Sub(t.ConfirmedAt))
+		s.log.Info("store copy replaced by a newer one from another host", "from", from, "revision", kvstore.WithoutEra(t.Revision), "age", s.now().Sub(t.ConfirmedAt))
 		s.metrics.Inc("state_transfers")
 	}
 	s.applyCopy()
--- a/internal/kvstore/store.go
+++ b/internal/kvstore/store.go
@@ -12,7 +12,7 @@
 )
 
 // KeyValue is one stored value. ModRevision is the store's revision at the last change of the key and serves for
-// compare-and-swap; the store's revision rises with each change of any key.
+// compare-and-swap; the store's revision rises with each change of any key. See InEra for stores that may be restored.
 type KeyValue struct {
 	Key         string
 	Value       []byte
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -11,8 +11,8 @@
 	"github.com/boragecourse/boragecourse/internal/kvstore"
 )
 
-// Copy is the content of some key prefixes of the store at a revision. The zero value is an empty copy. It is not safe
-// for concurrent use.
+// Copy is the content of some key prefixes of the store at a revision, which includes the era (kvstore.InEra). The zero
+// value is an empty copy. It is not safe for concurrent use.
 type Copy struct {
 	items    map[string]kvstore.KeyValue
 	revision int64
@@ -54,7 +54,7 @@
 		c.items[item.Key] = item
 		delete(c.removed, item.Key)
 	}
-	if old == nil {
+	if old == nil || c.fromOtherEra(revision) {
 		c.removed, c.removalsFrom = map[string]int64{}, revision
 	}
 	for key := range old {
@@ -68,8 +68,11 @@
 }
 
 // Apply applies events up to a revision and skips those that the copy already includes. It reports whether an item
-// changed.
+// changed. Events of another era than that of the copy are not applied.
 func (c *Copy) Apply(events []kvstore.Event, revision int64, confirmed time.Time) bool {
+	if c.fromOtherEra(revision) {
+		return false
+	}
 	changed := false
 	for _, e := range events {
 		if old, exists := c.items[e.Key]; exists && old.ModRevision >= e.ModRevision {
@@ -92,6 +95,10 @@
 	return changed
 }
 
+func (c *Copy) fromOtherEra(revision int64) bool {
+	return c.revision != 0 && kvstore.Era(revision) != kvstore.Era(c.revision)
+}
+
 // remember records the removal of a key. When too many are recorded, it forgets all of them.
 func (c *Copy) remember(key string, revision int64) {
 	if c.removed == nil || len(c.removed) >= maxRemovals {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -69,3 +69,22 @@
 	_, _, partial = source.Since(15)
 	g.Expect(partial).To(BeFalse(), "too many removals to remember")
 }
+
+// Guards against a copy that refuses a restored store because its revisions have gone back, mixes two eras, or passes on
+// changes after a revision that was given out again.
+func TestCopyOfARestoredStore(t *testing.T) {
+	g := NewWithT(t)
+	at := time.Unix(1000, 0)
+	inEra := func(era, revision int64) int64 { return kvstore.InEra(era, revision) }
+	var c replica.Copy
+	g.Expect(c.Replace([]kvstore.KeyValue{item("a", "1", inEra(1, 30)), item("b", "1", inEra(1, 20))}, inEra(1, 40), at)).To(BeTrue())
+	g.Expect(c.Apply([]kvstore.Event{{KeyValue: item("a", "2", inEra(2, 31))}}, inEra(2, 41), at)).To(BeFalse(), "only a snapshot begins an era")
+	g.Expect(c.Replace([]kvstore.KeyValue{item("a", "0", inEra(2, 5))}, inEra(2, 10), at)).To(BeTrue())
+	g.Expect(c.Replace(nil, inEra(1, 50), at)).To(BeFalse(), "a copy of another host from before the restore")
+	g.Expect(c.Apply([]kvstore.Event{{KeyValue: item("b", "2", inEra(1, 41))}}, inEra(1, 41), at)).To(BeFalse())
+	g.Expect(c.Items()).To(Equal([]kvstore.KeyValue{item("a", "0", inEra(2, 5))}))
+	_, _, partial := c.Since(inEra(1, 40))
+	g.Expect(partial).To(BeFalse())
+	_, _, partial = c.Since(inEra(2, 10))
+	g.Expect(partial).To(BeTrue())
+}
