Make a new leader wait although a restore lost the record of the last one

What could happen: the store is restored from a copy without the record of the last leader. Leases and fencing tokens already contain the era, so that the old leader stops and tokens keep rising.

Cause: the wait depended on the record in the store alone. Now a process waits also if it has seen the record once, has led itself, or did not start together with the fleet for the first time.

Tests: the simulation of the election restores its store now and then.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -113,7 +113,8 @@
 	f.state.follows, f.state.hosts = f.exchange.FollowsRelay, f.hosts
 	f.leader = leader.New(leader.Options{
 		Host: settings.Name, Process: settings.Name + "/" + processName(f.incarnation), Handover: settings.Limits.CommandHandover,
-		Store: store, StoreCopy: f.state.OwnItems, HostCount: f.hosts, Log: log, Metrics: reg,
+		FirstStart: settings.FirstStart,
+		Store:      store, StoreCopy: f.state.OwnItems, HostCount: f.hosts, Log: log, Metrics: reg,
 	})
 	return f, f.listen()
 }
--- a/internal/leader/elector.go
+++ b/internal/leader/elector.go
@@ -32,7 +32,9 @@
 	Host, Process string
 	// Handover is the minimum time between the last command of the previous leader and the first of this one.
 	Handover time.Duration
-	Store    LeaseStore
+	// FirstStart is set when the whole fleet starts for the first time, so that there was no leader before.
+	FirstStart bool
+	Store      LeaseStore
 	// StoreCopy returns this host's copy of the keys under KeyPrefix; known is false before the first read.
 	StoreCopy func() (items []kvstore.KeyValue, known bool)
 	// HostCount returns the number of hosts that may claim leadership.
@@ -57,7 +59,7 @@
 	if o.Clock == nil {
 		o.Clock = bootclock.Now
 	}
-	return &Elector{opt: o, m: machine{process: o.Process, handover: o.Handover}}
+	return &Elector{opt: o, m: machine{process: o.Process, handover: o.Handover, restarted: !o.FirstStart}}
 }
 
 // Serve claims and renews the leader lease until ctx ends, and then revokes it. It implements suture.Service.
--- a/internal/leader/state.go
+++ b/internal/leader/state.go
@@ -62,8 +62,11 @@
 	lease      kvstore.LeaseID
 	validUntil time.Duration
 	renewAt    time.Duration
-	// mustWait is set when there was a leader before. commandsFrom is when this process may send its first command. By
-	// then, all commands of the previous leader have arrived and the handover time has passed.
+	// restarted is set if the fleet has run before this process started. hadLeader is set once this process has seen the
+	// record of a leader, which may be lost when the store is restored from an older copy.
+	restarted, hadLeader bool
+	// mustWait is set when there may have been a leader before. commandsFrom is when this process may send its first
+	// command. By then, all commands of the previous leader have arrived and the handover time has passed.
 	mustWait     bool
 	commandsFrom time.Duration
 	// fence is the fencing token, 0 while the claim is not known to have succeeded.
@@ -77,6 +80,7 @@
 // claim.
 func (m *machine) step(now time.Duration, r record, known bool, delay func() time.Duration) action {
 	hasLeader := r.leader.Value != nil
+	m.hadLeader = m.hadLeader || r.last.Value != nil
 	switch {
 	case m.lease != 0 && now >= m.validUntil:
 		m.reset()
@@ -122,7 +126,7 @@
 	m.recordRenewal(sentAt, ttl)
 	// The wait is needed even if lastKey names this host: a late claim may have succeeded without this process learning
 	// of it, so that the last commands came from another host.
-	m.mustWait = r.last.Value != nil
+	m.mustWait = r.last.Value != nil || m.hadLeader || m.restarted
 }
 
 // recordClaim records the fencing token of a successful claim. The wait for the previous leader's commands counts from
@@ -132,7 +136,7 @@
 	if m.fence == 0 && m.mustWait {
 		m.commandsFrom = now + m.handover + callMargin
 	}
-	m.fence = fence
+	m.fence, m.hadLeader = fence, true
 }
 
 // recordRenewal records a grant or renewal of the lease whose request was sent at sentAt.
--- a/internal/leader/state_test.go
+++ b/internal/leader/state_test.go
@@ -72,11 +72,29 @@
 	g.Expect(m.lease).To(BeZero())
 }
 
+// Guards against a first command too soon after that of a leader whose record was lost when the store was restored.
+func TestNewLeaderWaitsWhenRecordIsLost(t *testing.T) {
+	g := NewWithT(t)
+	seen := &machine{process: "a/1", handover: handover}
+	seen.step(0, record{last: kvstore.KeyValue{Key: lastKey, Value: []byte("b")}}, true, func() time.Duration { return time.Hour })
+	for _, m := range []*machine{seen, {process: "a/2", handover: handover, restarted: true}} {
+		m.recordGrant(0, 5, leaseTTL, record{})
+		m.recordClaim(0, 9)
+		g.Expect(m.mayCommand(handover)).To(BeFalse())
+		g.Expect(m.mayCommand(handover + callMargin)).To(BeTrue())
+	}
+}
+
 // simulation models several hosts that can be suspended, restarted or cut off by a partition, and a store that loses
-// replies and carries out claims late. It records when commands arrive.
+// replies, carries out claims late and, with restores, is restored from older copies. It records when commands arrive.
 type simulation struct {
-	rng        *rand.Rand
-	now        time.Duration
+	rng *rand.Rand
+	now time.Duration
+	// restores is set if the store is restored. backupRecord and backupRevision are the copy.
+	restores       bool
+	backupRecord   record
+	backupRevision int64
+
 	revision   int64
 	leases     map[kvstore.LeaseID]time.Duration
 	record     record
@@ -107,6 +125,22 @@
 	}
 }
 
+// restore replaces the content of the store by that of the last backup, now and then.
+func (w *simulation) restore() {
+	switch w.rng.IntN(300) {
+	case 0:
+		w.backupRecord, w.backupRevision = w.record, w.revision
+	case 1:
+		era := kvstore.Era(w.revision) + 1
+		inEra := func(number int64) int64 { return kvstore.InEra(era, kvstore.WithoutEra(number)) }
+		w.record, w.revision = w.backupRecord, era<<40|kvstore.WithoutEra(w.backupRevision)
+		for _, item := range []*kvstore.KeyValue{&w.record.leader, &w.record.last} {
+			item.ModRevision, item.Lease = inEra(item.ModRevision), kvstore.LeaseID(inEra(int64(item.Lease)))
+		}
+		clear(w.leases)
+	}
+}
+
 func (w *simulation) claim(h *simulatedHost) {
 	sentAt, seen := w.now, h.seen
 	w.revision++
@@ -172,7 +206,7 @@
 			w.leases[h.lease] = w.now
 			w.expire()
 		}
-		h.machine = machine{process: h.process + "'", handover: h.handover}
+		h.machine = machine{process: h.process + "'", handover: h.handover, restarted: true}
 	}
 	switch h.step(w.now, h.seen, true, func() time.Duration { return time.Duration(w.rng.IntN(800)) * time.Millisecond }) {
 	case actionClaim:
@@ -193,12 +227,15 @@
 }
 
 // simulate runs three hosts for three minutes and returns the commands that they sent.
-func simulate(seed uint64, handover time.Duration) (commands []command) {
-	w := &simulation{rng: rand.New(rand.NewPCG(seed, 1)), leases: map[kvstore.LeaseID]time.Duration{}}
+func simulate(seed uint64, handover time.Duration, restores bool) (commands []command) {
+	w := &simulation{rng: rand.New(rand.NewPCG(seed, 1)), leases: map[kvstore.LeaseID]time.Duration{}, restores: restores}
 	for _, name := range []string{"a", "b", "c"} {
 		w.hosts = append(w.hosts, &simulatedHost{host: name, machine: machine{process: name, handover: handover}})
 	}
 	for ; w.now < 3*time.Minute; w.now += 100 * time.Millisecond {
+		if w.restores {
+			w.restore()
+		}
 		w.expire()
 		for i := 0; i < len(w.lateClaims); i++ {
 			if w.lateAt[i] <= w.now {
@@ -233,16 +270,20 @@
 // that are carried out late. As a check of the simulation itself, a leader that does not wait for the previous
 // one must be detected.
 func TestOnlyOneHostCommandsAtATime(t *testing.T) {
-	g := NewWithT(t)
-	detected, commands := 0, 0
-	for seed := range uint64(300) {
-		sent := simulate(seed, handover)
-		commands += len(sent)
-		g.Expect(commandsOverlap(sent)).To(BeFalse(), "seed %d", seed)
-		if commandsOverlap(simulate(seed, -callMargin)) {
-			detected++
-		}
+	for name, restores := range map[string]bool{"store keeps its history": false, "store is restored": true} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			detected, commands := 0, 0
+			for seed := range uint64(300) {
+				sent := simulate(seed, handover, restores)
+				commands += len(sent)
+				g.Expect(commandsOverlap(sent)).To(BeFalse(), "seed %d", seed)
+				if commandsOverlap(simulate(seed, -callMargin, restores)) {
+					detected++
+				}
+			}
+			g.Expect(commands).To(BeNumerically(">", 10_000))
+			g.Expect(detected).To(BeNumerically(">", 0), "a leader that does not wait is not detected")
+		})
 	}
-	g.Expect(commands).To(BeNumerically(">", 10_000))
-	g.Expect(detected).To(BeNumerically(">", 0), "a leader that does not wait is not detected")
 }
