Continue a stream only with events that follow the last relayed one

Callers would see: in the middle of a stream that goes on at another engine, the text of that engine's error, an event twice, or the end of the stream as if it were complete although events were missing. Cause: every response with status 200 was relayed as the rest of the stream, whatever its type and the ids of its events, and a run without any event counted as the complete rest. Evidence: TestFaultyResponsesToResumedStreams failed before in 13 of 22 cases: a body of another type, text or an error event or a response head in place of events, a stream that starts again from the first or the last event, an event that comes twice or has a lower id, the rest of the event in which the stream was cut, comments only, and three forms of an empty stream. Errors with another status than 200 were not relayed into a stream before either; TestEngineErrorsBeforeTheFirstEvent passes on the earlier code. Change: a continuation must be a stream of events, must begin with an event that has an id, and ids must increase. A run that violates this, or that ends without an event, has been broken off: another attempt follows where attempts and budget allow it, else the caller's connection is broken off. After an event without an id no other engine goes on. Before the first event nothing changes for errors; a success of another type is relayed as a whole where the request may not be repeated, else attempted again. Why it works: an event is relayed only after it was compared with the last one, and nothing of a response is relayed but events.

--- a/internal/front/brokenrun.go
+++ b/internal/front/brokenrun.go
@@ -40,5 +40,8 @@
 	var mismatch *platform.RequestIDMismatchError
 	var receipt *platform.MissingReceiptError
 	var size *EventTooLargeError
-	return !errors.As(err, &status) && !errors.As(err, &mismatch) && !errors.As(err, &receipt) && !errors.As(err, &size)
+	var order *EventOrderError
+	var empty *EmptyRunError
+	return !errors.As(err, &status) && !errors.As(err, &mismatch) && !errors.As(err, &receipt) && !errors.As(err, &size) &&
+		!errors.As(err, &order) && !errors.As(err, &empty)
 }
--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -72,6 +72,9 @@
 		if !notExecuted {
 			runs++
 		}
+		if s.unnumbered {
+			return &RetriesExhaustedError{Reason: "no event id", Cause: err}
+		}
 		if reason := f.retryRefused(x, notExecuted, runs); reason != "" {
 			return &RetriesExhaustedError{Reason: reason, Cause: err}
 		}
@@ -114,7 +117,12 @@
 		return p.grant.Key, err
 	}
 	if response.Status != http.StatusOK {
-		return p.grant.Key, f.relayEngineError(x, response, p.grant.Key)
+		f.recordResponse(x, p.grant.Key, response.Status)
+		return p.grant.Key, f.relayEngineError(x, response, &platform.StatusError{Status: response.Status})
+	}
+	if err := checkEventStream(response); err != nil {
+		f.recordFailure(ctx, x, p.grant.Key, err)
+		return p.grant.Key, f.relayEngineError(x, response, err)
 	}
 	s.run, s.runStartedAt, s.watch = p.run, f.now(), watch
 	before := s.events
@@ -355,16 +363,18 @@
 	return result, nil
 }
 
-// relayEngineError relays an engine's error response to the caller. It returns *platform.OutcomeUnknownError instead
-// when the stream has begun or the request may be retried.
-func (f *Front) relayEngineError(x *call, a *platform.Response, key string) error {
+// relayEngineError relays an engine's response that is not a stream of events, for the given reason, to the caller. It
+// returns *platform.OutcomeUnknownError instead when the stream has begun or the request may be retried.
+func (f *Front) relayEngineError(x *call, a *platform.Response, reason error) error {
 	read, err := readResponse(a)
 	if err != nil {
 		return err
 	}
-	f.recordResponse(x, key, a.Status)
 	if x.started || x.route.Repeatable() {
-		return &platform.OutcomeUnknownError{Cause: &platform.StatusError{Status: a.Status}}
+		if read.rest != nil {
+			_ = read.rest.Close()
+		}
+		return &platform.OutcomeUnknownError{Cause: reason}
 	}
 	return f.writeResponse(x, read)
 }
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/boragecourse/boragecourse/platform"
@@ -21,9 +23,13 @@
 type stream struct {
 	front *Front
 	x     *call
-	// lastEvent is the id of the last event that was relayed.
+	// lastEvent is the id of the last event that was relayed, or the one after which the caller resumes.
 	lastEvent string
 	events    int
+	// unnumbered is set when an event without an id was relayed: another run cannot continue after it.
+	unnumbered bool
+	// resuming is set until the current run, which continues after lastEvent, has sent its first event.
+	resuming bool
 	// run is the current run in the run table; runStartedAt is when its response header was received, firstEventAt when
 	// its first event was, zero before.
 	run                        *run
@@ -41,15 +47,50 @@
 	return fmt.Sprintf("event of %d bytes exceeds the size limit", e.Bytes)
 }
 
-// relay relays the events of one run until its end. It returns *BrokenStreamError when the run ends early, and
-// *DeliveryError when writing to the caller fails. A run that ends with its connection has ended early if it ends inside an
-// event or has none at all.
+// EventOrderError reports an event that does not follow the last relayed one. ID is empty for an event without an id, with
+// which a resumed run must not begin.
+type EventOrderError struct{ ID, After string }
+
+// Error implements error.
+func (e *EventOrderError) Error() string {
+	return fmt.Sprintf("event with id %.40q does not follow %.40q", e.ID, e.After)
+}
+
+// EmptyRunError reports a run that continued a response and ended without an event.
+type EmptyRunError struct{}
+
+// Error implements error.
+func (e *EmptyRunError) Error() string { return "resumed run ended without an event" }
+
+// ContentTypeError reports a response that is not a stream of events.
+type ContentTypeError struct{ Type string }
+
+// Error implements error.
+func (e *ContentTypeError) Error() string {
+	return fmt.Sprintf("response of type %.80q is not a stream of events", e.Type)
+}
+
+// checkEventStream returns *ContentTypeError if a response is declared to be something else than a stream of events.
+func checkEventStream(a *platform.Response) error {
+	declared := a.Header.Get("Content-Type")
+	if kind, _, err := mime.ParseMediaType(declared); declared == "" || err == nil && kind == "text/event-stream" {
+		return nil
+	}
+	return &ContentTypeError{Type: declared}
+}
+
+// relay relays the events of one run until its end. It returns *BrokenStreamError when the run ends early or its events do
+// not follow those that were relayed before, and *DeliveryError when writing to the caller fails. A run that ends with its
+// connection has ended early if it ends inside an event or has none at all, and so has any run without an event that
+// continues a response.
 func (s *stream) relay(ctx context.Context, a *platform.Response) error {
 	defer func() { _ = a.Body.Close() }()
+	continued := s.x.started
 	s.writeHeader(a)
 	flusher := http.NewResponseController(s.x.w)
 	in := bufio.NewReader(a.Body)
 	before := s.events
+	s.resuming = s.x.route.Repeatable() && s.lastEvent != ""
 	var event bytes.Buffer
 	for {
 		line, err := in.ReadSlice('\n')
@@ -59,8 +100,8 @@
 			return &BrokenStreamError{Events: s.events, Cause: &EventTooLargeError{Bytes: event.Len()}}
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF) && event.Len() == 0 && (a.Delimited || s.events > before || s.lastEvent != ""):
-			return nil
+		case errors.Is(err, io.EOF) && event.Len() == 0:
+			return s.checkEnd(a, s.events == before, continued)
 		case err != nil:
 			if cause := context.Cause(ctx); cause != nil {
 				err = cause
@@ -77,6 +118,20 @@
 	}
 }
 
+// checkEnd returns an error if a run that has ended between two events has ended early. empty is set for a run without an
+// event, continued for one that goes on with the response of another run.
+func (s *stream) checkEnd(a *platform.Response, empty, continued bool) error {
+	switch {
+	case !empty:
+		return nil
+	case continued:
+		return &BrokenStreamError{Events: s.events, Cause: &EmptyRunError{}}
+	case a.Delimited || s.lastEvent != "":
+		return nil
+	}
+	return &BrokenStreamError{Events: s.events, Cause: io.EOF}
+}
+
 // writeHeader sends the response header of the first run; later runs continue the same response.
 func (s *stream) writeHeader(a *platform.Response) {
 	if s.x.started {
@@ -87,16 +142,59 @@
 	s.x.w.WriteHeader(a.Status)
 }
 
+// follow checks that an event follows the last relayed one, and records its id. It reports false for an event that is not
+// relayed: a comment before the first event of a resumed run.
+func (s *stream) follow(event []byte) (bool, error) {
+	id := eventID(event)
+	found := id != ""
+	switch {
+	case !found && isComment(event):
+		return !s.resuming, nil
+	case !found && s.resuming, found && (s.resuming || s.events > 0) && !idFollows(id, s.lastEvent):
+		return false, &BrokenStreamError{Events: s.events, Cause: &EventOrderError{ID: id, After: s.lastEvent}}
+	}
+	s.resuming, s.unnumbered = false, !found
+	if found {
+		s.lastEvent = id
+	}
+	return true, nil
+}
+
+// idFollows reports whether an event with an id may come after the one with the id last. Ids increase if they are numbers.
+func idFollows(id, last string) bool {
+	n, err1 := strconv.ParseUint(id, 10, 64)
+	m, err2 := strconv.ParseUint(last, 10, 64)
+	if err1 != nil || err2 != nil {
+		return id != last
+	}
+	return n > m
+}
+
+// isComment reports whether all lines of an event are comments.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // relayEvent sends one complete event to the caller and updates the request's counters.
 func (s *stream) relayEvent(event []byte, flusher *http.ResponseController) error {
+	relayed, err := s.follow(event)
+	if err != nil {
+		return err
+	}
+	if !relayed {
+		s.watch.received()
+		return nil
+	}
 	if s.events == 0 {
 		s.x.trace.first = s.front.now().Sub(s.x.request.Arrived)
 		s.front.observeLatency(s.x, s.x.trace.first)
 	}
 	s.recordProgress()
-	if id, found := eventID(event); found {
-		s.lastEvent = id
-	}
 	s.events++
 	s.watch.received()
 	s.x.trace.events = s.events
@@ -121,14 +219,12 @@
 	}
 }
 
-// eventID returns the value of the first id field of a server-sent event, and whether it has one.
-func eventID(event []byte) (string, bool) {
-	for len(event) > 0 {
-		var line []byte
-		line, event, _ = bytes.Cut(event, []byte("\n"))
-		if value, found := bytes.CutPrefix(bytes.TrimRight(line, "\r"), []byte("id:")); found {
-			return string(bytes.TrimSpace(value)), true
+// eventID returns the value of the first id field of a server-sent event, or "".
+func eventID(event []byte) string {
+	for line := range bytes.Lines(event) {
+		if value, found := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), []byte("id:")); found {
+			return string(bytes.TrimSpace(value))
 		}
 	}
-	return "", false
+	return ""
 }
