--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -65,12 +65,14 @@
 	onConfig      func(*fleet.Configuration)
 	onQuarantine  func(kvstore.KeyValue)
 
-	mu         sync.Mutex
-	copy       replica.Copy
-	servers    *registry.Registry
-	unreadable map[string]bool
-	recheck    *time.Timer
-	storeOK    bool
+	mu      sync.Mutex
+	copy    replica.Copy
+	servers *registry.Registry
+	// unreadable holds the keys of the copy whose values cannot be decoded, unreadableBefore those of the copy before.
+	unreadable, unreadableBefore map[string]bool
+
+	recheck *time.Timer
+	storeOK bool
 	// ownPrefix is the prefix of this project's own keys in the store, which are watched as well.
 	ownPrefix    string
 	lastAnswered time.Time
@@ -87,7 +89,7 @@
 
 func newState(store Store, log logr.Logger, reg *metrics.Registry, now func() time.Time) *State {
 	return &State{
-		ownPrefix: storePrefix, store: store, log: log, metrics: reg, now: now, servers: registry.New(), unreadable: map[string]bool{},
+		ownPrefix: storePrefix, store: store, log: log, metrics: reg, now: now, servers: registry.New(),
 		onServers: func([]registry.State) {}, onConfig: func(*fleet.Configuration) {}, onQuarantine: func(kvstore.KeyValue) {}, follows: func() bool { return false },
 		hosts: func() int { return 1 },
 	}
@@ -262,6 +264,7 @@
 // applyCopy decodes the copy of the store and applies changes of backend servers and configuration. s.mu must be held.
 func (s *State) applyCopy() {
 	now := s.now()
+	s.unreadableBefore, s.unreadable = s.unreadable, map[string]bool{}
 	var servers []fleet.Server
 	for _, item := range s.copy.Items() {
 		id, isRegistration := platform.RegistrationID(item.Key)
@@ -295,8 +298,8 @@
 // undecodable does not flood the log.
 func (s *State) recordUnreadable(key string, err error) {
 	s.metrics.Inc("unreadable_entries")
-	if !s.unreadable[key] {
-		s.unreadable[key] = true
+	s.unreadable[key] = true
+	if !s.unreadableBefore[key] {
 		s.log.Error(err, "failed to decode store entry, entry ignored", "key", key)
 	}
 }
