Send a request to a backend server again only on a new connection

Callers would see: a stream broken off, or told "not run" before its first event, while an engine runs it; with a further engine at hand the request would run there as well (the last from reading the code, not from a run). Cause: on a reused connection a response is attributed to a request by its id. A request is sent to one engine more than once with the same id: its prompt again after a failed run, or the run to the engine that had refused its prompt and has changed its stage since. A faulty engine that writes the earlier refusal once more on the kept connection then refuses, for the host, the call that it is carrying out. Evidence: TestRefusalRepeatedForTheSameRequest failed before: the engine ran the request once, the caller's stream was broken off. Refusals of other requests were not taken before either: the tests in platform/backend_test.go (a refusal alone, after an informational response, twice, without id, cut, before a long request was written, for a reservation) pass on the earlier code. Change: a request remembers the backend servers to which it was sent, and goes to one of them again on a new connection. Why it works: nothing of an earlier call can arrive on a new connection. A refused request is normally not sent to the same server again, so that hardly any connection is added.

--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -342,7 +342,7 @@
 	defer watch.stop()
 	call := platform.BackendCall{
 		Request: x.request, Server: server, TimeLeft: x.deadline.Sub(f.now()), Workspace: x.workspaceName(), LastEventID: lastEvent,
-		Repeatable: true,
+		Repeatable: true, NewConnection: x.sentBefore(server),
 	}
 	result, err := f.backends.Prefill(ctx, call)
 	if platform.IsDroppedConnection(err) && ctx.Err() == nil && f.mayRetry(x) {
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -139,6 +139,7 @@
 // run sends a request to a backend server. If the server had dropped the reused connection, a request that may be repeated
 // is sent to it once more on a new connection, which is charged to the retry budget.
 func (f *Front) run(ctx context.Context, x *call, call platform.BackendCall) (*platform.Response, error) {
+	call.NewConnection = x.sentBefore(call.Server)
 	settle := x.beginSend()
 	response, err := f.backends.Run(ctx, call)
 	settle(err)
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -41,6 +41,8 @@
 	mayHaveRun bool
 	// retryAllowedAt is when the retry budget granted a retry that has not been sent yet; zero when there is none.
 	retryAllowedAt time.Time
+	// sentTo holds the keys of the backend servers to which the request was sent.
+	sentTo map[string]bool
 	// prefilled is set once a prefill engine may have accepted a call.
 	prefilled bool
 	// started is set once the response header has been sent to the caller.
@@ -83,6 +85,18 @@
 	}
 }
 
+// sentBefore reports whether the request was sent to a backend server before, and records that it is now. On the connection
+// of the earlier call, a second copy of its response could be taken for the response to this one, since both carry the same id.
+func (x *call) sentBefore(s fleet.Server) bool {
+	key := serverKey(s)
+	before := x.sentTo[key]
+	if x.sentTo == nil {
+		x.sentTo = map[string]bool{}
+	}
+	x.sentTo[key] = true
+	return before
+}
+
 func (f *Front) handle(w http.ResponseWriter, r *http.Request) {
 	f.open.Add(1)
 	defer f.open.Add(-1)
