--- a/test/standin/users/worker.go
+++ b/test/standin/users/worker.go
@@ -25,6 +25,8 @@
 	Rejecting
 	// Failing runs requests and responds with status 500.
 	Failing
+	// Overloaded runs requests and responds with status 503 without the header that marks the request as not run.
+	Overloaded
 	// DroppingResponses runs requests and closes the connection without a response.
 	DroppingResponses
 	// WrongRequestID runs requests and responds with the id of another request.
@@ -314,8 +316,8 @@
 	rw.Header().Set("Request-Id", id)
 	rw.Header().Set("Response-Stamp", w.ID+"."+id)
 	rw.Header().Set("Load-Report", "1,0,"+strconv.Itoa(w.Slots))
-	if fault == Failing {
-		rw.WriteHeader(http.StatusInternalServerError)
+	if fault == Failing || fault == Overloaded {
+		rw.WriteHeader(map[WorkerFault]int{Failing: http.StatusInternalServerError, Overloaded: http.StatusServiceUnavailable}[fault])
 		return
 	}
 	if stage != "" {
--- a/test/users/path_test.go
+++ b/test/users/path_test.go
@@ -147,6 +147,7 @@
 		{"response to another request", users.WrongRequestID, http.StatusBadGateway, 1},
 		{"response truncated", users.Truncating, http.StatusBadGateway, 1},
 		{"status 500 from the server", users.Failing, http.StatusInternalServerError, 1},
+		{"status 503 from a server that ran it", users.Overloaded, http.StatusBadGateway, 1},
 		{"rejected", users.Rejecting, http.StatusServiceUnavailable, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
