Choose the service of a split route for any weights

Callers would see: all connections with requests on a split route closed without a response. Cause: the sum of the weights was converted to 32 bits; a multiple of 2^32 became zero, and the division by it panicked in the handler of each request. Evidence: found while looking at numbers that are too large; TestDestinationWithHugeWeights failed before with "integer divide by zero". The operator's store accepts only valid configurations, so that this is unlikely there. Change: the remainder is taken in 64 bits, and a sum that is not positive selects the first service.

--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -256,12 +256,12 @@
 	for _, dest := range d {
 		total += max(dest.Weight, 0)
 	}
-	if total == 0 {
+	if total <= 0 {
 		return d[0].Service
 	}
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(x.request.ID))
-	at := int(h.Sum32() % uint32(total))
+	at := int(uint64(h.Sum32()) % uint64(total))
 	for _, dest := range d {
 		if at -= max(dest.Weight, 0); at < 0 {
 			return dest.Service
