Take only op/config for the configuration

Callers would see: 404 or 401 for what the configuration allows, from a host that was started after another key such as op/config-before had been written, and for as long as the version in that key is the higher one. Cause: a full read asks the store for all keys that begin with op/config, and any key that is neither a registration nor the project's own was decoded as the configuration. The watch compared the whole key. Evidence: found while reading what odd entries can do; TestKeysBesideTheConfigurationAreIgnored failed before with status 404.

--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -275,7 +275,9 @@
 			continue
 		}
 		if !isRegistration {
-			s.applyConfiguration(item)
+			if item.Key == platform.ConfigurationKey {
+				s.applyConfiguration(item)
+			}
 			continue
 		}
 		server, err := platform.DecodeRegistration(id, item.Value)
--- a/test/users/state_test.go
+++ b/test/users/state_test.go
@@ -1,6 +1,7 @@
 package users_test
 
 import (
+	"encoding/json"
 	"net/http"
 	"testing"
 	"time"
@@ -118,3 +119,20 @@
 	p.g.Eventually(func() int { return p.do(p.hosts[0], http.MethodPost, "/reserve/1").status }).WithTimeout(waitTimeout).Should(Equal(http.StatusOK))
 	p.g.Expect(restarted.Runs()).NotTo(BeEmpty())
 }
+
+// Guards against a host that takes another key, whose name begins like that of the configuration, for the configuration.
+func TestKeysBesideTheConfigurationAreIgnored(t *testing.T) {
+	f := newFleet(t, 1)
+	f.awaitReady(f.hosts[0])
+	other := routes(100000)
+	other["version"], other["routes"] = 1000, []any{}
+	text, err := json.Marshal(other)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.store.Put("op/config-before", text)
+	f.hosts[0].process.Terminate(0)
+	f.start(f.hosts[0])
+	f.awaitReady(f.hosts[0])
+	f.g.Expect(f.do(f.hosts[0], http.MethodGet, "/view/1").status).NotTo(Equal(http.StatusNotFound))
+	f.withdraw()
+	f.awaitWithdrawn(f.hosts[0], configApply)
+}
