Do not let a new process serve an older configuration that a restored store holds

It counted another host as reachable before it had evaluated that host's report; and the report that it got first could be as old as the interval between rounds, since a host does not make a new one for a caller.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -209,14 +209,24 @@
 const contactTimeout = 800 * time.Millisecond
 
 // catchUpTimeout is how long a new process that has an older configuration than other hosts waits for theirs before it
-// becomes ready.
+// becomes ready and serves requests.
 const catchUpTimeout = 3 * time.Second
 
-// startupDone reports whether another host is reachable or contactTimeout has passed since the start, and the
-// configuration is as new as that of the other hosts or catchUpTimeout has passed.
+// startupDone reports whether another host has reported or contactTimeout has passed since the start, and this host does
+// not wait for a newer configuration.
 func (f *Front) startupDone() bool {
-	uptime := f.now().Sub(f.startedAt)
-	return (len(f.exchange.Contacts()) > 0 || uptime > contactTimeout) && (uptime > catchUpTimeout || !f.state.Outdated())
+	return (f.hasReports() || f.now().Sub(f.startedAt) > contactTimeout) && !f.catchingUp()
+}
+
+// catchingUp reports whether this host has just started and other hosts have a newer configuration.
+func (f *Front) catchingUp() bool {
+	return f.state.Outdated() && f.now().Sub(f.startedAt) <= catchUpTimeout
+}
+
+func (f *Front) hasReports() bool {
+	f.reportsMu.Lock()
+	defer f.reportsMu.Unlock()
+	return len(f.reports) > 0
 }
 
 // previousProcessEnd returns the latest time at which an earlier process of this host may have been running, or the
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -49,6 +49,9 @@
 // ReportsReceived implements exchange.Local.
 func (f *Front) ReportsReceived(reports []*peerv1.FrontReport) {
 	now := f.now()
+	for _, r := range reports {
+		f.state.ObserveConfiguration(r.ConfigurationVersion)
+	}
 	f.limiterMu.Lock()
 	for _, r := range reports {
 		f.limiter.ApplyReport(processName(r.Incarnation), r.Admitted, r.Partial, now)
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -121,7 +121,7 @@
 	}
 	x.request = request
 	x.config = f.state.Configuration()
-	if x.config == nil {
+	if x.config == nil || f.catchingUp() {
 		refusal := outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeNoConfiguration, "configuration not loaded yet")
 		refusal.RetryAfter = unreadyRetry
 		return nil, nil, refusal
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -93,6 +93,8 @@
 	// host was first found to have an older one.
 	reportedVersion uint64
 	outdatedSince   time.Time
+	// outdated is set while outdatedSince is not zero.
+	outdated atomic.Bool
 }
 
 func newState(store Store, log logr.Logger, reg *metrics.Registry, now func() time.Time) *State {
@@ -388,6 +390,7 @@
 	s.configuration.Store(next)
 	if next.Version >= s.reportedVersion {
 		s.outdatedSince = time.Time{}
+		s.outdated.Store(false)
 	}
 	s.log.Info("configuration activated", "version", next.Version, "era", kvstore.Era(revision), "revision", kvstore.WithoutEra(revision))
 	s.metrics.Set("configuration_version", int64(next.Version))
@@ -427,11 +430,14 @@
 	return exchange.StateVersion{Revision: s.copy.Revision(), Configuration: s.configurationVersion()}, s.copy.ConfirmedAt()
 }
 
-// Outdated reports whether another host has a newer configuration that should have arrived by now.
-func (s *State) Outdated() bool {
+// Outdated reports whether another host has a newer configuration than this one.
+func (s *State) Outdated() bool { return s.outdated.Load() }
+
+// ObserveConfiguration records the version of another host's configuration.
+func (s *State) ObserveConfiguration(version uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.outdatedSince.IsZero()
+	s.lacksConfiguration(version, s.now())
 }
 
 // Transfer is what one host passes on of its copy of the store.
@@ -505,6 +511,7 @@
 	s.reportedVersion = max(s.reportedVersion, reported)
 	if s.outdatedSince.IsZero() {
 		s.outdatedSince = now
+		s.outdated.Store(true)
 	}
 	return now.Sub(s.outdatedSince) >= configurationLag
 }
