Answer a host that starts with the present configuration version

What callers saw: nothing yet.

Cause: the other host answered its first report from its feed, up to 250 ms old, so the version in it was that of before the last change.

Change: a host brings its own report up to date before it responds if its configuration is newer than the one in it, and a new version counts as a change of the report.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -97,6 +97,10 @@
 
 	wake chan struct{}
 
+	// refreshMu is held while this host's report is filled and recorded, so that an older one does not replace a newer one. It
+	// is locked before mu.
+	refreshMu sync.Mutex
+
 	// receiveMu is held while reports are received, so that the local host gets them in the order of their sequences. It is
 	// locked before mu.
 	receiveMu sync.Mutex
@@ -304,8 +308,22 @@
 	}
 }
 
+// refreshVersion brings this host's report in the feed up to date if it names an older configuration than the present one.
+func (e *Exchange) refreshVersion() {
+	version := e.local.StateVersion()
+	e.mu.Lock()
+	own := e.feed.incarnation(e.incarnation)
+	outdated := own == nil || own.ConfigurationVersion < version.Configuration
+	e.mu.Unlock()
+	if outdated {
+		e.refresh()
+	}
+}
+
 // refresh brings this host's report in the feed up to date.
 func (e *Exchange) refresh() {
+	e.refreshMu.Lock()
+	defer e.refreshMu.Unlock()
 	e.mu.Lock()
 	r := &peerv1.FrontReport{
 		Name: e.name, Address: e.self, Zone: e.zone, LinkMbps: e.linkMbps, Incarnation: e.incarnation, Leaving: e.leaving,
@@ -454,6 +472,7 @@
 // contacts when the caller has fewer, so that hosts discover each other.
 func (e *Exchange) Report(_ context.Context, r *peerv1.ReportRequest) (*peerv1.ReportResponse, error) {
 	complete := e.receive(r.Reports)
+	e.refreshVersion()
 	var state *peerv1.FetchStateResponse
 	if r.FollowsStore {
 		since := StateVersion{Revision: kvstore.InEra(r.GetStoreEra(), r.StoreRevision), Configuration: r.ConfigurationVersion}
--- a/internal/exchange/feed.go
+++ b/internal/exchange/feed.go
@@ -52,7 +52,8 @@
 	if proto.Equal(old.report.Limits, r.Limits) {
 		r.Limits = nil
 	}
-	changed := old.report.Leaving != r.Leaving || !r.KeepsUses || r.Evidence != nil || r.Limits != nil || countersChanged(old.report, r)
+	changed := old.report.Leaving != r.Leaving || !r.KeepsUses || r.Evidence != nil || r.Limits != nil || countersChanged(old.report, r) ||
+		r.ConfigurationVersion > old.report.ConfigurationVersion
 	if changed || bump {
 		r.Sequence = old.report.Sequence + 1
 		f.overlay(old, r)
