Bind what a restore withholds to incarnations that are still away, and to the time of the restore

A server whose registration had expired and was renewed at any time before a restore was taken for one that had left: for 10 s after the restore hosts ignored its entry, also its announcement to leave (DRAIN). A sound server that registered again after a restore stayed out of use for the same time. A host that got the restored copy late from another host dated the restore anew and passed that on, so that servers that were gone got work for up to 2.5 s again. A new leader that had never seen the record of the last one did not wait when a restore had lost it. Now a server that is listed again counts as back; an entry written since the first copy after the restore is never withheld; the time of the restore is passed on; every leader that is elected after a restore waits.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -115,7 +115,7 @@
 	f.leader = leader.New(leader.Options{
 		Host: settings.Name, Process: settings.Name + "/" + processName(f.incarnation), Handover: settings.Limits.CommandHandover,
 		FirstStart: settings.FirstStart,
-		Store:      store, StoreCopy: f.state.OwnItems, HostCount: f.hosts, Log: log, Metrics: reg,
+		Store:      store, StoreCopy: f.state.OwnItems, StoreRestored: f.state.Restored, HostCount: f.hosts, Log: log, Metrics: reg,
 	})
 	return f, f.listen()
 }
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -82,6 +82,8 @@
 	// host, relayLostStore while it does not respond to the relay that this host follows.
 	recoveredAt               time.Time
 	storeLost, relayLostStore bool
+	// restoredRevision is the revision of the first copy after the store was restored, 0 if it never was.
+	restoredRevision int64
 	// follows reports whether relays read the store for this host. hosts is the number of hosts of the fleet.
 	follows func() bool
 	hosts   func() int
@@ -190,7 +192,7 @@
 	s.recordStoreResult(nil)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	applied := s.replaceCopy(items, revision, requestedAt)
+	applied := s.replaceCopy(items, revision, requestedAt, s.now())
 	if !applied {
 		s.log.Info("store snapshot older than local copy, not applied", "era", kvstore.Era(revision), "revision", kvstore.WithoutEra(revision),
 			"present", kvstore.WithoutEra(s.copy.Revision()))
@@ -221,8 +223,9 @@
 	return all, lowest, nil
 }
 
-// replaceCopy replaces the copy by a complete state of the store. It reports false if that is older. s.mu must be held.
-func (s *State) replaceCopy(items []kvstore.KeyValue, revision int64, confirmed time.Time) bool {
+// replaceCopy replaces the copy by a complete state of the store. It reports false if that is older. restoredAt is when the
+// store was restored if the state is of a later era. s.mu must be held.
+func (s *State) replaceCopy(items []kvstore.KeyValue, revision int64, confirmed, restoredAt time.Time) bool {
 	previous := s.copy.Revision()
 	if !s.copy.Replace(items, revision, confirmed) {
 		return false
@@ -231,8 +234,8 @@
 		s.log.Info("store restored from an older copy", "era", kvstore.Era(revision), "previousEra", kvstore.Era(previous),
 			"revision", kvstore.WithoutEra(revision), "previousRevision", kvstore.WithoutEra(previous))
 		s.metrics.Inc("store_restored")
-		s.recoveredAt = s.now()
-		s.servers.StoreRestored(s.recoveredAt)
+		s.recoveredAt, s.restoredRevision = restoredAt, revision
+		s.servers.StoreRestored(restoredAt)
 	}
 	return true
 }
@@ -331,6 +334,9 @@
 			s.recordUnreadable(item.Key, err)
 			continue
 		}
+		if s.restoredRevision > 0 && item.ModRevision > s.restoredRevision {
+			s.servers.RecordWrite(server.ID, server.StartMillis)
+		}
 		servers = append(servers, server)
 	}
 	for _, c := range s.servers.Update(servers, now) {
@@ -433,6 +439,13 @@
 // Outdated reports whether another host has a newer configuration than this one.
 func (s *State) Outdated() bool { return s.outdated.Load() }
 
+// Restored reports whether the store was restored from an older copy while this process has run.
+func (s *State) Restored() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.restoredRevision > 0
+}
+
 // ObserveConfiguration records the version of another host's configuration.
 func (s *State) ObserveConfiguration(version uint64) {
 	s.mu.Lock()
@@ -546,7 +559,11 @@
 	if t.Partial {
 		s.copy.Apply(events, t.Revision, t.ConfirmedAt)
 	} else {
-		s.replaceCopy(t.Items, t.Revision, t.ConfirmedAt)
+		restoredAt := t.RecoveredAt
+		if restoredAt.IsZero() {
+			restoredAt = s.now()
+		}
+		s.replaceCopy(t.Items, t.Revision, t.ConfirmedAt, restoredAt)
 	}
 	if !newer {
 		return
--- a/internal/leader/elector.go
+++ b/internal/leader/elector.go
@@ -37,6 +37,8 @@
 	Store      LeaseStore
 	// StoreCopy returns this host's copy of the keys under KeyPrefix; known is false before the first read.
 	StoreCopy func() (items []kvstore.KeyValue, known bool)
+	// StoreRestored reports whether the store was restored from an older copy, so that the record of a leader may be lost.
+	StoreRestored func() bool
 	// HostCount returns the number of hosts that may claim leadership.
 	HostCount func() int
 	Log       logr.Logger
@@ -111,6 +113,7 @@
 		return
 	}
 	e.mu.Lock()
+	e.m.restarted = e.m.restarted || e.opt.StoreRestored()
 	e.m.recordGrant(sentAt, id, ttl, r)
 	e.mu.Unlock()
 	result, err := e.opt.Store.Txn(ctx,
--- a/internal/leader/state.go
+++ b/internal/leader/state.go
@@ -62,7 +62,7 @@
 	lease      kvstore.LeaseID
 	validUntil time.Duration
 	renewAt    time.Duration
-	// restarted is set if the fleet has run before this process started. hadLeader is set once this process has seen the
+	// restarted is set if the fleet has run before this process started or the store was restored since. hadLeader is set once this process has seen the
 	// record of a leader, which may be lost when the store is restored from an older copy.
 	restarted, hadLeader bool
 	// mustWait is set when there may have been a leader before. commandsFrom is when this process may send its first
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -128,6 +128,7 @@
 // put adds or updates one backend server. It reports whether its state changed, and how.
 func (r *Registry) put(s fleet.Server, now time.Time) (ChangeKind, bool) {
 	old := r.servers[s.ID]
+	delete(r.departed, incarnation{s.ID, s.StartMillis})
 	switch {
 	case old == nil:
 		r.servers[s.ID] = &State{Server: s, FirstSeen: now}
@@ -158,6 +159,12 @@
 	r.departed[incarnation{s.ID, s.StartMillis}] = now
 }
 
+// RecordWrite records that an incarnation has written its entry since the store was restored, so that the entry is not from
+// before.
+func (r *Registry) RecordWrite(id string, startMillis int64) {
+	delete(r.departed, incarnation{id, startMillis})
+}
+
 // isFromBeforeRestore reports whether an entry may only be listed because the store was restored: its incarnation had
 // left before.
 func (r *Registry) isFromBeforeRestore(s fleet.Server, now time.Time) bool {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -125,3 +125,34 @@
 	r.Update(nil, at)
 	g.Expect(r.Usable(at)).To(BeEmpty())
 }
+
+// Guards against a backend server whose changes are ignored after a restore of the store because its registration had
+// expired, and was renewed, at some time before.
+func TestServerThatReturnedBeforeRestoreIsNotWithheld(t *testing.T) {
+	g := NewWithT(t)
+	r := registry.New()
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	r.Update([]fleet.Server{server("a")}, start)
+	r.Update(nil, at(1))
+	r.Update([]fleet.Server{server("a")}, at(2))
+	r.StoreRestored(at(20))
+	leaving := server("a")
+	leaving.Draining = true
+	g.Expect(r.Update([]fleet.Server{leaving}, at(21))).To(Equal([]registry.Change{{Server: leaving, Kind: registry.Draining}}))
+	g.Expect(ids(r.Usable(at(21)))).To(BeEmpty())
+}
+
+// Guards against a sound backend server that stays out of use although it has registered again after a restore.
+func TestServerThatRegistersAfterRestoreIsUsed(t *testing.T) {
+	g := NewWithT(t)
+	r := registry.New()
+	r.Update([]fleet.Server{server("a")}, start)
+	r.Update(nil, start.Add(time.Second))
+	now := start.Add(2 * time.Second)
+	r.StoreRestored(now)
+	r.Update([]fleet.Server{server("a")}, now)
+	g.Expect(ids(r.Usable(now))).To(BeEmpty())
+	r.RecordWrite("a", server("a").StartMillis)
+	r.Update([]fleet.Server{server("a")}, now)
+	g.Expect(ids(r.Usable(now))).To(Equal([]string{"a"}))
+}
