--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -16,7 +16,7 @@
 	// loadBalancerDelay is how long the load balancer takes to stop sending new connections: it probes readiness once a
 	// second and removes a host after two failed probes.
 	loadBalancerDelay = 2500 * time.Millisecond
-	// closeReserve is the last part of the drain time, in which no request is accepted so that plain requests that were
+	// closeReserve is the last part of the drain time, in which the listener is closed so that plain requests that were
 	// accepted before can end.
 	closeReserve = time.Second
 	// exitMargin is the part of the shutdown grace period that is reserved for the process to exit before SIGKILL.
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -82,7 +82,8 @@
 	// host, relayLostStore while it does not respond to the relay that this host follows.
 	recoveredAt               time.Time
 	storeLost, relayLostStore bool
-	// restoredRevision is the revision of the first copy after the store was restored, 0 if it never was.
+	// restoredRevision is the revision of the first copy after the store was restored, 0 if it never was. Items with a higher
+	// one were written since. The time of the restore is recoveredAt.
 	restoredRevision int64
 	// follows reports whether relays read the store for this host. hosts is the number of hosts of the fleet.
 	follows func() bool
@@ -450,7 +451,7 @@
 func (s *State) ObserveConfiguration(version uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lacksConfiguration(version, s.now())
+	s.recordReported(version, s.now())
 }
 
 // Transfer is what one host passes on of its copy of the store.
@@ -509,15 +510,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	if s.lacksConfiguration(version.Configuration, now) {
+	if s.recordReported(version.Configuration, now) {
 		return true
 	}
 	return version.Revision > s.copy.Revision() && now.Sub(s.copy.ConfirmedAt()) > limit && now.Add(-age).After(s.copy.ConfirmedAt())
 }
 
-// lacksConfiguration records the version of another host's configuration and reports whether this host has had an older
-// one for configurationLag. s.mu must be held.
-func (s *State) lacksConfiguration(reported uint64, now time.Time) bool {
+// recordReported records the version of another host's configuration. overdue is set if this host has had an older one
+// for configurationLag. s.mu must be held.
+func (s *State) recordReported(reported uint64, now time.Time) (overdue bool) {
 	if reported <= s.configurationVersion() {
 		return false
 	}
