--- a/test/standin/users/store.go
+++ b/test/standin/users/store.go
@@ -340,6 +340,9 @@
 	s.changed = make(chan struct{})
 }
 
+// firstLease is below all lease ids, which are far above the revisions.
+const firstLease = 1 << 47
+
 func (s *Store) serveGrant(w http.ResponseWriter, r *http.Request) {
 	var request struct {
 		TTLMs int64 `json:"ttlMs"`
@@ -352,8 +355,9 @@
 	defer s.mu.Unlock()
 	s.revision++
 	ttl := time.Duration(request.TTLMs) * time.Millisecond
-	s.leases[s.revision] = &lease{ttl: ttl, end: time.Now().Add(ttl)}
-	reply(w, http.StatusOK, map[string]any{"lease": s.revision, "ttlMs": request.TTLMs})
+	id := firstLease + s.revision
+	s.leases[id] = &lease{ttl: ttl, end: time.Now().Add(ttl)}
+	reply(w, http.StatusOK, map[string]any{"lease": id, "ttlMs": request.TTLMs})
 }
 
 func (s *Store) serveLease(w http.ResponseWriter, r *http.Request) {
