--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -307,20 +307,23 @@
 	id                string
 	prompt, generated int
 	preempted         bool
+	// held is the number of tokens that the run's hold covers. It is not preempted while it needs no more.
+	held int
 }
 
 // admit takes a slot and memory for a run, or returns nil. A hold that has not expired is used up by it.
 func (e *engine) admit(q *http.Request, prompt int) *run {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if id := q.Header.Get("Kv-Hold"); id != "" {
-		delete(e.holds, id)
-	}
+	e.heldNow()
+	id := q.Header.Get("Kv-Hold")
+	covered := e.holds[id].tokens
+	delete(e.holds, id)
 	slots, held := e.heldNow()
 	if e.changing || e.running+slots >= engineSlots || e.memory+held+prompt > engineMemory {
 		return nil
 	}
-	r := &run{id: q.Header.Get("Request-Id"), prompt: prompt}
+	r := &run{id: q.Header.Get("Request-Id"), prompt: prompt, held: covered}
 	e.runs = append(e.runs, r)
 	e.running++
 	e.memory += prompt
@@ -377,7 +380,7 @@
 	for e.memory+tokensPerEvent > engineMemory {
 		newest := r
 		for _, other := range e.runs {
-			if !other.preempted {
+			if !other.preempted && other.prompt+other.generated > other.held {
 				newest = other
 			}
 		}
