--- a/review/stand/rig.go
+++ b/review/stand/rig.go
@@ -64,20 +64,10 @@
 		return nil, err
 	}
 	r.storeAddr = l.Addr().String()
-	go func() {
-		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { r.store.ServeHTTP(plainWriter{w}, q) }))
-	}()
+	go func() { _ = http.Serve(l, r.store) }()
 	return r, nil
 }
 
-// plainWriter leaves out the header of the stand-in's store that is not on the pages in force.
-type plainWriter struct{ http.ResponseWriter }
-
-func (w plainWriter) WriteHeader(status int) {
-	w.Header().Del("Store-Era")
-	w.ResponseWriter.WriteHeader(status)
-}
-
 // close ends all processes that the case has started and closes the record.
 func (r *rig) close() {
 	for _, p := range r.processes {
