--- a/review/stand/drain.go
+++ b/review/stand/drain.go
@@ -1,5 +1,3 @@
-//go:build review
-
 package main
 
 import (
@@ -21,6 +19,8 @@
 	// greyTime is how long a prefill engine is faulty, greyShare how many of its requests it then leaves unanswered.
 	greyTime  = 6500 * time.Millisecond
 	greyShare = 0.4
+	// releaseSize is the number of engines that one release replaces.
+	releaseSize = 3
 	// exitAfter is how much longer than drainTime a leaving engine serves.
 	exitAfter = 600 * time.Millisecond
 )
@@ -112,7 +112,8 @@
 	return len(v.lates) > 0, nil
 }
 
-// replaceInTurn replaces decode engines as a release does, one a second and four in a row, again and again until ctx ends.
+// replaceInTurn replaces decode engines as a release does, one a second and three of seven in a row, again and again until ctx ends.
+// Only one prefill engine is faulty at a time.
 func replaceInTurn(ctx context.Context, r *rig, f *engines, prefills, decodes []*engine, trouble bool) error {
 	if !pause(ctx, 4*time.Second) {
 		return nil
@@ -124,7 +125,7 @@
 			grey.setSilent(func() bool { return rand.Float64() < greyShare })
 			time.AfterFunc(greyTime, func() { grey.setSilent(nil) })
 		}
-		for range 4 {
+		for range releaseSize {
 			if !pause(ctx, time.Second) {
 				return nil
 			}
@@ -136,7 +137,7 @@
 			decodes[i].leave(exitAfter)
 			decodes = append(slices.Delete(decodes, i, i+1), fresh)
 		}
-		if !pause(ctx, 2500*time.Millisecond) {
+		if !pause(ctx, greyTime-releaseSize*time.Second+200*time.Millisecond) {
 			return nil
 		}
 	}
--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -1,5 +1,3 @@
-//go:build review
-
 package main
 
 import (
@@ -45,6 +43,9 @@
 	holds    map[string]hold
 	handles  map[string]int
 	state    string
+	// beats counts the heartbeats, which end when gone is set.
+	beats int
+	gone  bool
 	// leftAt is when the store accepted that the engine is draining.
 	leftAt time.Time
 	// silent decides which prefill calls hang, nil for none.
@@ -97,18 +98,39 @@
 	e.server = &http.Server{Handler: e}
 	go func() { _ = e.server.Serve(l) }()
 	e.register()
+	go e.beat()
 	return e, nil
 }
 
-func (e *engine) register() {
+// beat registers the engine again at each heartbeat, until it has gone.
+func (e *engine) beat() {
+	for e.register() {
+		time.Sleep(heartbeat)
+	}
+}
+
+// register writes the entry of the engine, and reports false once the engine has gone.
+func (e *engine) register() bool {
 	e.mu.Lock()
-	stage, state := e.stage, e.state
-	e.mu.Unlock()
+	defer e.mu.Unlock()
+	if e.gone {
+		return false
+	}
+	e.beats++
 	value, _ := json.Marshal(map[string]any{
-		"service": "writers", "address": e.addr, "zone": zone, "version": "v1", "slots": engineSlots, "state": state, "coldLeftMs": 0,
-		"stage": stage, "seq": 1, "born": e.born,
+		"service": "writers", "address": e.addr, "zone": zone, "version": "v1", "slots": engineSlots, "state": e.state, "coldLeftMs": 0,
+		"stage": e.stage, "seq": e.beats, "born": e.born,
 	})
 	e.r.store.Put("servers/"+e.id, value)
+	return true
+}
+
+// stop ends the engine and its heartbeats.
+func (e *engine) stop() {
+	e.mu.Lock()
+	e.gone = true
+	e.mu.Unlock()
+	_ = e.server.Close()
 }
 
 // leave reports that the engine is draining, serves for drainTime and a little longer, and exits.
@@ -122,8 +144,8 @@
 	e.mu.Unlock()
 	e.r.note("engine %s is draining: the store has accepted it", e.id)
 	time.AfterFunc(drainTime+longer, func() {
+		e.stop()
 		e.r.store.Remove("servers/" + e.id)
-		_ = e.server.Close()
 		e.r.note("engine %s has exited", e.id)
 	})
 }
@@ -467,15 +489,15 @@
 	return e.crashing
 }
 
-// crash ends the engine inside an event of each of its streams. It is back after a while, as a new one.
+// crash ends the engine inside an event of each of its streams. Its entry expires, and it is back after a while, as a new one.
 func (e *engine) crash(away time.Duration) {
 	e.r.note("engine %s crashes", e.id)
 	e.mu.Lock()
 	e.crashing = true
 	e.mu.Unlock()
 	time.Sleep(100 * time.Millisecond)
-	_ = e.server.Close()
-	e.r.store.Remove("servers/" + e.id)
+	e.stop()
+	time.AfterFunc(expiry, func() { e.r.store.Remove("servers/" + e.id) })
 	time.AfterFunc(away, func() {
 		fresh, err := e.fleet.start(e.r, "decode")
 		if err != nil {
--- a/review/stand/event.go
+++ b/review/stand/event.go
@@ -1,5 +1,3 @@
-//go:build review
-
 package main
 
 import (
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -1,5 +1,3 @@
-//go:build review
-
 // Command stand plays one case of the review: it starts the hosts as separate processes, and the store, the backend servers
 // and the clients as stand-ins within itself. It exits with 1 if the rule was broken, 0 if it held, 2 if the case could not
 // run. With TROUBLE=0 it does the same without the trouble.
--- a/review/stand/odd.go
+++ b/review/stand/odd.go
@@ -1,5 +1,3 @@
-//go:build review
-
 package main
 
 import (
@@ -11,9 +9,8 @@
 )
 
 const (
-	heartbeat = 1200 * time.Millisecond
-	oddTime   = 30 * time.Second
-	oddEvery  = 3 * time.Second
+	oddTime  = 30 * time.Second
+	oddEvery = 3 * time.Second
 )
 
 func init() { scenarios["odd"] = playOdd }
--- a/review/stand/path.go
+++ b/review/stand/path.go
@@ -1,8 +1,9 @@
-//go:build review
-
 package main
 
-import "fmt"
+import (
+	"context"
+	"fmt"
+)
 
 func init() { scenarios["path"] = playPath }
 
@@ -12,12 +13,15 @@
 	if err := r.configure(route("all", "/", "unsafe", "desk", nil)); err != nil {
 		return false, err
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	var desks []*desk
 	for i := range 3 {
 		d, err := r.startDesk(fmt.Sprintf("i-desk%d", i), "desk")
 		if err != nil {
 			return false, err
 		}
+		go d.beat(ctx)
 		desks = append(desks, d)
 	}
 	h, err := r.startHost("front-porto-pa-1")
--- a/review/stand/rig.go
+++ b/review/stand/rig.go
@@ -1,5 +1,3 @@
-//go:build review
-
 package main
 
 import (
@@ -28,6 +26,9 @@
 	tenant    = "guests"
 	zone      = "porto-pa"
 	drainTime = 2 * time.Second
+	// heartbeat is the time between two entries of a worker, expiry that after which the entry of a silent one is removed.
+	heartbeat = 1200 * time.Millisecond
+	expiry    = 3 * heartbeat
 	// longest is the longest time that a case may take.
 	longest = 116 * time.Second
 )
--- a/review/stand/silence.go
+++ b/review/stand/silence.go
@@ -1,5 +1,3 @@
-//go:build review
-
 package main
 
 import (
@@ -176,6 +174,7 @@
 	}
 	q.Header.Set("Length-Hint", fmt.Sprint(int(hint)))
 	q.Header.Set("Events", fmt.Sprint(events))
+	r.note("client sends %s to host %d: %d prompt tokens, %d events, hint %d", e.id, n, prompt, events, int(hint))
 	patience := time.AfterFunc(gapPatience, cancel)
 	defer patience.Stop()
 	e.what, e.events = follow(q, patience, events)
