--- a/review/stand/drain.go
+++ b/review/stand/drain.go
@@ -21,6 +21,8 @@
 	greyShare = 0.4
 	// releaseSize is the number of engines that one release replaces.
 	releaseSize = 3
+	// releaseGap is the time between two releases.
+	releaseGap = time.Second
 	// exitAfter is how much longer than drainTime a leaving engine serves.
 	exitAfter = 600 * time.Millisecond
 )
@@ -64,7 +66,13 @@
 	defer cancel()
 	c := &streamClient{r: r, hosts: hosts, results: map[string]string{}}
 	go c.send(ctx)
-	if err := replaceInTurn(ctx, r, f, prefills, decodes, trouble); err != nil {
+	if !pause(ctx, 3*time.Second) {
+		return false, ctx.Err()
+	}
+	if trouble {
+		go failInTurn(ctx, r, prefills)
+	}
+	if err := replaceInTurn(ctx, r, f, decodes); err != nil {
 		return false, err
 	}
 	cancel()
@@ -113,18 +121,8 @@
 }
 
 // replaceInTurn replaces decode engines as a release does, one a second and three of seven in a row, again and again until ctx ends.
-// Only one prefill engine is faulty at a time.
-func replaceInTurn(ctx context.Context, r *rig, f *engines, prefills, decodes []*engine, trouble bool) error {
-	if !pause(ctx, 4*time.Second) {
-		return nil
-	}
-	for round := 0; ; round++ {
-		grey := prefills[round%len(prefills)]
-		if trouble {
-			r.note("engine %s leaves some of its requests unanswered", grey.id)
-			grey.setSilent(func() bool { return rand.Float64() < greyShare })
-			time.AfterFunc(greyTime, func() { grey.setSilent(nil) })
-		}
+func replaceInTurn(ctx context.Context, r *rig, f *engines, decodes []*engine) error {
+	for pause(ctx, releaseGap) {
 		for range releaseSize {
 			if !pause(ctx, time.Second) {
 				return nil
@@ -137,9 +135,18 @@
 			decodes[i].leave(exitAfter)
 			decodes = append(slices.Delete(decodes, i, i+1), fresh)
 		}
-		if !pause(ctx, greyTime-releaseSize*time.Second+200*time.Millisecond) {
-			return nil
-		}
+	}
+	return nil
+}
+
+// failInTurn makes one prefill engine at a time leave a part of its requests unanswered.
+func failInTurn(ctx context.Context, r *rig, prefills []*engine) {
+	for round := 0; pause(ctx, 200*time.Millisecond); round++ {
+		grey := prefills[round%len(prefills)]
+		r.note("engine %s leaves some of its requests unanswered", grey.id)
+		grey.setSilent(func() bool { return rand.Float64() < greyShare })
+		pause(ctx, greyTime)
+		grey.setSilent(nil)
 	}
 }
 
