Check that an engine is usable after each wait before a send

Callers saw: streams were cut or ended with 502 because they reached a decode engine that had announced to leave up to 2.6 s before (DRAIN). Cause: the engine is reserved before the prefill, and the request went to it after the prefill without another look. A prefill that hangs takes longer than drainMs. Change: a reservation at an engine that is not usable any more is replaced, with the prefill result kept; each send, also a repeat after a dropped connection, checks the incarnation, address and stage first. A request that this check stops is not charged to the retry budget.

--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -39,12 +39,13 @@
 // Unwrap returns the cause.
 func (e *RetriesExhaustedError) Unwrap() error { return e.Cause }
 
-// StaleServerError reports a backend server that was removed after it had been selected and before it was called.
+// StaleServerError reports a backend server that left, or changed its address or stage, after it had been selected and before
+// it was called.
 type StaleServerError struct{ Key string }
 
 // Error implements error.
 func (e *StaleServerError) Error() string {
-	return "backend server " + e.Key + " is no longer registered"
+	return "backend server " + e.Key + " is not usable any more"
 }
 
 // BrokenStreamError reports a response that ended early, after a part of it was relayed to the caller. Events is the
--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -30,6 +30,9 @@
 	// prefillWait is how long a prompt waits for a prefill engine. It is about the time that a decode engine takes to
 	// process the prompt itself, so a longer wait gains nothing.
 	prefillWait = 400 * time.Millisecond
+	// replacementWait is how long a stream whose prompt has been processed waits at least for a slot at another decode
+	// engine. It is about the lifetime of a prefill result.
+	replacementWait = time.Second
 	// releaseTimeout bounds the calls that free memory at engines after a request has ended.
 	releaseTimeout = 2 * time.Second
 )
@@ -40,6 +43,7 @@
 	server        fleet.Server
 	reservationID string
 	run           *run
+	at            time.Time
 }
 
 // free releases the slot and the memory in this host's accounting. The engine itself is not called; see
@@ -67,15 +71,13 @@
 		if key == "" || ctx.Err() != nil {
 			return err
 		}
-		var notRun *platform.NotRunError
-		notExecuted := errors.As(err, &notRun)
-		if !notExecuted {
+		if !notExecuted(err) {
 			runs++
 		}
 		if s.unnumbered {
 			return &RetriesExhaustedError{Reason: "no event id", Cause: err}
 		}
-		if reason := f.retryRefused(x, notExecuted, runs); reason != "" {
+		if reason := f.retryRefused(x, err, runs); reason != "" {
 			return &RetriesExhaustedError{Reason: reason, Cause: err}
 		}
 		excluded[key] = true
@@ -89,17 +91,11 @@
 // runGeneration makes one attempt, from the reservation to the end of the stream. It returns the key of the decode
 // engine, which is empty when the request must not be retried: no slot was reserved, or ctx ended before decode began.
 func (f *Front) runGeneration(ctx context.Context, x *call, s *stream, excluded map[string]bool) (string, error) {
-	p, err := f.reserve(ctx, x, excluded)
+	p, result, err := f.prepare(ctx, x, excluded, s.lastEvent)
 	if err != nil {
 		return "", err
 	}
-	reservedAt := f.now()
 	defer p.free(f)
-	result, err := f.prefillUnlessQuarantined(ctx, x, s.lastEvent)
-	if err != nil {
-		f.releaseReservation(p)
-		return "", err
-	}
 	x.trace.server = p.server.ID
 	// The stall watch is enabled only if the request can be retried: otherwise canceling a stalled run gains nothing.
 	ctx, watch := watchStall(ctx, x.route.Repeatable(), f.stallLimit(x))
@@ -141,13 +137,41 @@
 	}
 	perEvent := f.tokensPerEvent(x)
 	x.group.count(func(t *stagesplit.Totals) {
-		t.SlotTime += f.now().Sub(reservedAt)
+		t.SlotTime += f.now().Sub(p.at)
 		t.SlotTokens += int64(s.events-before) * perEvent
 	})
 	f.runTable.recordFinished(int64(s.events)*perEvent, int64(s.events-before)*perEvent, f.now().Sub(s.runStartedAt))
 	return p.grant.Key, nil
 }
 
+// prepare reserves a slot at a decode engine and has the prompt processed. A prefill can take longer than a leaving engine
+// serves new requests, so the reservation is replaced if its engine is not usable any more.
+func (f *Front) prepare(ctx context.Context, x *call, excluded map[string]bool, lastEvent string) (*reservation, *platform.PrefillResult, error) {
+	p, err := f.reserve(ctx, x, excluded, f.latestStart(x))
+	if err != nil {
+		return nil, nil, err
+	}
+	result, err := f.prefillUnlessQuarantined(ctx, x, lastEvent)
+	for err == nil && !x.group.usable(p.server) {
+		f.metrics.Inc("reservations_replaced", metrics.L("service", x.group.service))
+		f.log.Info("reservation replaced: engine is not usable any more", "request", x.request.ID, "server", p.server.ID,
+			"age", ms(f.now().Sub(p.at)))
+		f.cancelReservation(p)
+		p, err = f.reserve(ctx, x, excluded, f.latestReplacement(x))
+		if err == nil {
+			err = f.refuseQuarantined(x)
+		}
+	}
+	if err != nil {
+		if p != nil {
+			f.cancelReservation(p)
+		}
+		f.dropResult(result)
+		return nil, nil, err
+	}
+	return p, result, nil
+}
+
 // prefillUnlessQuarantined returns the result of prefill, or an error when ctx has ended or a part of the prompt has been
 // quarantined while the request waited.
 func (f *Front) prefillUnlessQuarantined(ctx context.Context, x *call, lastEvent string) (*platform.PrefillResult, error) {
@@ -182,16 +206,16 @@
 	return nil
 }
 
-// reserve waits for a slot at a decode engine and reserves KV memory for the prompt there. It tries the next engine when
+// reserve waits until startBy for a slot at a decode engine and reserves KV memory for the prompt there. It tries the next engine when
 // one refuses the reservation.
-func (f *Front) reserve(ctx context.Context, x *call, excluded map[string]bool) (*reservation, error) {
+func (f *Front) reserve(ctx context.Context, x *call, excluded map[string]bool, startBy time.Time) (*reservation, error) {
 	r := &run{Run: kvmemory.Run{Prompt: x.request.Tokens.Prompt, Output: f.runTable.forecast(x.request.LengthHint, x.request.Tokens.MaxOutput)}}
 	capacity := int64(0)
 	if e := f.engineOf(x); e != nil {
 		capacity = e.KVCapacity
 	}
 	job := dispatch.Job{
-		ID: x.request.ID, Value: f.value(x, r.Output), StartBy: f.latestStart(x), Exclude: excluded,
+		ID: x.request.ID, Value: f.value(x, r.Output), StartBy: startBy, Exclude: excluded,
 		Reserve: func(key string) bool { return f.runTable.add(r, key, capacity) },
 	}
 	for {
@@ -211,7 +235,7 @@
 		// output will need is accounted for by the forecast in runTable.add.
 		reservationID, err := f.backends.TakeReservation(ctx, server, x.request.Tokens.Prompt, reservationTTL)
 		if err == nil {
-			return &reservation{grant: grant, server: server, reservationID: reservationID, run: r}, nil
+			return &reservation{grant: grant, server: server, reservationID: reservationID, run: r, at: f.now()}, nil
 		}
 		f.runTable.end(r)
 		if ctx.Err() != nil {
@@ -249,6 +273,18 @@
 	return x.request.Arrived.Add(max(x.route.LatencyObjective-prefillEstimate, x.route.LatencyObjective/3))
 }
 
+// latestReplacement returns the time until which a stream whose prompt has been processed may wait for another slot.
+func (f *Front) latestReplacement(x *call) time.Time {
+	latest := f.latestStart(x)
+	if t := f.now().Add(replacementWait); t.After(latest) {
+		latest = t
+	}
+	if latest.After(x.deadline) {
+		return x.deadline
+	}
+	return latest
+}
+
 // value returns the priority of a stream in the queue for slots: its benefit per unit of decode time. The benefit
 // depends only on whether the stream can still meet its objective, since the declared sizes hardly differ between
 // requests. The decode time is estimated from the forecast output length.
@@ -345,7 +381,7 @@
 		Repeatable: true, NewConnection: x.sentBefore(server),
 	}
 	result, err := f.backends.Prefill(ctx, call)
-	if platform.IsDroppedConnection(err) && ctx.Err() == nil && f.mayRetry(x) {
+	if platform.IsDroppedConnection(err) && ctx.Err() == nil && x.group.usable(server) && f.mayRetry(x) {
 		call.NewConnection = true
 		result, err = f.backends.Prefill(ctx, call)
 	}
@@ -384,6 +420,12 @@
 	f.release(func(ctx context.Context) error { return f.backends.ReleaseReservation(ctx, p.server, p.reservationID) }, "hold", p.server.ID)
 }
 
+// cancelReservation releases an unused reservation at the engine and in this host's accounting.
+func (f *Front) cancelReservation(p *reservation) {
+	f.releaseReservation(p)
+	p.free(f)
+}
+
 // dropResult frees a prefill result that was not used. r is nil when the prefill was skipped.
 func (f *Front) dropResult(r *platform.PrefillResult) {
 	if r == nil {
--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -216,6 +216,13 @@
 	return s, known
 }
 
+// usable reports whether a backend server that was selected before may still get a request: its incarnation is neither gone
+// nor leaving, and has the same address and stage.
+func (g *group) usable(s fleet.Server) bool {
+	present, known := g.server(serverKey(s))
+	return known && present.Address == s.Address && present.Stage == s.Stage
+}
+
 // observe records the result of an attempt and reports whether it paused the backend server.
 func (g *group) observe(key string, r outlier.Result) (paused bool) {
 	g.mu.Lock()
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -39,12 +39,10 @@
 		if key == "" || ctx.Err() != nil {
 			return err
 		}
-		var notRun *platform.NotRunError
-		notExecuted := errors.As(err, &notRun)
-		if !notExecuted {
+		if !notExecuted(err) {
 			runs++
 		}
-		if reason := f.retryRefused(x, notExecuted, runs); reason != "" {
+		if reason := f.retryRefused(x, err, runs); reason != "" {
 			if err == nil {
 				return f.writeResponse(x, a)
 			}
@@ -58,16 +56,30 @@
 	}
 }
 
-// retryRefused returns why a request may not be retried, or "" when it may. In that case the retry is charged to the
-// budget.
-func (f *Front) retryRefused(x *call, notExecuted bool, runs int) string {
+// notExecuted reports whether the error of an attempt says that the backend server has not run the request.
+func notExecuted(err error) bool {
+	var notRun *platform.NotRunError
+	return errors.As(err, &notRun)
+}
+
+// neverSent reports whether an attempt ended before anything was sent because its backend server had become unusable.
+func neverSent(err error) bool {
+	var stale *StaleServerError
+	return errors.As(err, &stale)
+}
+
+// retryRefused returns why a request may not be retried after an attempt that ended with err, or "" when it may. In that
+// case the retry is charged to the budget, unless the attempt never reached a backend server.
+func (f *Front) retryRefused(x *call, err error, runs int) string {
 	switch {
-	case !notExecuted && !x.route.Repeatable():
+	case !notExecuted(err) && !x.route.Repeatable():
 		return "not idempotent"
 	case runs >= x.route.Attempts:
 		return "attempts"
 	case f.now().Add(responseMargin).After(x.deadline):
 		return "time"
+	case neverSent(err):
+		return ""
 	case !f.mayRetry(x):
 		return "budget"
 	}
@@ -89,6 +101,8 @@
 	var notRun *platform.NotRunError
 	var lost *platform.OutcomeUnknownError
 	switch {
+	case neverSent(err):
+		return "stale"
 	case errors.As(err, &notRun) && notRun.WrongServer:
 		return "wrong-server"
 	case errors.As(err, &notRun) && notRun.Status == 0:
@@ -136,14 +150,18 @@
 	return read, grant.Key, nil
 }
 
-// run sends a request to a backend server. If the server had dropped the reused connection, a request that may be repeated
-// is sent to it once more on a new connection, which is charged to the retry budget.
+// run sends a request to a backend server, unless that has become unusable since it was selected. If the server had dropped
+// the reused connection, a request that may be repeated is sent to it once more on a new connection, which is charged to the
+// retry budget.
 func (f *Front) run(ctx context.Context, x *call, call platform.BackendCall) (*platform.Response, error) {
+	if !x.group.usable(call.Server) {
+		return nil, &platform.NotRunError{Cause: &StaleServerError{Key: serverKey(call.Server)}}
+	}
 	call.NewConnection = x.sentBefore(call.Server)
 	settle := x.beginSend()
 	response, err := f.backends.Run(ctx, call)
 	settle(err)
-	if !platform.IsDroppedConnection(err) || !call.Repeatable || ctx.Err() != nil || !f.mayRetry(x) {
+	if !platform.IsDroppedConnection(err) || !call.Repeatable || ctx.Err() != nil || !x.group.usable(call.Server) || !f.mayRetry(x) {
 		return response, err
 	}
 	f.metrics.Inc("repeats", metrics.L("service", x.group.service), metrics.L("reason", retryReason(err)))
@@ -172,6 +190,8 @@
 	var stalled *StalledError
 	result := outlier.Failed
 	switch {
+	case neverSent(err):
+		return
 	case errors.As(context.Cause(ctx), &stalled):
 		result = outlier.Unreachable
 	case errors.As(err, &notRun) && notRun.WrongServer:
--- a/test/standin/users/worker.go
+++ b/test/standin/users/worker.go
@@ -95,6 +95,8 @@
 	undelimited, emptyStreams bool
 	// rateLimit is the limit that responses name, in requests per second, or 0 for none.
 	rateLimit float64
+	// before is called with each call before it is served, or nil.
+	before func(*http.Request)
 	// arrivedAt holds the times at which requests arrived.
 	arrivedAt []time.Time
 }
@@ -211,8 +213,21 @@
 	return w.running, w.holds, len(w.handles)
 }
 
+// Before sets a function that is called with each call before it is served.
+func (w *Worker) Before(f func(*http.Request)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.before = f
+}
+
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	w.mu.Lock()
+	before := w.before
+	w.mu.Unlock()
+	if before != nil {
+		before(r)
+	}
 	switch {
 	case r.Header.Get("Expect-Instance") != "" && r.Header.Get("Expect-Instance") != w.ID:
 		rw.Header().Set("Instance-Id", w.ID)
