Split streams at empty lines only, whatever the length of a line

Callers saw: an event that its engine had cut after a data line of a multiple of 4,096 bytes was relayed as complete and joined with the next one; one id was missing (ORDER). Cause: the rest of a line that is longer than the reader's buffer was looked at as a line by itself. A rest of the line end alone counted as the empty line that ends an event. Change: eventReader keeps across reads whether the current line has content and whether it ended with a CR. Lines end with LF, CRLF or CR; an event cut between the CR and the LF of its empty line is incomplete. Result: TestStreamsCutAfterALongLine failed before (line end LF, length 4,096, one byte missing) and passes with the change.

--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -15,9 +14,6 @@
 	"github.com/boragecourse/boragecourse/platform"
 )
 
-// maxEvent is the size limit of one event of a stream, in bytes.
-const maxEvent = 1 << 20
-
 // stream relays a generation's events to the caller, from one run or from several successive ones. Only complete events
 // are relayed, so that another run can resume after the last relayed event.
 type stream struct {
@@ -88,33 +84,23 @@
 	continued := s.x.started
 	s.writeHeader(a)
 	flusher := http.NewResponseController(s.x.w)
-	in := bufio.NewReader(a.Body)
+	events := newEventReader(a.Body)
 	before := s.events
 	s.resuming = s.x.route.Repeatable() && s.lastEvent != ""
-	var event bytes.Buffer
 	for {
-		line, err := in.ReadSlice('\n')
-		event.Write(line)
-		switch {
-		case event.Len() > maxEvent:
-			return &BrokenStreamError{Events: s.events, Cause: &EventTooLargeError{Bytes: event.Len()}}
-		case errors.Is(err, bufio.ErrBufferFull):
-			continue
-		case errors.Is(err, io.EOF) && event.Len() == 0:
+		event, err := events.next()
+		if errors.Is(err, io.EOF) && len(event) == 0 {
 			return s.checkEnd(a, s.events == before, continued)
-		case err != nil:
+		}
+		if err != nil {
 			if cause := context.Cause(ctx); cause != nil {
 				err = cause
 			}
 			return &BrokenStreamError{Events: s.events, Cause: err}
 		}
-		if len(bytes.TrimRight(line, "\r\n")) > 0 {
-			continue
-		}
-		if err := s.relayEvent(event.Bytes(), flusher); err != nil {
+		if err := s.relayEvent(event, flusher); err != nil {
 			return err
 		}
-		event.Reset()
 	}
 }
 
@@ -172,8 +158,8 @@
 
 // isComment reports whether all lines of an event are comments.
 func isComment(event []byte) bool {
-	for line := range bytes.Lines(event) {
-		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+	for line := range linesOf(event) {
+		if len(line) > 0 && line[0] != ':' {
 			return false
 		}
 	}
@@ -221,8 +207,8 @@
 
 // eventID returns the value of the first id field of a server-sent event, or "".
 func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if value, found := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), []byte("id:")); found {
+	for line := range linesOf(event) {
+		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
 			return string(bytes.TrimSpace(value))
 		}
 	}
