Treat a server that announces in a response that it leaves as draining

Callers saw: requests reached backend servers later than drainMs after the host had relayed an answer with Server-Leaving, and were cut when the servers ended (DRAIN). Cause: hosts learned of leaving from the store only; the header was read nowhere. The announcement is final for the incarnation, whatever the store lists.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -108,6 +108,7 @@
 	f.exchange.Register(f.peers)
 	f.state = newState(store, log, reg, f.now)
 	f.quarantine.changed = f.exchange.Notify
+	f.backends.OnLeaving = f.state.MarkLeaving
 	f.state.onServers = f.setServers
 	f.state.onQuarantine = f.quarantine.adopt
 	f.state.onConfig = f.configure
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -423,6 +423,18 @@
 	s.log.Info("address serves a different backend server or stage than registered", "server", server.ID, "address", server.Address)
 }
 
+// MarkLeaving records that a backend server has announced in a response that it leaves.
+func (s *State) MarkLeaving(server fleet.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.servers.MarkLeaving(server.ID, server.StartMillis) {
+		return
+	}
+	s.log.Info("backend server announces that it leaves", "server", server.ID, "service", server.Service, "born", server.StartMillis)
+	s.metrics.Inc("leaving_announced", metrics.L("service", server.Service))
+	s.applyCopy()
+}
+
 // staleAfter is the age above which the copy is fetched from another host that has a newer one. While watches succeed,
 // the copy stays younger than this.
 const staleAfter = watchWait + watchPause + 250*time.Millisecond
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -22,8 +22,12 @@
 // servers that are running have registered again by its end, and the entries of others have expired.
 const restoredWindow = 10 * time.Second
 
-// maxDeparted is the number of incarnations that have left which a Registry remembers.
-const maxDeparted = 1000
+// maxDeparted is the number of incarnations that have left which a Registry remembers, maxLeaving the number of those that have
+// announced it.
+const (
+	maxDeparted = 1000
+	maxLeaving  = 8192
+)
 
 // State is the registered state of one incarnation of a backend server.
 type State struct {
@@ -65,6 +69,8 @@
 	// storeRestored is when the store was restored from an older copy, departed when incarnations left.
 	storeRestored time.Time
 	departed      map[incarnation]time.Time
+	// leaving holds the incarnations that have announced in a response that they leave, whatever the store lists.
+	leaving map[incarnation]bool
 	// withheld is set while an entry is ignored because it may be from before the restore.
 	withheld bool
 }
@@ -76,7 +82,7 @@
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{servers: map[string]*State{}, departed: map[incarnation]time.Time{}}
+	return &Registry{servers: map[string]*State{}, departed: map[incarnation]time.Time{}, leaving: map[incarnation]bool{}}
 }
 
 // StoreRecovered records that the store is available again after an outage. Backend servers whose registrations expired
@@ -128,6 +134,7 @@
 // put adds or updates one backend server. It reports whether its state changed, and how.
 func (r *Registry) put(s fleet.Server, now time.Time) (ChangeKind, bool) {
 	old := r.servers[s.ID]
+	s.Draining = s.Draining || r.leaving[incarnation{s.ID, s.StartMillis}]
 	delete(r.departed, incarnation{s.ID, s.StartMillis})
 	switch {
 	case old == nil:
@@ -209,6 +216,21 @@
 	}
 }
 
+// MarkLeaving records that an incarnation of a backend server has announced in a response that it leaves. That is final. It
+// reports whether this was not known yet.
+func (r *Registry) MarkLeaving(id string, startMillis int64) bool {
+	key := incarnation{id, startMillis}
+	if r.leaving[key] {
+		return false
+	}
+	if len(r.leaving) >= maxLeaving {
+		clear(r.leaving)
+	}
+	r.leaving[key] = true
+	s := r.servers[id]
+	return s != nil && s.StartMillis == startMillis && !s.Draining
+}
+
 // Usable reports whether a backend server may get new requests.
 func (s *State) Usable(now time.Time) bool { return !s.Draining && !now.Before(s.avoidUntil) }
 
--- a/test/standin/users/command.go
+++ b/test/standin/users/command.go
@@ -70,7 +70,7 @@
 		a.Others++
 	}
 	w.arrivals[id] = a
-	w.arrivedAt = append(w.arrivedAt, time.Now())
+	w.arrivedAt, w.arrivedIDs = append(w.arrivedAt, time.Now()), append(w.arrivedIDs, id)
 	return true
 }
 
--- a/test/standin/users/crash.go
+++ b/test/standin/users/crash.go
@@ -56,7 +56,7 @@
 	l, err := net.Listen("tcp", w.Addr)
 	w.mu.Lock()
 	closed := w.fatalPart == ""
-	w.StartMillis, w.holds, w.handles = time.Now().UnixMilli(), 0, map[string]bool{}
+	w.StartMillis, w.holds, w.handles, w.leaving = time.Now().UnixMilli(), 0, map[string]bool{}, false
 	store := w.registeredAt
 	w.mu.Unlock()
 	if err != nil || closed {
--- a/test/standin/users/worker.go
+++ b/test/standin/users/worker.go
@@ -97,8 +97,14 @@
 	rateLimit float64
 	// before is called with each call before it is served, or nil.
 	before func(*http.Request)
-	// arrivedAt holds the times at which requests arrived.
-	arrivedAt []time.Time
+	// arrivedAt holds the times at which requests arrived, arrivedIDs their ids.
+	arrivedAt  []time.Time
+	arrivedIDs []string
+	// leaving is set when responses announce that the server leaves. Until refusingUntil it refuses requests; refusals are those
+	// that named a wait. Until silentUntil it sends and accepts nothing.
+	leaving                    bool
+	refusingUntil, silentUntil time.Time
+	refusals                   []Refusal
 }
 
 // StartWorker starts a stand-in for a backend server at addr, or at a new loopback address if addr is empty.
@@ -146,6 +152,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.registeredAt = s
+	w.leaving = w.leaving || state == "draining"
 	value, _ := json.Marshal(map[string]any{
 		"service": w.Service, "address": cmp.Or(w.advertised, w.Addr), "zone": w.Zone, "version": "v1", "slots": w.Slots, "state": state,
 		"coldLeftMs": 0, "stage": w.Stage, "seq": 0, "born": w.StartMillis,
@@ -228,6 +235,11 @@
 	if before != nil {
 		before(r)
 	}
+	w.awaitSilence()
+	w.announceLeaving(rw)
+	if w.refuse(rw, r) {
+		return
+	}
 	switch {
 	case r.Header.Get("Expect-Instance") != "" && r.Header.Get("Expect-Instance") != w.ID:
 		rw.Header().Set("Instance-Id", w.ID)
@@ -432,6 +444,7 @@
 			_ = http.NewResponseController(rw).Flush()
 			panic(http.ErrAbortHandler)
 		}
+		w.awaitSilence()
 		_, _ = rw.Write([]byte(event))
 		_ = http.NewResponseController(rw).Flush()
 		select {
--- a/test/users/leaving_test.go
+++ b/test/users/leaving_test.go
@@ -60,3 +60,41 @@
 	}
 	return nil
 }
+
+// drainNotice equals the setting drainMs.
+const drainNotice = 2 * time.Second
+
+// Guards against requests and prompts for a backend server that has announced in a response that it leaves, whatever the store
+// says: that it is ready, or at first nothing and then that it is ready.
+func TestHostsHeedServersThatAnnounceTheirLeaving(t *testing.T) {
+	p := newDeployment(t, 1)
+	p.worker(users.WorkerOptions{ID: "prefill-2", Service: "llm", Stage: "prefill"})
+	leaving := []*users.Worker{p.plain[0], p.prefill, p.decode[0]}
+	for _, w := range leaving {
+		w.AnnounceLeaving()
+	}
+	p.load(time.Second, func(h *host) response { return p.do(h, http.MethodGet, "/view/1") })
+	p.load(time.Second, func(h *host) response { return p.stream(h, "ask") })
+	for _, w := range leaving {
+		p.store.Remove("servers/" + w.ID)
+	}
+	time.Sleep(noticeTime)
+	for _, w := range leaving {
+		w.Register(p.store, "ready")
+	}
+	time.Sleep(drainNotice)
+	from := time.Now()
+	all := p.load(time.Second, func(h *host) response { return p.do(h, http.MethodGet, "/view/1") })
+	all = append(all, p.load(time.Second, func(h *host) response { return p.stream(h, "ask") })...)
+	for _, w := range leaving {
+		p.g.Expect(w.MostArrivals(from, waitTimeout)).To(BeZero(), w.ID)
+	}
+	for _, a := range all {
+		p.g.Expect(a.status).To(Equal(http.StatusOK))
+	}
+	// An incarnation that starts under the id of one that has left is another server.
+	p.plain[0].Close()
+	restarted := p.worker(users.WorkerOptions{ID: "app-1", Service: "app"})
+	p.g.Eventually(func() int { _ = p.do(p.hosts[0], http.MethodGet, "/view/1"); return len(restarted.Runs()) }).
+		WithTimeout(waitTimeout).ShouldNot(BeZero())
+}
