Hold off a server for the time that its refusal names

Cause of what is shown here: the Retry-After of a server's 503 was not read, so requests reached the server again after 0.15 s. Change: until the time has passed the host sends such a server no requests, prompts, reservations, releases or stage commands, also none that were assigned before. If all servers of a stage are held off, requests are refused at once, with a Retry-After after the first of these times.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -109,6 +109,7 @@
 	f.state = newState(store, log, reg, f.now)
 	f.quarantine.changed = f.exchange.Notify
 	f.backends.OnLeaving = f.state.MarkLeaving
+	f.backends.OnRefusal = f.holdOff
 	f.state.onServers = f.setServers
 	f.state.onQuarantine = f.quarantine.adopt
 	f.state.onConfig = f.configure
--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -226,7 +226,7 @@
 		f.exchange.Notify()
 		x.trace.waited = f.now().Sub(x.request.Arrived)
 		server, known := x.group.server(grant.Key)
-		if !known {
+		if !known || !x.group.usable(server) {
 			f.runTable.end(r)
 			grant.ReleaseRejected()
 			continue
@@ -323,6 +323,7 @@
 // itself, which is slower.
 func (f *Front) prefill(ctx context.Context, x *call, lastEvent string) *platform.PrefillResult {
 	excluded := map[string]bool{}
+	failed := false
 	for {
 		grant, err := x.group.prefill.Acquire(ctx, dispatch.Job{ID: x.request.ID, StartBy: f.latestPrefill(x), Exclude: excluded})
 		if err != nil {
@@ -330,7 +331,7 @@
 		}
 		// A call is a retry, and is charged to the budget, if an engine may have accepted an earlier call or an earlier
 		// call in this loop failed.
-		if (x.prefilled || len(excluded) > 0) && !f.mayRetry(x) {
+		if (x.prefilled || failed) && !f.mayRetry(x) {
 			grant.Release()
 			return f.prefillSkipped(x, "budget", nil)
 		}
@@ -344,6 +345,7 @@
 			return nil
 		}
 		excluded[grant.Key] = true
+		failed = failed || !neverSent(err)
 		f.metrics.Inc("prefill_repeats", metrics.L("service", x.group.service), metrics.L("reason", retryReason(err)))
 		f.log.Info("prefill failed", "request", x.request.ID, "server", grant.Key, "cause", err)
 	}
@@ -369,7 +371,7 @@
 func (f *Front) prefillAt(ctx context.Context, x *call, grant *dispatch.Grant, lastEvent string) (*platform.PrefillResult, error) {
 	defer grant.Release()
 	server, known := x.group.server(grant.Key)
-	if !known {
+	if !known || !x.group.usable(server) {
 		return nil, &platform.NotRunError{Cause: &StaleServerError{Key: grant.Key}}
 	}
 	x.trace.prefill = server.ID
@@ -417,7 +419,7 @@
 
 // releaseReservation frees an unused reservation at the engine. A decode call that did not run does not free it.
 func (f *Front) releaseReservation(p *reservation) {
-	f.release(func(ctx context.Context) error { return f.backends.ReleaseReservation(ctx, p.server, p.reservationID) }, "hold", p.server.ID)
+	f.release(func(ctx context.Context) error { return f.backends.ReleaseReservation(ctx, p.server, p.reservationID) }, "hold", p.server)
 }
 
 // cancelReservation releases an unused reservation at the engine and in this host's accounting.
@@ -431,17 +433,22 @@
 	if r == nil {
 		return
 	}
-	f.release(func(ctx context.Context) error { return f.backends.ReleasePrefillResult(ctx, r) }, "prefill result", r.Server.ID)
+	f.release(func(ctx context.Context) error { return f.backends.ReleasePrefillResult(ctx, r) }, "prefill result", r.Server)
 }
 
-// release frees memory at an engine in the background. If the call fails, the engine frees the memory when it expires.
-func (f *Front) release(call func(context.Context) error, what, server string) {
+// release frees memory at an engine in the background. If the call fails, or the engine is held off, the engine frees the memory
+// when it expires.
+func (f *Front) release(call func(context.Context) error, what string, server fleet.Server) {
+	if f.group(server.Service).heldFor(server) > 0 {
+		f.metrics.Inc("releases_left_out")
+		return
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
 		if err := call(ctx); err != nil {
 			f.metrics.Inc("releases_failed")
-			f.log.Error(err, "failed to release memory at engine", "what", what, "server", server)
+			f.log.Error(err, "failed to release memory at engine", "what", what, "server", server.ID)
 		}
 	}()
 }
--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -33,16 +34,18 @@
 	outliers *outlier.Detector
 	// changing holds the engines that are changing their stage, with the time until which they get no work.
 	changing map[string]time.Time
-	totals   stagesplit.Totals
-	budget   *retrybudget.Budget
-	now      func() time.Time
+	// heldOff holds the servers that have refused a request and named a time for which they want no others.
+	heldOff map[string]time.Time
+	totals  stagesplit.Totals
+	budget  *retrybudget.Budget
+	now     func() time.Time
 	// recheckDue is set while a re-check of paused backend servers is scheduled.
 	recheckDue bool
 }
 
 func newGroup(service, zone string, limits fleet.RetryLimits, started time.Time, now func() time.Time) *group {
 	return &group{
-		service: service, now: now, servers: map[string]fleet.Server{}, outliers: outlier.New(),
+		service: service, now: now, servers: map[string]fleet.Server{}, heldOff: map[string]time.Time{}, outliers: outlier.New(),
 		plain: dispatch.NewPool(zone, now), prefill: dispatch.NewPool(zone, now), decode: dispatch.NewPool(zone, now),
 		budget: retrybudget.New(limits, started, now()),
 	}
@@ -59,18 +62,23 @@
 		g.servers[serverKey(s.Server)] = s.Server
 	}
 	g.outliers.Retain(func(key string) bool { _, known := g.servers[key]; return known })
+	maps.DeleteFunc(g.heldOff, func(_ string, until time.Time) bool { return !g.now().Before(until) })
 	g.mu.Unlock()
 	g.refresh()
 }
 
-// refresh sets the pools' candidates to the usable backend servers, except those that are paused or changing their
-// stage. A pool that would have no candidates gets all of its servers instead.
+// refresh sets the pools' candidates to the usable backend servers, except those that are held off, paused or changing their
+// stage. A pool that would have no candidates gets all of its servers instead that are not held off.
 func (g *group) refresh() {
 	g.mu.Lock()
 	var all, active [3][]dispatch.Candidate
 	now := g.now()
 	paused := false
 	for key, s := range g.servers {
+		if now.Before(g.heldOff[key]) {
+			paused = true
+			continue
+		}
 		stage, c := candidate(key, s)
 		all[stage] = append(all[stage], c)
 		if !g.outliers.Paused(key, now) && !now.Before(g.changing[key]) {
@@ -217,10 +225,45 @@
 }
 
 // usable reports whether a backend server that was selected before may still get a request: its incarnation is neither gone
-// nor leaving, and has the same address and stage.
+// nor leaving, is not held off, and has the same address and stage.
 func (g *group) usable(s fleet.Server) bool {
 	present, known := g.server(serverKey(s))
-	return known && present.Address == s.Address && present.Stage == s.Stage
+	return known && present.Address == s.Address && present.Stage == s.Stage && g.heldFor(s) == 0
+}
+
+// holdOff records that a backend server wants no requests for a time, and reports whether it has got some until now.
+func (g *group) holdOff(s fleet.Server, wait time.Duration) (began bool) {
+	key := serverKey(s)
+	g.mu.Lock()
+	now := g.now()
+	began = !now.Before(g.heldOff[key])
+	if until := now.Add(wait); until.After(g.heldOff[key]) {
+		g.heldOff[key] = until
+	}
+	g.mu.Unlock()
+	g.refresh()
+	return began
+}
+
+// heldFor returns for how long a backend server still wants no requests.
+func (g *group) heldFor(s fleet.Server) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(g.heldOff[serverKey(s)].Sub(g.now()), 0)
+}
+
+// heldOffFor returns after which time the first of the backend servers that are held off wants requests again, 0 if there is
+// none.
+func (g *group) heldOffFor() (first time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	for key, until := range g.heldOff {
+		if _, known := g.servers[key]; known && now.Before(until) && (first == 0 || until.Sub(now) < first) {
+			first = until.Sub(now)
+		}
+	}
+	return first
 }
 
 // observe records the result of an attempt and reports whether it paused the backend server.
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/boragecourse/boragecourse/internal/dispatch"
+	"github.com/boragecourse/boragecourse/internal/fleet"
 	"github.com/boragecourse/boragecourse/internal/metrics"
 	"github.com/boragecourse/boragecourse/internal/outlier"
 	"github.com/boragecourse/boragecourse/platform"
@@ -183,6 +184,14 @@
 	}
 }
 
+// holdOff is called when a backend server refuses a request and names the time for which it wants no others.
+func (f *Front) holdOff(server fleet.Server, wait time.Duration) {
+	f.metrics.Inc("hold_offs", metrics.L("service", server.Service))
+	if f.group(server.Service).holdOff(server, wait) {
+		f.log.Info("backend server held off", "server", serverKey(server), "service", server.Service, "wait", ms(wait))
+	}
+}
+
 // recordFailure passes a failed attempt to the outlier detector. An attempt that was canceled by the caller does not
 // count against the backend server, but one that was canceled by the stall watch does.
 func (f *Front) recordFailure(ctx context.Context, x *call, key string, err error) {
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -341,19 +341,25 @@
 	// again, is added to it, so that refused callers do not all retry at once.
 	streamRetryAfter  = 2300 * time.Millisecond
 	streamRetrySpread = 2000 * time.Millisecond
-	// maxRateRetryAfter bounds the Retry-After of requests that rate limits of backend servers do not allow. Servers may end
-	// their limits before.
+	// maxRateRetryAfter bounds the Retry-After of requests that rate limits of backend servers do not allow, or for which all
+	// are held off. Servers may end their limits before, and others may join.
 	maxRateRetryAfter = 4 * time.Second
 )
 
 // retryAfter returns the Retry-After for a request that no backend server ran. When the rate limits of the backend servers
-// are the reason, the caller returns when they allow the request, after a random part of that time again.
+// are the reason, or all are held off, the caller returns when the request is allowed, after a random part of that time again.
 func (f *Front) retryAfter(x *call, err error) time.Duration {
 	var refused *dispatch.RefusedError
 	if errors.As(err, &refused) && refused.RateAllowsAfter > 0 {
 		after := min(max(refused.RateAllowsAfter, plainRetryAfter), maxRateRetryAfter)
 		return after + time.Duration(rand.Int64N(int64(after)))
 	}
+	if refused != nil && refused.Stats.Servers == 0 {
+		if after := x.group.heldOffFor(); after > 0 {
+			after = min(after, maxRateRetryAfter)
+			return after + time.Duration(rand.Int64N(int64(after)))
+		}
+	}
 	if x.route == nil || x.route.Kind != fleet.Generation {
 		return plainRetryAfter
 	}
--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -198,7 +198,7 @@
 // moveEngine announces the change, so that all hosts stop sending work to the engine, and then commands the engine.
 func (f *Front) moveEngine(ctx context.Context, g *group, move stagesplit.Move, changeTime time.Duration) {
 	server, known := g.server(move.Key)
-	if !known {
+	if !known || !g.usable(server) {
 		return
 	}
 	f.recordChange(move, stageNotice+changeTime+stageMargin, stageNotice+changeTime+stageMargin)
--- a/test/users/leaving_test.go
+++ b/test/users/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -95,6 +96,61 @@
 	// An incarnation that starts under the id of one that has left is another server.
 	p.plain[0].Close()
 	restarted := p.worker(users.WorkerOptions{ID: "app-1", Service: "app"})
-	p.g.Eventually(func() int { _ = p.do(p.hosts[0], http.MethodGet, "/view/1"); return len(restarted.Runs()) }).
-		WithTimeout(waitTimeout).ShouldNot(BeZero())
+	p.g.Eventually(func() int {
+		// Requests at the same time, since one at a time goes to any of the servers that are equally free.
+		p.load(100*time.Millisecond, func(h *host) response { return p.do(h, http.MethodGet, "/view/1") })
+		return len(restarted.Runs())
+	}).WithTimeout(waitTimeout).ShouldNot(BeZero())
+}
+
+const (
+	// refusalTime is the wait that a backend server names, refusalNotice the time after which hosts must heed it, and
+	// refusalSlack the number of requests that may reach it even so.
+	refusalTime   = 3 * time.Second
+	refusalNotice = 500 * time.Millisecond
+	refusalSlack  = 2
+)
+
+// Guards against requests for a backend server that has refused one and named the time for which it wants no others, also when
+// all servers have: callers are then told at once when to come back.
+func TestHostsHeedTheWaitThatARefusalNames(t *testing.T) {
+	p := newDeployment(t, 1)
+	for name, refusing := range map[string][]*users.Worker{
+		"some": {p.plain[0], p.decode[0]}, "all": {p.plain[0], p.plain[1], p.decode[0], p.decode[1]}, "prefill": {p.prefill},
+	} {
+		for _, w := range refusing {
+			w.RefuseFor(refusalTime)
+		}
+		plain := p.load(refusalTime/2, func(h *host) response { return p.do(h, http.MethodGet, "/view/1") })
+		streams := p.load(refusalTime/3, func(h *host) response { return p.stream(h, "ask") })
+		for _, w := range refusing {
+			p.g.Expect(w.Refusals()).NotTo(BeEmpty(), "%s: %s", name, w.ID)
+			p.g.Expect(arrivalsInWait(w)).To(BeNumerically("<=", refusalSlack), "%s: %s", name, w.ID)
+		}
+		for _, a := range append(plain[5:], streams[5:]...) {
+			if name != "all" {
+				p.g.Expect(a.status).To(Equal(http.StatusOK), name)
+				continue
+			}
+			p.g.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+			p.g.Expect(strconv.ParseFloat(a.header.Get("Retry-After"), 64)).To(BeNumerically(">=", 0.1))
+		}
+		time.Sleep(refusalTime)
+		p.g.Expect(p.do(p.hosts[0], http.MethodGet, "/view/1").status).To(Equal(http.StatusOK))
+		p.g.Expect(p.stream(p.hosts[0], "ask").status).To(Equal(http.StatusOK))
+	}
+}
+
+// arrivalsInWait returns the largest number of requests that arrived from refusalNotice after a refusal to the end of its wait.
+func arrivalsInWait(w *users.Worker) (most int) {
+	for _, r := range w.Refusals() {
+		n := 0
+		for _, a := range w.ArrivalTimes() {
+			if a.At.After(r.At.Add(refusalNotice)) && a.At.Before(r.Until) {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
 }
