Cancel a silent run only if another one can take its place

Callers saw (users' record, LOST around a SIGTERM): streams closed midway after status 200. That this is the cause of their cases is inferred. Cause of what is reproduced: a run was canceled after 1.2 s without an event on each repeatable route, also when no attempt or slot was left and while the host drained, with its engine still at work. Change: the stall watch cancels only if attempts, time, the retry budget and a slot at another engine are left and the host does not drain.

--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -64,7 +64,7 @@
 	runs := 0
 	for {
 		before := s.events
-		key, err := f.runGeneration(ctx, x, s, excluded)
+		key, err := f.runGeneration(ctx, x, s, excluded, runs)
 		if err == nil {
 			return nil
 		}
@@ -88,17 +88,25 @@
 	}
 }
 
-// runGeneration makes one attempt, from the reservation to the end of the stream. It returns the key of the decode
+// runReplaceable reports whether a run that sends nothing may be canceled, after earlier runs, because another one can go on
+// with the stream. An engine that is silent may still be at work, so without another run the stream would be lost for nothing.
+func (f *Front) runReplaceable(x *call, earlier int) bool {
+	return x.route.Repeatable() && earlier+1 < x.route.Attempts && !f.draining.Load() &&
+		f.now().Add(responseMargin).Before(x.deadline) && x.group.retryAvailable(f.hosts())
+}
+
+// runGeneration makes one attempt after earlier ones, from the reservation to the end of the stream. It returns the key of the decode
 // engine, which is empty when the request must not be retried: no slot was reserved, or ctx ended before decode began.
-func (f *Front) runGeneration(ctx context.Context, x *call, s *stream, excluded map[string]bool) (string, error) {
+func (f *Front) runGeneration(ctx context.Context, x *call, s *stream, excluded map[string]bool, runs int) (string, error) {
 	p, result, err := f.prepare(ctx, x, excluded, s.lastEvent)
 	if err != nil {
 		return "", err
 	}
 	defer p.free(f)
 	x.trace.server = p.server.ID
-	// The stall watch is enabled only if the request can be retried: otherwise canceling a stalled run gains nothing.
-	ctx, watch := watchStall(ctx, x.route.Repeatable(), f.stallLimit(x))
+	ctx, watch := watchStall(ctx, f.stallLimit(x), func() bool {
+		return f.runReplaceable(x, runs) && x.group.decode.HasFree(excluded, p.grant.Key)
+	})
 	defer watch.stop()
 	s.firstEventAt = time.Time{}
 	response, err := f.run(ctx, x, platform.BackendCall{
@@ -376,7 +384,7 @@
 	}
 	x.trace.prefill = server.ID
 	requestedAt := f.now()
-	ctx, watch := watchStall(ctx, true, prefillLimit+time.Duration(x.request.Tokens.Prompt)*prefillLimitPerToken)
+	ctx, watch := watchStall(ctx, prefillLimit+time.Duration(x.request.Tokens.Prompt)*prefillLimitPerToken, func() bool { return true })
 	defer watch.stop()
 	call := platform.BackendCall{
 		Request: x.request, Server: server, TimeLeft: x.deadline.Sub(f.now()), Workspace: x.workspaceName(), LastEventID: lastEvent,
--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -295,3 +295,10 @@
 	defer g.mu.Unlock()
 	return g.budget.AllowRetry(g.now(), hosts, 1)
 }
+
+// retryAvailable reports whether mayRetry would allow a retry now.
+func (g *group) retryAvailable(hosts int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget.Available(g.now(), hosts, 1)
+}
--- a/internal/front/stall.go
+++ b/internal/front/stall.go
@@ -26,34 +26,35 @@
 	return max(minStallTimeout, stallGapFactor*x.route.EventGapObjective)
 }
 
-// stallWatch cancels an attempt when nothing is received within a limit.
+// stallWatch cancels an attempt when nothing is received within a limit and another attempt can take its place.
 type stallWatch struct {
 	timer  *time.Timer
 	cancel context.CancelCauseFunc
 	limit  time.Duration
 }
 
-// watchStall returns a context that is canceled with *StalledError unless received is called at least once per limit.
-// When enabled is false, the watch never cancels it. stop must be called to release the context.
-func watchStall(ctx context.Context, enabled bool, limit time.Duration) (context.Context, *stallWatch) {
+// watchStall returns a context that is canceled with *StalledError when received has not been called for the limit and
+// replaceable returns true. It asks again after each further limit. stop must be called to release the context.
+func watchStall(ctx context.Context, limit time.Duration, replaceable func() bool) (context.Context, *stallWatch) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &stallWatch{cancel: cancel, limit: limit}
-	if enabled {
-		w.timer = time.AfterFunc(limit, func() { cancel(&StalledError{Timeout: limit}) })
-	}
+	ready := make(chan struct{})
+	w.timer = time.AfterFunc(limit, func() {
+		<-ready
+		if !replaceable() {
+			w.timer.Reset(limit)
+			return
+		}
+		cancel(&StalledError{Timeout: limit})
+	})
+	close(ready)
 	return ctx, w
 }
 
 // received restarts the stall timer.
-func (w *stallWatch) received() {
-	if w.timer != nil {
-		w.timer.Reset(w.limit)
-	}
-}
+func (w *stallWatch) received() { w.timer.Reset(w.limit) }
 
 func (w *stallWatch) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
-	}
+	w.timer.Stop()
 	w.cancel(nil)
 }
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -51,6 +51,15 @@
 // the largest number of hosts that may be accepting requests. The share of a host that left is redistributed one window
 // later, since that host may have used it within the current window.
 func (b *Budget) AllowRetry(now time.Time, hosts, sends int) bool {
+	if !b.Available(now, hosts, sends) {
+		return false
+	}
+	b.ring[b.advance(now)].retries += sends
+	return true
+}
+
+// Available reports whether AllowRetry would allow the given number of sends, without counting them.
+func (b *Budget) Available(now time.Time, hosts, sends int) bool {
 	current := b.advance(now)
 	b.ring[current].hosts = max(b.ring[current].hosts, hosts)
 	requests, retries := 0, 0
@@ -66,11 +75,7 @@
 	if !now.Before(b.minimumFrom) {
 		allowed += float64(b.limits.Minimum) / float64(max(hosts, 1))
 	}
-	if float64(retries+sends) > allowed {
-		return false
-	}
-	b.ring[current].retries += sends
-	return true
+	return float64(retries+sends) <= allowed
 }
 
 // RecordSend moves retries that AllowRetry allowed at an earlier time to the time at which they are sent, so that the
