Answer all requests before the drain time ends, refuse late ones at once

Callers saw (another operator): requests that came late in the grace were passed on and cut at its end with no answer. Cause: a draining host accepted plain requests whatever time they needed, and closed all connections at the end of the drain time. Change: it refuses those that cannot be expected to end in time, as not run, and answers what is still open 0.3 s before the end.

--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/boragecourse/boragecourse/internal/fleet"
 	"github.com/boragecourse/boragecourse/internal/keepalive"
 	"github.com/boragecourse/boragecourse/internal/outcome"
 	"github.com/boragecourse/boragecourse/internal/wait"
@@ -21,6 +22,11 @@
 	closeReserve = time.Second
 	// exitMargin is the part of the shutdown grace period that is reserved for the process to exit before SIGKILL.
 	exitMargin = 400 * time.Millisecond
+	// answerReserve is the last part of the drain time, in which requests that are still open are answered.
+	answerReserve = 300 * time.Millisecond
+	// minPlainReserve is the least time until answerReserve begins with which a draining host accepts a plain request that may
+	// take so long.
+	minPlainReserve = 500 * time.Millisecond
 	// leaveTimeout bounds the final report to the other hosts.
 	leaveTimeout = 150 * time.Millisecond
 	// drainPoll is the interval at which the open streams are counted. The wait for streams ends when none has been
@@ -52,6 +58,8 @@
 	end := f.now().Add(remaining)
 	f.drainEnd.Store(&end)
 	f.draining.Store(true)
+	answering := time.AfterFunc(remaining-answerReserve, func() { f.endAnswers(&DrainEndedError{}) })
+	defer answering.Stop()
 	callers := servers[0]
 	// The next request of a caller whose connection has ended goes through the load balancer to another host.
 	callers.AnnounceClose()
@@ -100,6 +108,25 @@
 	}
 }
 
+// refuseLate refuses a plain request that is not expected to be answered before the drain time ends.
+func (f *Front) refuseLate(x *call) error {
+	if !f.draining.Load() || x.route.Kind == fleet.Generation {
+		return nil
+	}
+	now := f.now()
+	needed := min(x.deadline.Sub(now), max(x.route.LatencyObjective, minPlainReserve))
+	if needed <= f.drainEnd.Load().Sub(now)-answerReserve {
+		return nil
+	}
+	return drainRefusal()
+}
+
+func drainRefusal() error {
+	refusal := outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeDraining, "host is draining")
+	refusal.RetryAfter = drainRetry
+	return refusal
+}
+
 // refuseStream refuses a stream that is not expected to end before the process exits. Early in the drain it refuses
 // streams whose forecast duration exceeds the remaining time; once refusingStreams is set it refuses every stream.
 func (f *Front) refuseStream(x *call) error {
@@ -111,7 +138,5 @@
 	if !f.refusingStreams.Load() && f.runTable.duration(output)+prefillEstimate < remaining {
 		return nil
 	}
-	refusal := outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeDraining, "host is draining")
-	refusal.RetryAfter = drainRetry
-	return refusal
+	return drainRefusal()
 }
--- a/internal/front/drain_test.go
+++ b/internal/front/drain_test.go
@@ -196,3 +196,32 @@
 	d.g.Expect(served).To(BeNumerically(">", 0))
 	<-d.stopped
 }
+
+// Guards against requests that are accepted late in the drain and cut at its end: one whose server does not respond in time must be
+// answered, and one that can't be expected to end in time must be refused at once as not run.
+func TestDrainAnswersAllRequests(t *testing.T) {
+	const grace = 4500 * time.Millisecond
+	answersAt := grace - exitMargin - answerReserve
+	d := newDrainFixture(t, grace, func(*Front) {})
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	_, err := d.send(t.Context(), client, "/reserve/1")
+	d.g.Expect(err).NotTo(HaveOccurred())
+	start := time.Now()
+	d.signals <- syscall.SIGTERM
+	time.Sleep(loadBalancerDelay - 500*time.Millisecond)
+	go func() { _, _ = d.send(t.Context(), client, "/note/1") }()
+	time.Sleep(time.Until(start.Add(answersAt - 1200*time.Millisecond)))
+	d.plain.FallSilent(grace)
+	accepted := make(chan error, 1)
+	go func() { _, err := d.send(t.Context(), client, "/reserve/1"); accepted <- err }()
+	time.Sleep(time.Until(start.Add(answersAt - 800*time.Millisecond)))
+	_, err = d.send(t.Context(), client, "/reserve/2")
+	var refused *outcome.Error
+	d.g.Expect(errors.As(err, &refused)).To(BeTrue(), "%v", err)
+	d.g.Expect(refused.Status).To(Equal(http.StatusServiceUnavailable))
+	d.g.Expect(time.Since(start)).To(BeNumerically("<", answersAt-600*time.Millisecond), "refused at once")
+	err = <-accepted
+	d.g.Expect(errors.As(err, &refused)).To(BeTrue(), "%v", err)
+	d.g.Expect(refused.Status).To(Equal(http.StatusBadGateway))
+	d.g.Expect(<-d.stopped).To(Succeed())
+}
--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -12,6 +12,12 @@
 // Error implements error.
 func (e *TimeoutError) Error() string { return "request deadline exceeded" }
 
+// DrainEndedError is the cause of a request context that ended because the drain time of this host is over.
+type DrainEndedError struct{}
+
+// Error implements error.
+func (e *DrainEndedError) Error() string { return "drain time is over" }
+
 // RateExceededError reports a request whose cost exceeds the level of its workspace's token bucket on this host. All
 // values are in tokens, Rate in tokens per second.
 type RateExceededError struct {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -81,6 +81,9 @@
 	// openStreams counts the open generations. refusingStreams is set when a draining host accepts no new ones.
 	openStreams     atomic.Int64
 	refusingStreams atomic.Bool
+	// ending ends, with *DrainEndedError, when requests that are still open must be answered because the drain time is over.
+	ending     context.Context
+	endAnswers context.CancelCauseFunc
 
 	callers, readiness, metricsListener, peersListener net.Listener
 
@@ -95,6 +98,7 @@
 		groups: map[string]*group{}, limiter: ratelimit.New(settings.Limits.Quota), reports: map[uint64]*peerReport{},
 		pool: peer.NewPool("", nil), peers: peer.NewServer("", nil), startedAt: time.Now(), LogLinesDropped: func() int64 { return 0 },
 	}
+	f.ending, f.endAnswers = context.WithCancelCause(context.Background())
 	f.runTable = newRunTable(f.now)
 	f.stages = newStages()
 	f.quarantine = newQuarantineLedger(log, reg, f.now)
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -138,6 +138,9 @@
 		return nil, nil, err
 	}
 	f.setDeadline(x, arrived)
+	if err := f.refuseLate(x); err != nil {
+		return nil, nil, err
+	}
 	if err := f.refuseQuarantined(x); err != nil {
 		return nil, nil, err
 	}
@@ -146,10 +149,22 @@
 	}
 	x.group = f.group(f.destination(x))
 	x.group.countRequest()
-	ctx, cancel := context.WithDeadlineCause(r.Context(), x.deadline, &TimeoutError{})
+	ctx, cancel := f.requestContext(r.Context(), x.deadline)
 	return ctx, cancel, nil
 }
 
+// requestContext returns a context that ends at the deadline of a request, or when this host ends and has to answer it.
+func (f *Front) requestContext(parent context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, end := context.WithCancelCause(parent)
+	stop := context.AfterFunc(f.ending, func() { end(context.Cause(f.ending)) })
+	ctx, cancel := context.WithDeadlineCause(ctx, deadline, &TimeoutError{})
+	return ctx, func() {
+		stop()
+		cancel()
+		end(nil)
+	}
+}
+
 // authorize sets the request's route and workspace. A key is required unless the route is anonymous or no workspaces
 // are configured.
 func (f *Front) authorize(x *call) error {
@@ -317,7 +332,18 @@
 	}
 	var timeout *TimeoutError
 	late := errors.As(err, &timeout) || errors.Is(err, context.DeadlineExceeded)
+	var ended *DrainEndedError
+	drainEnded := errors.As(err, &ended)
 	switch {
+	case drainEnded && !x.mayHaveRun:
+		return &outcome.Error{
+			Outcome: outcome.NotRun, Code: outcome.CodeDraining, Status: http.StatusServiceUnavailable,
+			Message: "host is draining", RetryAfter: drainRetry, Cause: err,
+		}
+	case drainEnded:
+		return &outcome.Error{
+			Outcome: outcome.Unknown, Code: outcome.CodeDraining, Status: http.StatusBadGateway, Message: "no response before the host ended", Cause: err,
+		}
 	case !x.mayHaveRun:
 		return &outcome.Error{
 			Outcome: outcome.NotRun, Code: outcome.CodeNoServer, Status: http.StatusServiceUnavailable,
