--- a/test/users/endless_test.go
+++ b/test/users/endless_test.go
@@ -18,6 +18,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/boragecourse/boragecourse/test/standin/rawserver"
+	"github.com/boragecourse/boragecourse/test/standin/users"
 )
 
 const (
@@ -147,3 +148,81 @@
 	f.g.Expect(err).NotTo(HaveOccurred())
 	return kb
 }
+
+// endlessPaths are the calls to engines for which an endless response is tried, with the path of the streams that lead to them.
+var endlessPaths = map[string]func(r *http.Request) bool{
+	"reservation": func(r *http.Request) bool { return r.URL.Path == "/api/hold-take" },
+	"prefill":     func(r *http.Request) bool { return r.Header.Get("Serving-Stage") != "" },
+	"release": func(r *http.Request) bool {
+		return strings.HasPrefix(r.URL.Path, "/api/hold-drop/") || strings.HasPrefix(r.URL.Path, "/api/kv-handle/")
+	},
+	"response": func(r *http.Request) bool {
+		return !strings.HasPrefix(r.URL.Path, "/api/") && r.Header.Get("Serving-Stage") == ""
+	},
+}
+
+// endlessStarts are the starts of endless responses of many requests at a time, and the part that repeats.
+var endlessStarts = map[string][2]string{
+	"head":          {"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n", "A: value\r\n"},
+	"informational": {"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+	"body":          {"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Stamp: s\r\n\r\n", " "},
+	"chunks":        {"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\n \r\n"},
+	"lines":         {"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Stamp: s\r\n\r\n", "data: x\n"},
+}
+
+// Guards against a host that keeps the bytes of many endless responses at a time, on any call to an engine, until its memory is used up,
+// and so fails the requests of other callers.
+func TestManyEndlessResponsesAtATime(t *testing.T) {
+	f := newFleet(t, 1)
+	var mu sync.Mutex
+	var endless func(*http.Request) bool
+	var text [2]string
+	server, err := rawserver.Start(func(c *rawserver.Conn) {
+		for r := c.Request(); r != nil; r = c.Request() {
+			mu.Lock()
+			matches, response := endless, text
+			mu.Unlock()
+			switch {
+			case matches != nil && matches(r):
+				c.Send("%s", strings.ReplaceAll(response[0], "ID", r.Header.Get("Request-Id")))
+				c.SendForever(strings.Repeat(response[1], 1024/len(response[1])+1))
+				return
+			case r.URL.Path == "/api/hold-take":
+				c.Send("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"hold\":\"1\"}")
+			case r.Header.Get("Serving-Stage") != "":
+				c.Respond(r, `{"handle":"1","tokens":1,"version":1}`)
+			default:
+				// Refused, so that the reservation and the result are released.
+				c.Send("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Request-Id"))
+			}
+		}
+	})
+	f.g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(server.Close)
+	for i, stage := range []string{"prefill", "prefill", "decode", "decode", "decode"} {
+		value, _ := json.Marshal(map[string]any{
+			"service": "llm", "address": server.Addr, "zone": "piran-a", "slots": 60, "state": "ready", "stage": stage, "born": 1,
+		})
+		f.store.Put(fmt.Sprintf("servers/llm-%d", i), value)
+	}
+	f.worker(users.WorkerOptions{ID: "app-1", Service: "app", Slots: 20})
+	f.awaitReady(f.hosts[0])
+	f.g.Eventually(func() int { return f.do(f.hosts[0], http.MethodGet, "/view/1").status }).WithTimeout(waitTimeout).Should(Equal(http.StatusOK))
+	for path, matches := range endlessPaths {
+		for name, start := range endlessStarts {
+			mu.Lock()
+			endless, text = matches, start
+			mu.Unlock()
+			var group sync.WaitGroup
+			for range 100 {
+				group.Go(func() { _ = f.stream(f.hosts[0], "note", header("Deadline-Ms", "700")) })
+			}
+			a := f.do(f.hosts[0], http.MethodGet, "/view/1")
+			f.g.Expect(a.status).To(Equal(http.StatusOK), "beside %s, %s: %v", path, name, a.err)
+			group.Wait()
+			t.Logf("%s, %s: peak %d MB", path, name, f.peakMemory(f.hosts[0])>>10)
+		}
+	}
+	f.g.Expect(f.peakMemory(f.hosts[0])).To(BeNumerically("<", endlessMemory))
+	f.g.Expect(f.do(f.hosts[0], http.MethodGet, "/view/1").status).To(Equal(http.StatusOK))
+}
