Let streams that have begun go on to the end of the drain time

Cause: the end of the time for answers also ended responses that had begun, which cannot be answered any more. Change: a response that has begun is not ended by it.

--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -247,7 +247,7 @@
 	case a.Length >= 0:
 		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
-	x.started = true
+	x.begin()
 	x.trace.first = f.now().Sub(x.request.Arrived)
 	f.observeLatency(x, x.trace.first)
 	x.w.WriteHeader(a.Status)
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -46,8 +46,9 @@
 	sentTo map[string]bool
 	// prefilled is set once a prefill engine may have accepted a call.
 	prefilled bool
-	// started is set once the response header has been sent to the caller.
+	// started is set, by begin, once the response header is sent to the caller.
 	started bool
+	begin   func()
 
 	trace trace
 }
@@ -149,15 +150,20 @@
 	}
 	x.group = f.group(f.destination(x))
 	x.group.countRequest()
-	ctx, cancel := f.requestContext(r.Context(), x.deadline)
+	ctx, cancel := f.requestContext(r.Context(), x)
 	return ctx, cancel, nil
 }
 
-// requestContext returns a context that ends at the deadline of a request, or when this host ends and has to answer it.
-func (f *Front) requestContext(parent context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+// requestContext returns a context that ends at the deadline of a request, or when this host ends and the response has not
+// begun.
+func (f *Front) requestContext(parent context.Context, x *call) (context.Context, context.CancelFunc) {
 	ctx, end := context.WithCancelCause(parent)
 	stop := context.AfterFunc(f.ending, func() { end(context.Cause(f.ending)) })
-	ctx, cancel := context.WithDeadlineCause(ctx, deadline, &TimeoutError{})
+	x.begin = func() {
+		x.started = true
+		stop()
+	}
+	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, &TimeoutError{})
 	return ctx, func() {
 		stop()
 		cancel()
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -124,7 +124,7 @@
 		return
 	}
 	platform.CopyResponseHeader(s.x.w.Header(), a.Header)
-	s.x.started = true
+	s.x.begin()
 	s.x.w.WriteHeader(a.Status)
 }
 
