Soak: servers that fall silent, refuse for a time or announce that they leave

Two checks go with them: no request later than drainMs after a relayed announcement, and no requests within the wait of a refusal. Planned work now goes on beside servers that fall silent.

--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/boragecourse/boragecourse/test/standin/users"
@@ -43,6 +44,8 @@
 	g.checkRequests(c)
 	g.checkKey(c)
 	g.checkDrains(c)
+	g.checkAnnouncements(c)
+	g.checkRefusals(c)
 	g.checkRate()
 	g.checkCommands()
 	for _, h := range g.f.hosts {
@@ -128,6 +131,64 @@
 	}
 }
 
+// process is one process of a host.
+type process struct{ host, starts int }
+
+// checkAnnouncements checks that a process sends a backend server no request that was sent later than drainNotice after the process
+// had relayed a response in which the server announced that it leaves.
+func (g *soakRun) checkAnnouncements(c *callers) {
+	for _, w := range g.f.workers() {
+		announced := map[process]time.Time{}
+		for _, o := range c.done {
+			at, known := announced[process{o.host, o.starts}]
+			fromHere := o.header.Get("Server-Leaving") != "" && strings.HasPrefix(o.header.Get("Response-Stamp"), w.ID+".") && w.Runs()[o.id] > 0
+			if fromHere && (!known || o.headAt.Before(at)) {
+				announced[process{o.host, o.starts}] = o.headAt
+			}
+		}
+		arrivals := w.Arrivals()
+		for _, o := range c.done {
+			at, known := announced[process{o.host, o.starts}]
+			_, reached := arrivals[o.id]
+			if known && reached && o.sent.After(at.Add(drainNotice)) {
+				g.t.Errorf("%s reached %s, sent %v after %s had relayed that it leaves", o.id, w.ID, o.sent.Sub(at), g.f.hosts[o.host].spec.Name)
+			}
+		}
+	}
+}
+
+const (
+	// refusalNotice is the time from which on a host must heed the wait that a refusal names, and refusalSlack the number of requests
+	// that may reach the server even so.
+	refusalNotice = 500 * time.Millisecond
+	refusalSlack  = 2
+)
+
+// checkRefusals checks that hosts without faults since then send a backend server nothing for the time that its refusal names.
+func (g *soakRun) checkRefusals(c *callers) {
+	sentBy := map[string]process{}
+	for _, o := range c.done {
+		sentBy[o.id] = process{o.host, o.starts}
+	}
+	for _, w := range g.f.workers() {
+		for _, r := range w.Refusals() {
+			by, known := sentBy[r.RequestID]
+			if !known || !g.f.hosts[by.host].faultFreeBefore(r.At.Add(faultFreeTime)) {
+				continue
+			}
+			n := 0
+			for _, a := range w.ArrivalTimes() {
+				if sentBy[a.RequestID] == by && a.At.After(r.At.Add(refusalNotice)) && a.At.Before(r.Until) {
+					n++
+				}
+			}
+			if n > refusalSlack {
+				g.t.Errorf("%d requests of %s reached %s within the wait that its refusal had named", n, g.f.hosts[by.host].spec.Name, w.ID)
+			}
+		}
+	}
+}
+
 const (
 	// quotaWindow, quotaRatio and quotaSlack equal the settings quotaWindowS, quotaOver and quotaSlack.
 	quotaWindow = 8 * time.Second
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -135,8 +135,10 @@
 		return err
 	}
 	h.spec.Bootstrap = false
+	h.mu.Lock()
 	h.starts++
-	process, err := f.procs.Start(fmt.Sprintf("%s-%d", h.spec.Name, h.starts), "boragecoursed", "front", "--settings", settings)
+	h.mu.Unlock()
+	process, err := f.procs.Start(fmt.Sprintf("%s-%d", h.spec.Name, h.startCount()), "boragecoursed", "front", "--settings", settings)
 	h.process = process
 	return err
 }
@@ -172,6 +174,13 @@
 	f.store.Remove("servers/" + b.current.ID)
 }
 
+// worker returns the present incarnation.
+func (b *backend) worker() *users.Worker {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.current
+}
+
 func (f *fleet) workers() (all []*users.Worker) {
 	for _, b := range f.backends {
 		b.mu.Lock()
@@ -218,6 +227,12 @@
 	}
 }
 
+func (h *host) startCount() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.starts
+}
+
 // recordFault records that a fault affects the host until the given time.
 func (h *host) recordFault(until time.Time) {
 	h.mu.Lock()
--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -42,6 +42,10 @@
 	body   string
 	// broken is set when the response ended before it was complete.
 	broken bool
+	// starts counts the processes of the host up to the one that was running when the request was sent. headAt is when the head of
+	// the response arrived.
+	starts int
+	headAt time.Time
 	// canceled is set when the caller meant to leave before the response.
 	canceled bool
 	err      error
@@ -105,7 +109,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
-	o := outcome{id: id, kind: k, host: host, canceled: cancelAfter > 0, sent: time.Now()}
+	o := outcome{id: id, kind: k, host: host, canceled: cancelAfter > 0, starts: c.f.hosts[host].startCount(), sent: time.Now()}
 	req, err := http.NewRequestWithContext(ctx, k.method, "http://"+c.f.hosts[host].front.addr+k.path, nil)
 	if err != nil {
 		o.err = err
@@ -125,6 +129,7 @@
 		return o
 	}
 	defer resp.Body.Close()
+	o.headAt = time.Now()
 	body, err := io.ReadAll(resp.Body)
 	o.status, o.header, o.body, o.broken = resp.StatusCode, resp.Header, string(body), err != nil
 	return o
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -122,15 +122,18 @@
 	keyWithdrawn
 	storeCompacted
 	configurationWritten
+	backendSilent
+	backendRefuses
+	backendAnnounces
 )
 
 // The order of these lists decides which faults a seed stands for.
 var (
 	anyFault = []faultChoice{
 		hostKilled, hostStopped, hostSuspended, hostHangup, storeFault, storeConnections, callerConnections, backendConnections,
-		backendCrashed, backendDrained, keyWithdrawn, storeCompacted,
+		backendCrashed, backendDrained, keyWithdrawn, storeCompacted, backendSilent, backendRefuses, backendAnnounces,
 	}
-	plannedWork = []faultChoice{hostStopped, hostStopped, hostStopped, hostHangup, configurationWritten}
+	plannedWork = []faultChoice{hostStopped, hostStopped, hostStopped, hostHangup, configurationWritten, backendSilent}
 )
 
 func runSeed(t *testing.T, seed uint64, slot int, choices []faultChoice) {
@@ -225,6 +228,15 @@
 		g.startBackend(b)
 	case backendDrained:
 		g.drain(b, length)
+	case backendSilent:
+		silence := time.Duration(800+detail*4) * time.Millisecond
+		g.logFault("%s falls silent for %v", b.options.ID, silence)
+		b.worker().FallSilent(silence)
+	case backendRefuses:
+		g.logFault("%s refuses for %v", b.options.ID, length+time.Second)
+		b.worker().RefuseFor(length + time.Second)
+	case backendAnnounces:
+		g.announceLeaving(b, length)
 	case keyWithdrawn:
 		g.mu.Lock()
 		if g.withdrawn.IsZero() {
@@ -297,9 +309,7 @@
 // drain registers a backend server as draining. The server continues to serve for drainNotice and the given time, then
 // it is replaced by a new incarnation.
 func (g *soakRun) drain(b *backend, after time.Duration) {
-	b.mu.Lock()
-	w := b.current
-	b.mu.Unlock()
+	w := b.worker()
 	g.logFault("%s is draining", w.ID)
 	w.Register(g.f.store, "draining")
 	g.mu.Lock()
@@ -312,6 +322,16 @@
 	g.startBackend(b)
 }
 
+// announceLeaving lets a backend server say that it leaves in its responses only, and replaces it later.
+func (g *soakRun) announceLeaving(b *backend, after time.Duration) {
+	w := b.worker()
+	g.logFault("%s announces that it leaves", w.ID)
+	w.AnnounceLeaving()
+	time.Sleep(drainNotice + after)
+	g.f.crash(b)
+	g.startBackend(b)
+}
+
 // healAll ends all faults of the store and the proxies.
 func (g *soakRun) healAll() {
 	for _, h := range g.f.hosts {
