End the stall watch with its attempt

Found on reading the diff: when the watch fired while its attempt ended and nothing could take the attempt's place, it set its timer anew for ever; and it read the map of excluded engines while another goroutine could change it.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -246,14 +246,14 @@
 	}
 }
 
-// HasFree reports whether a backend server has a free slot, other than the excluded ones and the one with the key also.
-func (p *Pool) HasFree(excluded map[string]bool, also string) bool {
+// HasFree reports whether a backend server other than the excluded ones has a free slot.
+func (p *Pool) HasFree(excluded map[string]bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
 	return slices.ContainsFunc(p.order, func(key string) bool {
 		s := p.servers[key]
-		return s.localSlots+s.remoteSlots < s.Slots && !now.Before(s.fullUntil) && !excluded[key] && key != also
+		return s.localSlots+s.remoteSlots < s.Slots && !now.Before(s.fullUntil) && !excluded[key]
 	})
 }
 
--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"time"
 
@@ -104,9 +105,10 @@
 	}
 	defer p.free(f)
 	x.trace.server = p.server.ID
-	ctx, watch := watchStall(ctx, f.stallLimit(x), func() bool {
-		return f.runReplaceable(x, runs) && x.group.decode.HasFree(excluded, p.grant.Key)
-	})
+	// The watch may still read its copy when excluded changes.
+	tried := maps.Clone(excluded)
+	tried[p.grant.Key] = true
+	ctx, watch := watchStall(ctx, f.stallLimit(x), func() bool { return f.runReplaceable(x, runs) && x.group.decode.HasFree(tried) })
 	defer watch.stop()
 	s.firstEventAt = time.Time{}
 	response, err := f.run(ctx, x, platform.BackendCall{
--- a/internal/front/stall.go
+++ b/internal/front/stall.go
@@ -38,14 +38,17 @@
 func watchStall(ctx context.Context, limit time.Duration, replaceable func() bool) (context.Context, *stallWatch) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &stallWatch{cancel: cancel, limit: limit}
+	// ready is closed once the timer may be used by its own function.
 	ready := make(chan struct{})
 	w.timer = time.AfterFunc(limit, func() {
 		<-ready
-		if !replaceable() {
+		switch {
+		case ctx.Err() != nil:
+		case replaceable():
+			cancel(&StalledError{Timeout: limit})
+		default:
 			w.timer.Reset(limit)
-			return
 		}
-		cancel(&StalledError{Timeout: limit})
 	})
 	close(ready)
 	return ctx, w
