--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -90,8 +90,12 @@
 }
 
 // runReplaceable reports whether a run that sends nothing may be canceled, after earlier runs, because another one can go on
-// with the stream. An engine that is silent may still be at work, so without another run the stream would be lost for nothing.
-func (f *Front) runReplaceable(x *call, earlier int) bool {
+// with the stream. An engine that is silent may still be at work, so without another run the stream would be lost for nothing. After
+// the last token there is nothing that another run could send.
+func (f *Front) runReplaceable(x *call, r *run, earlier int) bool {
+	if declared := x.request.Tokens.MaxOutput; declared > 0 && f.runTable.generated(r) >= declared {
+		return false
+	}
 	return x.route.Repeatable() && earlier+1 < x.route.Attempts && !f.draining.Load() &&
 		f.now().Add(responseMargin).Before(x.deadline) && x.group.retryAvailable(f.hosts())
 }
@@ -108,7 +112,7 @@
 	// The watch may still read its copy when excluded changes.
 	tried := maps.Clone(excluded)
 	tried[p.grant.Key] = true
-	ctx, watch := watchStall(ctx, f.stallLimit(x), func() bool { return f.runReplaceable(x, runs) && x.group.decode.HasFree(tried) })
+	ctx, watch := watchStall(ctx, f.stallLimit(x), func() bool { return f.runReplaceable(x, p.run, runs) && x.group.decode.HasFree(tried) })
 	defer watch.stop()
 	s.firstEventAt = time.Time{}
 	response, err := f.run(ctx, x, platform.BackendCall{
--- a/internal/front/runtable.go
+++ b/internal/front/runtable.go
@@ -76,6 +76,13 @@
 	r.Generated, r.At = generated, t.now()
 }
 
+// generated returns the number of tokens that progress has recorded last.
+func (t *runTable) generated(r *run) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return r.Generated
+}
+
 // end removes a run. Removing a run that was never added has no effect.
 func (t *runTable) end(r *run) {
 	t.mu.Lock()
