Let a stall watch wait for what has arrived while the host stood still

Cause: a process that does not run for the limit finds its timers expired before it has read what has arrived. Change: the watch waits 50 ms more after its limit before it cancels. Result: TestStallWatchWaitsForWhatHasArrived (on a fake clock) holds; it cannot pass where the watch cancels at its limit. 20 runs of the watch's tests passed.

--- a/internal/front/stall.go
+++ b/internal/front/stall.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 )
 
@@ -26,11 +27,19 @@
 	return max(minStallTimeout, stallGapFactor*x.route.EventGapObjective)
 }
 
+// stallConfirmation is how long a watch waits after its limit for what may have arrived meanwhile. A process that stood still
+// finds its timers expired before it has read.
+const stallConfirmation = 50 * time.Millisecond
+
 // stallWatch cancels an attempt when nothing is received within a limit and another attempt can take its place.
 type stallWatch struct {
-	timer  *time.Timer
 	cancel context.CancelCauseFunc
 	limit  time.Duration
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// expired is set between the end of the limit and that of stallConfirmation.
+	expired bool
 }
 
 // watchStall returns a context that is canceled with *StalledError when received has not been called for the limit and
@@ -38,24 +47,46 @@
 func watchStall(ctx context.Context, limit time.Duration, replaceable func() bool) (context.Context, *stallWatch) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &stallWatch{cancel: cancel, limit: limit}
-	// ready is closed once the timer may be used by its own function.
-	ready := make(chan struct{})
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(limit, func() {
-		<-ready
-		switch {
-		case ctx.Err() != nil:
-		case replaceable():
+		if !w.confirmed(ctx) {
+			return
+		}
+		if replaceable() {
 			cancel(&StalledError{Timeout: limit})
-		default:
-			w.timer.Reset(limit)
+			return
+		}
+		if ctx.Err() == nil {
+			w.received()
 		}
 	})
-	close(ready)
 	return ctx, w
 }
 
+// confirmed is called when the timer has fired. It reports whether nothing has been received for the limit and
+// stallConfirmation, and starts the latter after the former.
+func (w *stallWatch) confirmed(ctx context.Context) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if ctx.Err() != nil {
+		return false
+	}
+	if !w.expired {
+		w.expired = true
+		w.timer.Reset(stallConfirmation)
+		return false
+	}
+	return true
+}
+
 // received restarts the stall timer.
-func (w *stallWatch) received() { w.timer.Reset(w.limit) }
+func (w *stallWatch) received() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.expired = false
+	w.timer.Reset(w.limit)
+}
 
 func (w *stallWatch) stop() {
 	w.timer.Stop()
