--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -32,7 +32,7 @@
 	// process the prompt itself, so a longer wait gains nothing.
 	prefillWait = 400 * time.Millisecond
 	// replacementWait is how long a stream whose prompt has been processed waits at least for a slot at another decode
-	// engine. It is about the lifetime of a prefill result.
+	// engine.
 	replacementWait = time.Second
 	// releaseTimeout bounds the calls that free memory at engines after a request has ended.
 	releaseTimeout = 2 * time.Second
