--- a/test/loopback/process.go
+++ b/test/loopback/process.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -25,10 +26,13 @@
 	done chan struct{}
 }
 
-// Processes starts programs from the directory Bin and writes their output to the directory Logs.
+// Processes starts programs from the directory Bin and writes their output to the directory Logs. Start may be called
+// concurrently.
 type Processes struct {
 	Bin, Logs string
-	running   []*Process
+
+	mu      sync.Mutex
+	running []*Process
 }
 
 // Start starts a program, with its standard output and error in the log file name.log.
@@ -48,6 +52,8 @@
 		_ = cmd.Wait()
 		_ = log.Close()
 	}()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.running = append(p.running, pr)
 	return pr, nil
 }
@@ -68,6 +74,8 @@
 
 // StopAll kills all processes that are still running and waits until they have exited.
 func (p *Processes) StopAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, pr := range p.running {
 		select {
 		case <-pr.done:
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -139,7 +139,9 @@
 	h.starts++
 	h.mu.Unlock()
 	process, err := f.procs.Start(fmt.Sprintf("%s-%d", h.spec.Name, h.startCount()), "boragecoursed", "front", "--settings", settings)
+	h.mu.Lock()
 	h.process = process
+	h.mu.Unlock()
 	return err
 }
 
@@ -227,6 +229,12 @@
 	}
 }
 
+func (h *host) proc() *loopback.Process {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.process
+}
+
 func (h *host) startCount() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -244,7 +252,7 @@
 
 // exitedUnexpectedly reports whether the process has exited without being replaced by the test.
 func (h *host) exitedUnexpectedly() bool {
-	if h.process.Running() {
+	if h.proc().Running() {
 		return false
 	}
 	h.mu.Lock()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -202,12 +202,12 @@
 	case hostSuspended:
 		g.logFault("%s suspended for %v", h.spec.Name, length)
 		h.recordFault(until)
-		h.process.Signal(syscall.SIGSTOP)
+		h.proc().Signal(syscall.SIGSTOP)
 		time.Sleep(length)
-		h.process.Signal(syscall.SIGCONT)
+		h.proc().Signal(syscall.SIGCONT)
 	case hostHangup:
 		g.logFault("SIGHUP sent to %s", h.spec.Name)
-		h.process.Signal(syscall.SIGHUP)
+		h.proc().Signal(syscall.SIGHUP)
 	case storeFault:
 		fault := []users.Fault{users.Refusing, users.Unresponsive, users.LosingResponses}[detail%3]
 		g.logFault("store fault %d to %s for %v", fault, h.spec.Name, length)
@@ -266,12 +266,12 @@
 	h.mu.Unlock()
 	g.logFault("%s receives signal %v, restart after %v", h.spec.Name, s, after)
 	h.recordFault(time.Now().Add(after + 10*time.Second))
-	h.process.Signal(syscall.SIGCONT)
-	h.process.Signal(s)
-	for begun := time.Now(); h.process.Running(); {
+	h.proc().Signal(syscall.SIGCONT)
+	h.proc().Signal(s)
+	for begun := time.Now(); h.proc().Running(); {
 		if time.Since(begun) > 9*time.Second {
 			g.t.Errorf("%s did not exit within 9 s of the signal", h.spec.Name)
-			h.process.Signal(syscall.SIGKILL)
+			h.proc().Signal(syscall.SIGKILL)
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
