--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -24,8 +24,8 @@
 	exitMargin = 400 * time.Millisecond
 	// answerReserve is the last part of the drain time, in which requests that are still open are answered.
 	answerReserve = 300 * time.Millisecond
-	// minPlainReserve is the least time until answerReserve begins with which a draining host accepts a plain request that may
-	// take so long.
+	// minPlainReserve is the time that must be left before answerReserve for a draining host to accept a plain request. It is
+	// longer for routes with a longer latency objective, and shorter for requests with an earlier deadline.
 	minPlainReserve = 500 * time.Millisecond
 	// leaveTimeout bounds the final report to the other hosts.
 	leaveTimeout = 150 * time.Millisecond
--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -44,7 +44,7 @@
 	server        fleet.Server
 	reservationID string
 	run           *run
-	at            time.Time
+	madeAt        time.Time
 }
 
 // free releases the slot and the memory in this host's accounting. The engine itself is not called; see
@@ -151,7 +151,7 @@
 	}
 	perEvent := f.tokensPerEvent(x)
 	x.group.count(func(t *stagesplit.Totals) {
-		t.SlotTime += f.now().Sub(p.at)
+		t.SlotTime += f.now().Sub(p.madeAt)
 		t.SlotTokens += int64(s.events-before) * perEvent
 	})
 	f.runTable.recordFinished(int64(s.events)*perEvent, int64(s.events-before)*perEvent, f.now().Sub(s.runStartedAt))
@@ -169,7 +169,7 @@
 	for err == nil && !x.group.usable(p.server) {
 		f.metrics.Inc("reservations_replaced", metrics.L("service", x.group.service))
 		f.log.Info("reservation replaced: engine is not usable any more", "request", x.request.ID, "server", p.server.ID,
-			"age", ms(f.now().Sub(p.at)))
+			"age", ms(f.now().Sub(p.madeAt)))
 		f.cancelReservation(p)
 		p, err = f.reserve(ctx, x, excluded, f.latestReplacement(x))
 		if err == nil {
@@ -249,7 +249,7 @@
 		// output will need is accounted for by the forecast in runTable.add.
 		reservationID, err := f.backends.TakeReservation(ctx, server, x.request.Tokens.Prompt, reservationTTL)
 		if err == nil {
-			return &reservation{grant: grant, server: server, reservationID: reservationID, run: r, at: f.now()}, nil
+			return &reservation{grant: grant, server: server, reservationID: reservationID, run: r, madeAt: f.now()}, nil
 		}
 		f.runTable.end(r)
 		if ctx.Err() != nil {
--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -252,9 +252,9 @@
 	return max(g.heldOff[serverKey(s)].Sub(g.now()), 0)
 }
 
-// heldOffFor returns after which time the first of the backend servers that are held off wants requests again, 0 if there is
-// none.
-func (g *group) heldOffFor() (first time.Duration) {
+// firstHoldOffEnd returns the time until the first of the backend servers that are held off wants requests again, 0 if none
+// is held off.
+func (g *group) firstHoldOffEnd() (first time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -387,7 +387,7 @@
 		return after + time.Duration(rand.Int64N(int64(after)))
 	}
 	if refused != nil && refused.Stats.Servers == 0 {
-		if after := x.group.heldOffFor(); after > 0 {
+		if after := x.group.firstHoldOffEnd(); after > 0 {
 			after = min(after, maxRateRetryAfter)
 			return after + time.Duration(rand.Int64N(int64(after)))
 		}
--- a/test/users/endless_test.go
+++ b/test/users/endless_test.go
@@ -149,7 +149,7 @@
 	return kb
 }
 
-// endlessPaths are the calls to engines for which an endless response is tried, with the path of the streams that lead to them.
+// endlessPaths select, by name, the calls to engines that get an endless response.
 var endlessPaths = map[string]func(r *http.Request) bool{
 	"reservation": func(r *http.Request) bool { return r.URL.Path == "/api/hold-take" },
 	"prefill":     func(r *http.Request) bool { return r.Header.Get("Serving-Stage") != "" },
