Give each test process ports that differ from each other

Cause: test/users and test/soak looked for the three ports of a host one after the other and closed each listener before the next was opened. The kernel may assign the same port twice. Change: both use loopback.FreeAddressesAt, which keeps all listeners open until the last port is found, so the ports differ always.

--- a/test/loopback/process.go
+++ b/test/loopback/process.go
@@ -88,12 +88,15 @@
 	}
 }
 
-// FreeAddresses returns n distinct loopback addresses that were free when checked. Another process may bind one before
-// the caller does.
-func FreeAddresses(n int) ([]string, error) {
+// FreeAddresses is FreeAddressesAt for 127.0.0.1.
+func FreeAddresses(n int) ([]string, error) { return FreeAddressesAt("127.0.0.1", n) }
+
+// FreeAddressesAt returns n distinct addresses with the IP address ip that were free when checked. Another process may bind one
+// before the caller does. All stay bound until the last is found: the kernel may assign a port again as soon as it is free.
+func FreeAddressesAt(ip string, n int) ([]string, error) {
 	addrs := make([]string, n)
 	for i := range addrs {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 		if err != nil {
 			return nil, fmt.Errorf("find a free port: %w", err)
 		}
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"path/filepath"
 	"sync"
 	"time"
@@ -58,15 +57,6 @@
 	keys    map[string][]string
 }
 
-func freePort(ip string) (string, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 func newFleet(bin, dir string, network int) (*fleet, error) {
 	f := &fleet{
 		dir: dir, store: users.NewStore(), procs: &loopback.Processes{Bin: bin, Logs: dir},
@@ -106,16 +96,17 @@
 
 func (f *fleet) newHost(i, network int) (*host, error) {
 	ip := fmt.Sprintf("127.%d.%d.%d", 2+network/200, 1+network%200, i+2)
-	storeEndpoint, err := f.store.StartEndpoint()
+	addresses, err := loopback.FreeAddressesAt(ip, 3)
 	if err != nil {
 		return nil, err
 	}
-	h := &host{storeEndpoint: storeEndpoint, spec: users.HostSpec{Name: fmt.Sprintf("host-%d", i), Zone: "z", IP: ip, Bootstrap: true}}
-	for _, address := range []*string{&h.spec.Front, &h.spec.Ready, &h.spec.Control} {
-		if *address, err = freePort(ip); err != nil {
-			return nil, err
-		}
+	storeEndpoint, err := f.store.StartEndpoint()
+	if err != nil {
+		return nil, err
 	}
+	h := &host{storeEndpoint: storeEndpoint, spec: users.HostSpec{
+		Name: fmt.Sprintf("host-%d", i), Zone: "z", IP: ip, Bootstrap: true, Front: addresses[0], Ready: addresses[1], Control: addresses[2],
+	}}
 	if h.store, err = newProxy(storeEndpoint.Addr); err != nil {
 		return nil, err
 	}
--- a/test/users/fleet_test.go
+++ b/test/users/fleet_test.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -94,23 +93,16 @@
 	}
 }
 
-func freePort(t *testing.T, ip string) string {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (f *fleet) newHost(i int) *host {
 	// Each host has an IP address of its own, because all hosts serve metrics on the same port.
 	ip := fmt.Sprintf("127.0.%d.%d", 1+os.Getpid()%200, i+2)
+	addresses, err := loopback.FreeAddressesAt(ip, 3)
+	f.g.Expect(err).NotTo(HaveOccurred())
 	storeEndpoint, err := f.store.StartEndpoint()
 	f.g.Expect(err).NotTo(HaveOccurred())
 	f.t.Cleanup(storeEndpoint.Close)
 	return &host{
-		ip: ip, front: freePort(f.t, ip), ready: freePort(f.t, ip), control: freePort(f.t, ip), storeEndpoint: storeEndpoint,
+		ip: ip, front: addresses[0], ready: addresses[1], control: addresses[2], storeEndpoint: storeEndpoint,
 		settings: filepath.Join(f.procs.Logs, fmt.Sprintf("host-%d.toml", i)),
 	}
 }
