Wait for silent engines as long as the callers' patience allows

What callers saw: a stream whose engine was silent for 1.2 s went on at another engine, which processed the prompt anew, and the sound engine got no new streams for 0.4 s. If the silence came after the last event, and the stream had fewer tokens than declared, the next engine had nothing to send and the caller's connection was broken off. Cause: the stall limit was 1.2 s, whatever callers wait. The limit is that patience less 0.8 s for the first event of another run, at most 2 s, and never under the old one. A run that can't be replaced is asked about again every 0.4 s instead of after each further limit.

--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -33,6 +33,8 @@
 	LatencyObjective time.Duration
 	// EventGapObjective is the target for the longest pause between two events of a generation.
 	EventGapObjective time.Duration
+	// GapPatience is the gap between two events of a generation, or before the first, after which callers abandon it.
+	GapPatience time.Duration
 	// Attempts is the largest number of backend servers to which one request may be sent.
 	Attempts int
 	// Priority is the rank of the route; 0 is the highest.
--- a/internal/front/stall.go
+++ b/internal/front/stall.go
@@ -5,14 +5,19 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"github.com/boragecourse/boragecourse/internal/fleet"
 )
 
 const (
-	// minStallTimeout is the lower bound of the stall time-out. Engines pause preempted streams for less than this, and
-	// callers wait longer.
+	// minStallTimeout is the lower bound of the stall time-out.
 	minStallTimeout = 1200 * time.Millisecond
-	// stallGapFactor is the stall time-out as a multiple of the route's event gap objective.
+	// maxStallTimeout is longer than engines that work are silent.
+	maxStallTimeout = 2 * time.Second
+	// stallGapFactor is the least stall time-out as a multiple of the route's event gap objective.
 	stallGapFactor = 4
+	// resumeTime is what is left of the callers' patience for the first event of another run.
+	resumeTime = 800 * time.Millisecond
 )
 
 // StalledError reports a backend server that sent nothing for the stall time-out without closing the connection.
@@ -23,14 +28,19 @@
 	return fmt.Sprintf("nothing received from the backend server for %v", e.Timeout)
 }
 
-func (f *Front) stallLimit(x *call) time.Duration {
-	return max(minStallTimeout, stallGapFactor*x.route.EventGapObjective)
+// stallLimit returns how long a run may send nothing. A silent engine may still be at work, so the limit is as long as the callers'
+// patience allows, up to maxStallTimeout.
+func stallLimit(r *fleet.Route) time.Duration {
+	return max(minStallTimeout, stallGapFactor*r.EventGapObjective, min(maxStallTimeout, r.GapPatience-resumeTime))
 }
 
 // stallConfirmation is how long a watch waits after its limit for what may have arrived meanwhile. A process that stood still
 // finds its timers expired before it has read.
 const stallConfirmation = 50 * time.Millisecond
 
+// stallRecheck is how long a watch waits before it asks again whether a silent attempt can be replaced.
+const stallRecheck = 400 * time.Millisecond
+
 // stallWatch cancels an attempt when nothing is received within a limit and another attempt can take its place.
 type stallWatch struct {
 	cancel context.CancelCauseFunc
@@ -43,7 +53,7 @@
 }
 
 // watchStall returns a context that is canceled with *StalledError when received has not been called for the limit and
-// replaceable returns true. It asks again after each further limit. stop must be called to release the context.
+// replaceable returns true. It asks again after each stallRecheck. stop must be called to release the context.
 func watchStall(ctx context.Context, limit time.Duration, replaceable func() bool) (context.Context, *stallWatch) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &stallWatch{cancel: cancel, limit: limit}
@@ -57,9 +67,7 @@
 			cancel(&StalledError{Timeout: limit})
 			return
 		}
-		if ctx.Err() == nil {
-			w.received()
-		}
+		w.askAgain(ctx)
 	})
 	return ctx, w
 }
@@ -80,6 +88,16 @@
 	return true
 }
 
+// askAgain starts the timer for the next question, unless something was received since the last.
+func (w *stallWatch) askAgain(ctx context.Context) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if ctx.Err() == nil && w.expired {
+		w.expired = false
+		w.timer.Reset(stallRecheck)
+	}
+}
+
 // received restarts the stall timer.
 func (w *stallWatch) received() {
 	w.mu.Lock()
--- a/internal/front/stall_test.go
+++ b/internal/front/stall_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/boragecourse/boragecourse/internal/fleet"
 )
 
 // Guards against a watch whose timer goes on for ever because it fired while the attempt ended.
@@ -57,3 +59,16 @@
 		NewWithT(t).Expect(ctx.Err()).To(HaveOccurred())
 	})
 }
+
+// Guards against a limit that outlasts the callers' patience less the time that another run needs, and against one that is shorter
+// although the callers wait longer.
+func TestStallLimitFollowsTheCallersPatience(t *testing.T) {
+	for patience, limit := range map[time.Duration]time.Duration{
+		0: 1200 * time.Millisecond, 2 * time.Second: 1200 * time.Millisecond, 2400 * time.Millisecond: 1600 * time.Millisecond,
+		3600 * time.Millisecond: 2 * time.Second, time.Minute: 2 * time.Second,
+	} {
+		NewWithT(t).Expect(stallLimit(&fleet.Route{GapPatience: patience})).To(Equal(limit))
+	}
+	slow := &fleet.Route{EventGapObjective: time.Second, GapPatience: 8 * time.Second}
+	NewWithT(t).Expect(stallLimit(slow)).To(Equal(4 * time.Second))
+}
--- a/test/users/silentend_test.go
+++ b/test/users/silentend_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -48,8 +49,37 @@
 	}
 	f.awaitReady(f.hosts[0])
 	f.g.Eventually(func() int { return f.stream(f.hosts[0], "note").status }).WithTimeout(waitTimeout).Should(Equal(http.StatusOK))
-	// Ten events of ten tokens are all that these requests declare.
-	a := f.stream(f.hosts[0], "ask")
-	f.g.Expect(a.err).NotTo(HaveOccurred())
-	f.g.Expect(a.body).To(Equal(eventList(1, 10)))
+	// Ten events have ten tokens each.
+	for name, declared := range map[string]string{"all declared tokens": "100,100", "fewer tokens than declared": "100,200"} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			a := f.stream(f.hosts[0], "ask", header("Token-Counts", declared))
+			g.Expect(a.err).NotTo(HaveOccurred())
+			g.Expect(a.body).To(Equal(eventList(1, 10)))
+		})
+	}
+}
+
+// Guards against an engine that is taken for broken because it is silent for a second or so: its stream would be processed anew
+// at another engine.
+func TestSilentEnginesKeepTheirStreams(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"before the first event": 0, "between events": 50 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			p := newDeployment(t, 1)
+			var once sync.Once
+			for _, w := range p.decode {
+				w.Before(func(r *http.Request) {
+					if strings.HasPrefix(r.URL.Path, "/ask/") {
+						once.Do(func() { time.AfterFunc(delay, func() { w.FallSilent(1500 * time.Millisecond) }) })
+					}
+				})
+			}
+			from := time.Now()
+			a := p.stream(p.hosts[0], "ask")
+			p.g.Expect(a.err).NotTo(HaveOccurred())
+			p.g.Expect(events(a.body)).To(Equal(sequence(10)))
+			p.g.Expect(p.runs(a.id)).To(Equal(1))
+			p.g.Expect(time.Since(from)).To(BeNumerically(">", 1500*time.Millisecond), "the engine was not silent")
+		})
+	}
 }
