Don't take a caller who leaves for an engine that refuses prompts

What callers would see: after a caller had left during its prefill, later prompts were processed by decode engines whenever the retry budget was used up. Cause: the new account of prefills took every end without a response, also that of the request itself, for a closed connection. Evidence: found on reading the diff; TestPrefillsOfCallersWhoLeaveAreNoRefusals failed before. No deployment was seen to be affected.

--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -350,7 +350,7 @@
 			return f.prefillSkipped(x, "budget", nil)
 		}
 		result, err := f.prefillAt(ctx, x, grant, lastEvent)
-		ledger.record(err)
+		ledger.record(ctx, err)
 		var notRun *platform.NotRunError
 		x.prefilled = x.prefilled || !errors.As(err, &notRun)
 		if err == nil {
--- a/internal/front/prefillledger.go
+++ b/internal/front/prefillledger.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -37,9 +38,12 @@
 	return true
 }
 
-// record takes the outcome of a prefill that was allowed. An engine that was silent may have accepted it. One that has ended the
+// record takes the outcome of a prefill that was allowed, unless the request has ended meanwhile. An engine that was silent may have accepted it. One that has ended the
 // connection is taken for one that refused: if it had accepted the prefill, the next one would be the retry.
-func (l *prefillLedger) record(err error) {
+func (l *prefillLedger) record(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
 	var notRun *platform.NotRunError
 	var stalled *StalledError
 	if !neverSent(err) {
--- a/internal/front/prefillledger_test.go
+++ b/internal/front/prefillledger_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"time"
@@ -44,7 +45,7 @@
 			ledger := &prefillLedger{group: group, hosts: 1}
 			for _, outcome := range outcomes {
 				g.Expect(ledger.allow()).To(BeTrue())
-				ledger.record(prefillOutcomes[outcome])
+				ledger.record(t.Context(), prefillOutcomes[outcome])
 			}
 			ledger.refund()
 			g.Expect(budget-group.left()).To(Equal(want), "%s, engines refused before: %t", outcomes, doubtful)
@@ -52,6 +53,20 @@
 	}
 }
 
+// Guards against a caller who leaves during the prefill being taken for an engine that closes the connection.
+func TestPrefillsOfCallersWhoLeaveAreNoRefusals(t *testing.T) {
+	g := NewWithT(t)
+	group := newBudgetGroup(5)
+	ledger := &prefillLedger{group: group, hosts: 1}
+	g.Expect(ledger.allow()).To(BeTrue())
+	ctx, leave := context.WithCancel(t.Context())
+	leave()
+	ledger.record(ctx, &platform.OutcomeUnknownError{Cause: ctx.Err()})
+	ledger.refund()
+	g.Expect(group.prefillRefused()).To(BeFalse())
+	g.Expect(group.left()).To(Equal(5))
+}
+
 // Guards against refused prefills that exceed the budget, however many requests prefill at the same time.
 func TestRefusedPrefillsKeepTheBudget(t *testing.T) {
 	g := NewWithT(t)
@@ -71,7 +86,7 @@
 			}
 			for i, l := range ledgers {
 				if sent[i] {
-					l.record(prefillOutcomes['r'])
+					l.record(t.Context(), prefillOutcomes['r'])
 					retries++
 				}
 			}
