--- a/internal/front/stall.go
+++ b/internal/front/stall.go
@@ -10,13 +10,13 @@
 )
 
 const (
-	// minStallTimeout is the lower bound of the stall time-out.
+	// minStallTimeout is the lower bound of the stall time-out, for routes whose callers are impatient.
 	minStallTimeout = 1200 * time.Millisecond
-	// maxStallTimeout is longer than engines that work are silent.
+	// maxStallTimeout bounds the wait where callers are patient. Engines that are at work are silent for less.
 	maxStallTimeout = 2 * time.Second
 	// stallGapFactor is the least stall time-out as a multiple of the route's event gap objective.
 	stallGapFactor = 4
-	// resumeTime is what is left of the callers' patience for the first event of another run.
+	// resumeTime is the part of the callers' patience that is kept for another run to send its first event.
 	resumeTime = 800 * time.Millisecond
 )
 
@@ -88,7 +88,7 @@
 	return true
 }
 
-// askAgain starts the timer for the next question, unless something was received since the last.
+// askAgain starts the timer after which replaceable is called again, unless something was received since the last call.
 func (w *stallWatch) askAgain(ctx context.Context) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
