--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -309,14 +309,15 @@
 		f.logRequest(x, "request served", nil, elapsed)
 		return
 	}
-	if r.Context().Err() != nil && keepalive.ClosedByHost(r.Context()) {
+	end := keepalive.EndOf(r.Context())
+	if r.Context().Err() != nil && end == keepalive.ByHost {
 		f.metrics.Inc("requests_cut")
 		f.logRequest(x, "request cut: its connection was closed by this host", err, elapsed)
 		panic(http.ErrAbortHandler)
 	}
 	if r.Context().Err() != nil && !x.started {
-		f.metrics.Inc("requests_canceled")
-		f.logRequest(x, "request canceled by caller", err, elapsed)
+		f.metrics.Inc("requests_canceled", metrics.L("connection", end.String()))
+		f.logRequest(x, "request canceled by caller", err, elapsed, "connection", end)
 		panic(http.ErrAbortHandler)
 	}
 	if x.started {
@@ -413,7 +414,7 @@
 	}
 }
 
-func (f *Front) logRequest(x *call, event string, err error, elapsed time.Duration) {
+func (f *Front) logRequest(x *call, event string, err error, elapsed time.Duration, more ...any) {
 	kv := make([]any, 0, 32)
 	if x.request != nil {
 		kv = append(kv, "request", x.request.ID)
@@ -431,7 +432,7 @@
 		kv = append(kv, "prefill", x.trace.prefill, "prompt", x.request.Tokens.Prompt, "output", x.request.Tokens.MaxOutput,
 			"hint", x.request.LengthHint, "patience", x.request.CallerTimeout, "waited", ms(x.trace.waited), "first", ms(x.trace.first), "events", x.trace.events)
 	}
-	kv = append(kv, "elapsed", ms(elapsed))
+	kv = append(append(kv, "elapsed", ms(elapsed)), more...)
 	if err != nil {
 		kv = append(kv, "cause", err)
 	}
--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -32,7 +32,8 @@
 type conn struct {
 	net.Conn
 	server *Server
-	closed atomic.Bool
+	// end is the End of the connection; the first event that ends it counts.
+	end atomic.Int32
 
 	mu    sync.Mutex
 	phase phase
@@ -54,6 +55,7 @@
 			return n, err
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.restoreDeadline() {
+			c.failed(err)
 			return n, err
 		}
 		if !c.ending() {
@@ -63,11 +65,24 @@
 			c.received()
 			return n, nil
 		}
-		c.closed.Store(true)
+		c.ended(ByHost)
 		return 0, io.EOF
 	}
 }
 
+// failed records why no more can be read. A read that timed out says nothing about the connection.
+func (c *conn) failed(err error) {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, io.EOF):
+		c.ended(InputEnded)
+	default:
+		c.ended(Broken)
+	}
+}
+
+func (c *conn) ended(by End) { c.end.CompareAndSwap(int32(Open), int32(by)) }
+
 // available reads what has arrived on a connection without blocking. It returns 0 if nothing has.
 func available(conn net.Conn, b []byte) (n int) {
 	raw, ok := conn.(syscall.Conn)
@@ -87,8 +102,8 @@
 	return n
 }
 
-// end asks the connection to end as soon as it is in one of the selected phases.
-func (c *conn) end(endIdle, endUnread bool) {
+// endWhen asks the connection to end as soon as it is in one of the selected phases.
+func (c *conn) endWhen(endIdle, endUnread bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.endIdle, c.endUnread = endIdle, endUnread
@@ -188,7 +203,7 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	c.closed.Store(true)
+	c.ended(ByHost)
 	c.server.mu.Lock()
 	delete(c.server.conns, c)
 	c.server.mu.Unlock()
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -75,7 +75,7 @@
 // interrupt wakes the readers of all connections that are to end. s.mu must be held.
 func (s *Server) interrupt() {
 	for c := range s.conns {
-		c.end(s.endIdle, s.endUnread)
+		c.endWhen(s.endIdle, s.endUnread)
 	}
 }
 
@@ -166,11 +166,42 @@
 
 type connKey struct{}
 
-// ClosedByHost reports whether this host has closed the connection of a request. It returns false while the request is
-// served on an open connection, and when the caller has closed it.
-func ClosedByHost(request context.Context) bool {
-	c, ok := request.Value(connKey{}).(*conn)
-	return ok && c.closed.Load()
+// End tells what ended a connection.
+type End int32
+
+const (
+	// Open connections have not ended.
+	Open End = iota
+	// ByHost is the end of a connection that this host has closed.
+	ByHost
+	// InputEnded is the end of a connection whose caller sends nothing more. The caller may have closed it, or only its sending
+	// direction and still wait for the response: TCP does not tell the two apart.
+	InputEnded
+	// Broken is the end of a connection that was reset or lost.
+	Broken
+)
+
+// String implements fmt.Stringer.
+func (e End) String() string {
+	switch e {
+	case Open:
+		return "open"
+	case ByHost:
+		return "closed-by-host"
+	case InputEnded:
+		return "input-ended"
+	case Broken:
+		return "broken"
+	}
+	return fmt.Sprintf("End(%d)", int32(e))
+}
+
+// EndOf returns what ended the connection on which a request was received.
+func EndOf(request context.Context) End {
+	if c, ok := request.Value(connKey{}).(*conn); ok {
+		return End(c.end.Load())
+	}
+	return Open
 }
 
 // listener makes the connections that a Server accepts.
@@ -185,7 +216,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = true
-	c.end(l.endIdle, l.endUnread)
+	c.endWhen(l.endIdle, l.endUnread)
 	return c, nil
 }
 
--- a/internal/keepalive/keepalive_test.go
+++ b/internal/keepalive/keepalive_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -365,3 +366,36 @@
 	g.Expect(f.Shutdown(t.Context())).To(Succeed())
 	g.Expect(f.Serve()).To(MatchError(http.ErrServerClosed))
 }
+
+// Guards against a record of a canceled request that does not tell who ended its connection, and how.
+func TestEndsOfConnectionsAreTold(t *testing.T) {
+	for want, end := range map[keepalive.End]func(s *keepalive.Server, caller *net.TCPConn) error{
+		keepalive.ByHost:     func(s *keepalive.Server, _ *net.TCPConn) error { return s.Close() },
+		keepalive.InputEnded: func(_ *keepalive.Server, caller *net.TCPConn) error { return caller.CloseWrite() },
+		keepalive.Broken: func(_ *keepalive.Server, caller *net.TCPConn) error {
+			return errors.Join(caller.SetLinger(0), caller.Close())
+		},
+	} {
+		t.Run(want.String(), func(t *testing.T) {
+			g := NewWithT(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(HaveOccurred())
+			started, ends := make(chan keepalive.End, 1), make(chan keepalive.End, 1)
+			s := keepalive.New(&http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				started <- keepalive.EndOf(r.Context())
+				<-r.Context().Done()
+				ends <- keepalive.EndOf(r.Context())
+			})}, l)
+			go func() { _ = s.Serve() }()
+			t.Cleanup(func() { _ = s.Close() })
+			caller, err := net.Dial("tcp", l.Addr().String())
+			g.Expect(err).NotTo(HaveOccurred())
+			defer caller.Close()
+			_, err = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Eventually(started).Should(Receive(Equal(keepalive.Open)))
+			g.Expect(end(s, caller.(*net.TCPConn))).To(Succeed())
+			g.Eventually(ends).Should(Receive(Equal(want)))
+		})
+	}
+}
