Do not cut a request that is parsed as the time to receive ends

What callers see: a request that was read completely ends without an answer, half a second after its host has closed its listener.

Cause: keepalive took a connection for one that still receives a request head until the handler had begun. net/http parses the head and starts to read in the background before that, so that the end of the receive time ended this read; net/http took it for the end of the caller and canceled the request.

net/http lifts the deadline of the head between the two, which now is the moment from which the request counts as served.

--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -19,7 +19,7 @@
 	fresh phase = iota
 	// receiving connections have received a part of a request head.
 	receiving
-	// serving connections have a request that the handler has not finished.
+	// serving connections have a request whose head has been parsed and that the handler has not finished.
 	serving
 	// idle connections wait for another request.
 	idle
@@ -152,6 +152,11 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.phase == receiving && t.IsZero() && !c.deadline.IsZero() {
+		// net/http lifts the deadline of the head once it has parsed it. From then on it reads to notice that the caller has gone, and
+		// takes the end of input for that, although the handler has not begun yet.
+		c.phase = serving
+	}
 	c.deadline = t
 	if c.phase == idle {
 		// net/http sets the first deadline before it waits for the next request and the second one when the request has begun.
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -42,7 +42,7 @@
 }
 
 // New returns a server for the connections of a listener. It sets ConnContext and ConnState of the HTTP server and wraps
-// its handler.
+// its handler. The HTTP server must have a ReadHeaderTimeout.
 func New(server *http.Server, l net.Listener) *Server {
 	s := &Server{http: server, listener: l, served: make(chan struct{}), conns: map[*conn]bool{}}
 	server.Handler = s.wrap(server.Handler)
--- a/internal/keepalive/keepalive_test.go
+++ b/internal/keepalive/keepalive_test.go
@@ -27,6 +27,8 @@
 	*keepalive.Server
 	address       string
 	requests, cut atomic.Int64
+	// before is called with each parsed request before the server passes it to the handler, if it is set.
+	before func()
 }
 
 func start(t *testing.T) *fixture {
@@ -43,7 +45,7 @@
 	}
 	l := &wrappingListener{Listener: tcp, wrap: wrap}
 	f := &fixture{address: l.Addr().String()}
-	f.Server = keepalive.New(&http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.requests.Add(1)
 		time.Sleep(work)
 		if pause := r.URL.Query().Get("pause"); pause != "" {
@@ -54,7 +56,15 @@
 			f.cut.Add(1)
 		}
 		_, _ = io.Copy(w, r.Body)
-	})}, l)
+	})}
+	f.Server = keepalive.New(server, l)
+	handler := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if f.before != nil {
+			f.before()
+		}
+		handler.ServeHTTP(w, r)
+	})
 	go func() { _ = f.Serve() }()
 	t.Cleanup(func() { _ = f.Close() })
 	return f
@@ -399,3 +409,39 @@
 		})
 	}
 }
+
+// Guards against a request that is cut at the end of the receive time because it has been parsed, but not passed to the handler yet.
+func TestRequestsParsedAtTheEndOfTheReceiveTimeAreServed(t *testing.T) {
+	for _, kept := range []bool{false, true} {
+		t.Run(fmt.Sprintf("kept connection: %t", kept), func(t *testing.T) {
+			g := NewWithT(t)
+			var armed atomic.Bool
+			parsed, gate := make(chan struct{}), make(chan struct{})
+			f := startOn(t, func(c *net.TCPConn) net.Conn { return c })
+			f.before = func() {
+				if armed.Load() {
+					close(parsed)
+					<-gate
+				}
+			}
+			c := f.dial(t)
+			if kept {
+				_, err := c.exchange(request)
+				g.Expect(err).NotTo(HaveOccurred())
+			}
+			armed.Store(true)
+			_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			g.Expect(err).NotTo(HaveOccurred())
+			<-parsed
+			done := make(chan error, 1)
+			go func() { done <- f.Shutdown(t.Context()) }()
+			time.Sleep(time.Second)
+			close(gate)
+			resp, err := http.ReadResponse(c.in, nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(resp.Body.Close()).To(Succeed())
+			g.Expect(<-done).To(Succeed())
+			g.Expect(f.cut.Load()).To(BeZero())
+		})
+	}
+}
