Serve the connections that are queued when the listener closes

Cause: closing a listener resets the connections in its queue. How many there are depends on how long the process has not run, up to tenths of a second on a processor that is shared.

A shutdown now lets Accept time out, accepts what is queued without blocking, and closes the listener when nothing is left. A connection that arrives between the last look and the close is still reset: microseconds in place of the age of the queue.

--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -32,6 +32,8 @@
 	// served is closed when Serve has returned, after which no connection is added.
 	served     chan struct{}
 	servedOnce sync.Once
+	// stopping is set when the listener is to close as soon as no connection is queued.
+	stopping atomic.Bool
 	// closing is set when responses announce the end of their connections.
 	closing atomic.Bool
 
@@ -91,10 +93,11 @@
 
 func (e *UnfinishedError) Unwrap() error { return e.Cause }
 
-// Shutdown closes the listener, ends idle connections and waits until the requests on the others have ended. It closes
-// what is left when ctx ends and returns an *UnfinishedError if that cuts requests. Serve must have been called.
+// Shutdown accepts the connections that are queued, closes the listener, ends idle connections and waits until the requests
+// on the others have ended. It closes what is left when ctx ends and returns an *UnfinishedError if that cuts requests. Serve
+// must have been called.
 func (s *Server) Shutdown(ctx context.Context) error {
-	_ = s.listener.Close()
+	s.stopAccepting()
 	s.AnnounceClose()
 	s.EndIdle()
 	select {
@@ -203,23 +206,3 @@
 	}
 	return Open
 }
-
-// listener makes the connections that a Server accepts.
-type listener Server
-
-func (l *listener) Accept() (net.Conn, error) {
-	accepted, err := l.listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := &conn{Conn: accepted, server: (*Server)(l)}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.conns[c] = true
-	c.endWhen(l.endIdle, l.endUnread)
-	return c, nil
-}
-
-func (l *listener) Close() error { return l.listener.Close() }
-
-func (l *listener) Addr() net.Addr { return l.listener.Addr() }
--- a/internal/keepalive/keepalive_test.go
+++ b/internal/keepalive/keepalive_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -43,7 +44,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &wrappingListener{Listener: tcp, wrap: wrap}
+	return startServer(t, &wrappingListener{Listener: tcp, wrap: wrap})
+}
+
+func startServer(t *testing.T, l net.Listener) *fixture {
+	t.Helper()
 	f := &fixture{address: l.Addr().String()}
 	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.requests.Add(1)
@@ -445,3 +450,44 @@
 		})
 	}
 }
+
+// Guards against requests that are reset because the kernel has accepted their connections and the process has not when the
+// listener closes.
+func TestQueuedConnectionsAreServedByAShutdown(t *testing.T) {
+	g := NewWithT(t)
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	l := &heldListener{TCPListener: tcp.(*net.TCPListener), gate: make(chan struct{})}
+	f := startServer(t, l)
+	var callers []*client
+	for range 20 {
+		c := f.dial(t)
+		_, err := io.WriteString(c, request)
+		g.Expect(err).NotTo(HaveOccurred())
+		callers = append(callers, c)
+	}
+	done := make(chan error, 1)
+	go func() { done <- f.Shutdown(t.Context()) }()
+	time.Sleep(4 * work)
+	close(l.gate)
+	for _, c := range callers {
+		last, err := c.response()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(last).To(BeTrue())
+	}
+	g.Expect(<-done).To(Succeed())
+	g.Expect(f.cut.Load()).To(BeZero())
+	_, err = net.Dial("tcp", f.address)
+	g.Expect(err).To(MatchError(syscall.ECONNREFUSED))
+}
+
+// heldListener holds back its first connection, and thereby all later ones, until the gate opens.
+type heldListener struct {
+	*net.TCPListener
+	gate chan struct{}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	<-l.gate
+	return l.TCPListener.Accept()
+}
