Answer requests whose callers have closed their sending direction

Cause: net/http cancels a request when the input of its connection ends, and the host took every canceled request for one whose caller can't be reached any more.

The run is canceled as before, since TCP does not tell a closed connection from one that is closed for sending (docs/design.md, section 16), but the request is answered: 503 if it has not run, else 502. A connection that was reset is aborted as before. Responses that have begun are broken off as before.

--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -18,6 +18,17 @@
 // Error implements error.
 func (e *DrainEndedError) Error() string { return "drain time is over" }
 
+// InputEndedError reports a request that was canceled because its caller sends nothing more on its connection.
+type InputEndedError struct{ Cause error }
+
+// Error implements error.
+func (e *InputEndedError) Error() string {
+	return fmt.Sprintf("caller has closed its connection, at least for sending: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *InputEndedError) Unwrap() error { return e.Cause }
+
 // RateExceededError reports a request whose cost exceeds the level of its workspace's token bucket on this host. All
 // values are in tokens, Rate in tokens per second.
 type RateExceededError struct {
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -297,8 +297,8 @@
 	return f.forwardPlain(ctx, x)
 }
 
-// finish logs every request, counts failures, and sends the error response. When the caller disconnected, or part of the
-// response was sent already, it aborts the connection instead.
+// finish logs every request, counts failures, and sends the error response. It aborts the connection instead when part of the
+// response was sent already, or when nobody can receive one.
 func (f *Front) finish(r *http.Request, x *call, err error) {
 	f.refund(x)
 	elapsed := time.Duration(0)
@@ -310,15 +310,20 @@
 		return
 	}
 	end := keepalive.EndOf(r.Context())
-	if r.Context().Err() != nil && end == keepalive.ByHost {
+	canceled := r.Context().Err() != nil
+	if canceled && end == keepalive.ByHost {
 		f.metrics.Inc("requests_cut")
 		f.logRequest(x, "request cut: its connection was closed by this host", err, elapsed)
 		panic(http.ErrAbortHandler)
 	}
-	if r.Context().Err() != nil && !x.started {
+	if canceled && !x.started {
 		f.metrics.Inc("requests_canceled", metrics.L("connection", end.String()))
 		f.logRequest(x, "request canceled by caller", err, elapsed, "connection", end)
-		panic(http.ErrAbortHandler)
+		if end != keepalive.InputEnded {
+			panic(http.ErrAbortHandler)
+		}
+		f.writeFailure(x, f.failureOf(x, &InputEndedError{Cause: err}))
+		return
 	}
 	if x.started {
 		f.metrics.Inc("answers_broken_off")
@@ -339,18 +344,13 @@
 	}
 	var timeout *TimeoutError
 	late := errors.As(err, &timeout) || errors.Is(err, context.DeadlineExceeded)
-	var ended *DrainEndedError
-	drainEnded := errors.As(err, &ended)
+	var drainEnded *DrainEndedError
+	var inputEnded *InputEndedError
 	switch {
-	case drainEnded && !x.mayHaveRun:
-		return &outcome.Error{
-			Outcome: outcome.NotRun, Code: outcome.CodeDraining, Status: http.StatusServiceUnavailable,
-			Message: "host is draining", RetryAfter: drainRetry, Cause: err,
-		}
-	case drainEnded:
-		return &outcome.Error{
-			Outcome: outcome.Unknown, Code: outcome.CodeDraining, Status: http.StatusBadGateway, Message: "no response before the host ended", Cause: err,
-		}
+	case errors.As(err, &drainEnded):
+		return x.interrupted(outcome.CodeDraining, "no response before the host ended", drainRetry, err)
+	case errors.As(err, &inputEnded):
+		return x.interrupted(outcome.CodeCanceled, "input ended before the response", plainRetryAfter, err)
 	case !x.mayHaveRun:
 		return &outcome.Error{
 			Outcome: outcome.NotRun, Code: outcome.CodeNoServer, Status: http.StatusServiceUnavailable,
@@ -367,6 +367,16 @@
 	}
 }
 
+// interrupted returns the failure of a request that was given up for a reason that has nothing to do with its service.
+func (x *call) interrupted(code outcome.Code, message string, retryAfter time.Duration, cause error) *outcome.Error {
+	if x.mayHaveRun {
+		return &outcome.Error{Outcome: outcome.Unknown, Code: code, Status: http.StatusBadGateway, Message: message, Cause: cause}
+	}
+	return &outcome.Error{
+		Outcome: outcome.NotRun, Code: code, Status: http.StatusServiceUnavailable, Message: message, RetryAfter: retryAfter, Cause: cause,
+	}
+}
+
 const (
 	// plainRetryAfter is the Retry-After of plain services, whose requests are short.
 	plainRetryAfter = 100 * time.Millisecond
