Answer requests whose handler panics

What callers would see: a request that gets no answer.

Cause: a panic in a handler of the entry host went up to net/http, which closes the connection. The API of the product recovers already (internal/api).

The host now answers with 500 and an unknown outcome, logs the panic with its stack and counts it; a response that has begun is broken off as before. The request's context ends in any case, so that its connection to the backend server does not stay open until the deadline.

TestRequestsWhoseHandlerPanicsAreAnswered: EOF before, 500 for 6 of 6 requests now, 3 of 3 runs.

--- a/internal/front/drain_test.go
+++ b/internal/front/drain_test.go
@@ -225,3 +225,19 @@
 	d.g.Expect(refused.Status).To(Equal(http.StatusBadGateway))
 	d.g.Expect(<-d.stopped).To(Succeed())
 }
+
+// Guards against a request that gets no answer because its handler panics.
+func TestRequestsWhoseHandlerPanicsAreAnswered(t *testing.T) {
+	d := newDrainFixture(t, 4500*time.Millisecond, func(f *Front) {
+		f.backends.OnRateLimit = func(fleet.Server, float64) { panic("injected") }
+	})
+	for range 6 {
+		_, err := d.send(t.Context(), &http.Client{}, "/reserve/1")
+		var failed *outcome.Error
+		d.g.Expect(errors.As(err, &failed)).To(BeTrue(), "%v", err)
+		d.g.Expect(failed.Status).To(Equal(http.StatusInternalServerError))
+	}
+	d.g.Eventually(d.open.Load).Should(BeZero())
+	d.signals <- syscall.SIGTERM
+	d.g.Expect(<-d.stopped).To(Succeed())
+}
--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -29,6 +29,12 @@
 // Unwrap returns the cause.
 func (e *InputEndedError) Unwrap() error { return e.Cause }
 
+// PanicError is a panic in the handler of a request.
+type PanicError struct{ Value any }
+
+// Error implements error.
+func (e *PanicError) Error() string { return fmt.Sprintf("panic: %v", e.Value) }
+
 // RateExceededError reports a request whose cost exceeds the level of its workspace's token bucket on this host. All
 // values are in tokens, Rate in tokens per second.
 type RateExceededError struct {
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/boragecourse/boragecourse/internal/dispatch"
@@ -103,14 +104,37 @@
 	f.open.Add(1)
 	defer f.open.Add(-1)
 	x := &call{w: w}
+	defer f.answerPanic(x, f.now())
 	ctx, cancel, err := f.admit(r, x)
 	if err == nil {
+		defer cancel()
 		err = f.forward(ctx, x)
 		cancel()
 	}
 	f.finish(r, x, err)
 }
 
+// answerPanic answers a request whose handler has panicked. net/http would close the connection without a response.
+func (f *Front) answerPanic(x *call, arrived time.Time) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if err, ok := v.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(v)
+	}
+	f.metrics.Inc("panics", metrics.L("where", "request"))
+	failure := &outcome.Error{
+		Outcome: outcome.Unknown, Code: outcome.CodeInternal, Status: http.StatusInternalServerError, Message: "internal failure", Cause: &PanicError{v},
+	}
+	f.log.Error(failure, "panic in request handler", "stack", string(debug.Stack()))
+	f.logRequest(x, "request failed", failure, f.now().Sub(arrived))
+	if x.started {
+		panic(http.ErrAbortHandler)
+	}
+	f.writeFailure(x, failure)
+}
+
 // admit reads and authorizes a request, charges its cost, and returns a context that ends at the request's deadline.
 func (f *Front) admit(r *http.Request, x *call) (context.Context, context.CancelFunc, error) {
 	arrived := f.now()
