Send the targets of requests byte for byte

What callers saw: a request whose path begins with two slashes ran with another path. POST //vans/4/book reached the server as POST http://vans/4/book, whose path is /4/book. The same with absolute targets, whose odd bytes were also encoded anew, and a CONNECT ran with the path "/".

Cause: net/url made the request line from a URL whose opaque part was the caller's target, and puts the scheme before one that begins with two slashes. The target of an absolute request line was taken from the parsed URL.

connpool writes the request line itself, and a target that names no path has no route (404). The stand-in server of test/users reports the request line as it got it, in place of the parsed path, which is stricter for all its tests.

--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -74,6 +76,39 @@
 	return n, err
 }
 
+// requestLine returns the request line with the target as it is, or *TargetError.
+func requestLine(req *http.Request) (string, error) {
+	target := cmp.Or(req.RequestURI, req.URL.RequestURI())
+	if strings.IndexFunc(target, func(r rune) bool { return r <= ' ' || r == 0x7f }) >= 0 {
+		return "", &TargetError{Target: target}
+	}
+	return cmp.Or(req.Method, http.MethodGet) + " " + target + " HTTP/1.1\r\n", nil
+}
+
+// headWriter replaces the request line of http.Request.Write, which has no form for every target: net/url puts a scheme before
+// one that begins with two slashes, and encodes some bytes of the others.
+type headWriter struct {
+	out  io.Writer
+	line string
+	// begun is set when the replaced request line has passed.
+	begun bool
+}
+
+func (w *headWriter) Write(b []byte) (int, error) {
+	if w.begun {
+		return w.out.Write(b)
+	}
+	end := bytes.IndexByte(b, '\n') + 1
+	if end == 0 {
+		return len(b), nil
+	}
+	w.begun = true
+	if _, err := w.out.Write(append([]byte(w.line), b[end:]...)); err != nil {
+		return 0, err
+	}
+	return len(b), nil
+}
+
 // disturbance returns why an idle connection must not be reused, or "" if the server has neither closed it nor sent
 // anything on it. It does not block.
 func (c *connection) disturbance() string {
@@ -151,9 +186,13 @@
 // write sends the request. A request with a large body is still being written when write returns; the returned channel
 // is closed once it has been written completely.
 func (c *connection) write(req *http.Request) (<-chan struct{}, error) {
+	line, err := requestLine(req)
+	if err != nil {
+		return nil, err
+	}
 	written := make(chan struct{})
 	if req.ContentLength >= 0 && req.ContentLength <= directWrite {
-		err := req.Write((*connectionWriter)(c))
+		err := req.Write(&headWriter{out: (*connectionWriter)(c), line: line})
 		close(written)
 		return written, err
 	}
@@ -161,7 +200,7 @@
 	c.sent = 1
 	go func() {
 		// A failed write ends the connection for reading as well, so that its error is reported there.
-		if req.Write(c.conn) == nil {
+		if req.Write(&headWriter{out: c.conn, line: line}) == nil {
 			close(written)
 		}
 	}()
--- a/internal/connpool/errors.go
+++ b/internal/connpool/errors.go
@@ -32,6 +32,12 @@
 // Unwrap returns the cause.
 func (e *DroppedConnectionError) Unwrap() error { return e.Cause }
 
+// TargetError reports a request target that would end the request line early.
+type TargetError struct{ Target string }
+
+// Error implements error.
+func (e *TargetError) Error() string { return fmt.Sprintf("invalid request target %.200q", e.Target) }
+
 // HeadTooLargeError reports a response head above the limit, in bytes.
 type HeadTooLargeError struct{ Limit int64 }
 
--- a/test/standin/users/worker.go
+++ b/test/standin/users/worker.go
@@ -369,7 +369,7 @@
 		return
 	}
 	time.Sleep(w.Work)
-	body := "answer to " + r.Method + " " + r.URL.RequestURI() + " by " + w.ID
+	body := "answer to " + r.Method + " " + r.RequestURI + " by " + w.ID
 	rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if fault == Truncating {
 		_, _ = rw.Write([]byte(body[:len(body)/2]))
@@ -390,7 +390,7 @@
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: %s.%s\r\nContent-Length: %d\r\n\r\n%s",
 			id, w.ID, id, len(body), body)
 	}
-	answer(id, "answer to "+r.Method+" "+r.URL.RequestURI()+" by "+w.ID)
+	answer(id, "answer to "+r.Method+" "+r.RequestURI+" by "+w.ID)
 	if fault == ExtraResponse {
 		answer("another", "answer to another request")
 	}
