Answer every request of callers by the router, not by a library

Cause: net/http answers OPTIONS * itself unless that is disabled, and the callers' server had a chi router of one entry, which refuses unknown methods.

TestMethodsAreAnsweredByTheRouter, before (two runs, the order of its lines is random): PURGE /none/1 Expected <int>: 405 to equal <int>: 404 OPTIONS * Expected <int>: 200 to equal <int>: 404 It passes now (1 run).

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -183,8 +183,8 @@
 			f.log.Error(err, "failed to send metrics page")
 		}
 	})
-	callers := chi.NewRouter()
-	callers.HandleFunc("/*", f.handle)
+	// A router would refuse the methods that it does not know.
+	callers := http.HandlerFunc(f.handle)
 	var servers []*keepalive.Server
 	for _, s := range []struct {
 		listener net.Listener
@@ -195,6 +195,7 @@
 		}
 		server := keepalive.New(&http.Server{
 			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerLimit,
+			DisableGeneralOptionsHandler: true,
 		}, s.listener)
 		servers = append(servers, server)
 		go func() { _ = server.Serve() }()
--- a/test/users/targets_test.go
+++ b/test/users/targets_test.go
@@ -80,3 +80,22 @@
 		_ = conn.Close()
 	}
 }
+
+// Guards against an answer of a library to a caller's request: a success without a receipt, or a refusal of a method.
+func TestMethodsAreAnsweredByTheRouter(t *testing.T) {
+	p := newDeployment(t, 1)
+	for line, want := range map[string]int{"OPTIONS *": 404, "GET *": 404, "OPTIONS /view/1": 200, "PURGE /view/1": 200, "CONNECT /view/1": 200, "PURGE /none/1": 404} {
+		id := fmt.Sprintf("%s-%d", t.Name(), p.next.Add(1))
+		conn, err := net.Dial("tcp", p.hosts[0].front)
+		p.g.Expect(err).NotTo(HaveOccurred())
+		p.g.Expect(conn.SetDeadline(time.Now().Add(waitTimeout))).To(Succeed())
+		_, err = fmt.Fprintf(conn, "%s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Ms: 3000\r\n\r\n", line, hostName, id, key)
+		p.g.Expect(err).NotTo(HaveOccurred())
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		p.g.Expect(err).NotTo(HaveOccurred(), line)
+		p.g.Expect(resp.StatusCode).To(Equal(want), line)
+		p.g.Expect(resp.Header.Get("Response-Stamp") != "").To(Equal(want == http.StatusOK), line)
+		p.g.Expect(p.runs(id) > 0).To(Equal(want == http.StatusOK), line)
+		_ = conn.Close()
+	}
+}
