--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -92,8 +92,9 @@
 func New(o Options) *Pool { return &Pool{o: o, idle: map[Target][]*connection{}} }
 
 // Do sends a request to a target and returns the response as soon as its head is received. RequestURI is sent byte for byte as
-// the target of the request line; if it is empty, the path and query of the URL are. The caller must read the body to its end or close it. Errors are *DialError, *NotSentError,
-// *DroppedConnectionError, *HeadTooLargeError and *ExchangeError, or the cause of ctx when it ended first.
+// the target of the request line; if it is empty, the path and query of the URL are. The caller must read the body to its end
+// or close it. Errors are *DialError, *NotSentError, *DroppedConnectionError, *HeadTooLargeError and *ExchangeError, or the
+// cause of ctx when it ended first.
 func (p *Pool) Do(ctx context.Context, t Target, req *http.Request, reuse Reuse) (*Response, error) {
 	c, err := p.connection(ctx, t, reuse)
 	if err != nil {
