End heads that arrive as the receive time of a shutdown ends

A shutdown asks each connection once, 0.5 s after its listener has closed, to end if no whole head has arrived. If a part of a head was still unread then, the read returned it and had restored the deadline of the head (10 s in the front): nothing interrupted the next read, and the shutdown waited for the caller, up to the end of the drain time.

The connection is now interrupted again after each part, so that it goes on only with what has arrived already.

--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -183,6 +183,8 @@
 	if c.phase == fresh || c.phase == idle {
 		c.phase = receiving
 	}
+	// Restoring the deadline has ended the interruption, but the connection may still have to end before the rest arrives.
+	c.interruptIfEnding()
 }
 
 func (c *conn) setPhase(p phase) {
--- a/internal/keepalive/keepalive_test.go
+++ b/internal/keepalive/keepalive_test.go
@@ -491,3 +491,28 @@
 	<-l.gate
 	return l.TCPListener.Accept()
 }
+
+// Guards against a shutdown that waits for the rest of a head because a part of it was unread as the receive time ended.
+func TestShutdownEndsHeadsThatArriveAtTheEndOfTheReceiveTime(t *testing.T) {
+	g := NewWithT(t)
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	var armed atomic.Bool
+	gate := make(chan struct{})
+	armed.Store(true)
+	l := &wrappingListener{Listener: tcp, wrap: func(c *net.TCPConn) net.Conn { return &gatedConn{TCPConn: c, armed: &armed, before: gate} }}
+	s := keepalive.New(&http.Server{ReadHeaderTimeout: 10 * time.Second, Handler: http.NotFoundHandler()}, l)
+	go func() { _ = s.Serve() }()
+	t.Cleanup(func() { _ = s.Close() })
+	c, err := net.Dial("tcp", tcp.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	_, err = io.WriteString(c, request[:20])
+	g.Expect(err).NotTo(HaveOccurred())
+	time.Sleep(4 * work)
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(t.Context()) }()
+	time.Sleep(time.Second)
+	close(gate)
+	g.Eventually(done).WithTimeout(2 * time.Second).Should(Receive(Succeed()))
+}
