--- a/internal/front/stall.go
+++ b/internal/front/stall.go
@@ -64,7 +64,7 @@
 			return
 		}
 		if replaceable() {
-			cancel(&StalledError{Timeout: limit})
+			w.cancelIfSilent()
 			return
 		}
 		w.askAgain(ctx)
@@ -88,6 +88,15 @@
 	return true
 }
 
+// cancelIfSilent cancels the attempt unless something was received while replaceable was called.
+func (w *stallWatch) cancelIfSilent() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.expired {
+		w.cancel(&StalledError{Timeout: w.limit})
+	}
+}
+
 // askAgain starts the timer after which replaceable is called again, unless something was received since the last call.
 func (w *stallWatch) askAgain(ctx context.Context) {
 	w.mu.Lock()
--- a/internal/front/stall_test.go
+++ b/internal/front/stall_test.go
@@ -72,3 +72,19 @@
 	slow := &fleet.Route{EventGapObjective: time.Second, GapPatience: 8 * time.Second}
 	NewWithT(t).Expect(stallLimit(slow)).To(Equal(4 * time.Second))
 }
+
+// Guards against an attempt that is canceled although something arrived while the watch asked whether it can be replaced.
+func TestStallWatchSparesAttemptsThatGoOnWhileItAsks(t *testing.T) {
+	g := NewWithT(t)
+	asked, gate := make(chan struct{}), make(chan struct{})
+	ctx, watch := watchStall(t.Context(), 200*time.Millisecond, func() bool {
+		close(asked)
+		<-gate
+		return true
+	})
+	defer watch.stop()
+	<-asked
+	watch.received()
+	close(gate)
+	g.Consistently(ctx.Err).WithTimeout(100 * time.Millisecond).Should(Succeed())
+}
