Relay a server's failure when the request's time ends just after it was received

forwardPlain looked twice whether the request's context had ended. If it ended between the two looks, by the deadline, the end of the drain or the caller, a response with status 500 or higher was neither relayed nor reported: the handler returned without an error and net/http answered with an empty 200.

TestFailuresOfServersAreRelayedWhenTheTimeEnds: before, the caller got status 200 in 3 of 3 runs; now it gets the server's 500, 3 of 3 runs.

--- /dev/null
+++ b/internal/front/answers_test.go
@@ -0,0 +1,58 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/boragecourse/boragecourse/internal/fleet"
+	"github.com/boragecourse/boragecourse/test/standin/users"
+)
+
+// endingContext ends between two looks at it: once armed, only the first call of Err returns nil.
+type endingContext struct {
+	context.Context
+	armed atomic.Bool
+	looks atomic.Int64
+}
+
+func (c *endingContext) Err() error {
+	if c.armed.Load() && c.looks.Add(1) > 1 {
+		return context.DeadlineExceeded
+	}
+	return nil
+}
+
+// newCall returns a non-idempotent request that has been admitted.
+func (d *drainFixture) newCall(w http.ResponseWriter) *call {
+	config := d.state.Configuration()
+	x := &call{
+		w: w, config: config, route: config.Route("stays.example", "/reserve/1"), deadline: time.Now().Add(3 * time.Second),
+		request: &fleet.Request{ID: "1", Method: http.MethodPost, Target: "/reserve/1", Host: "stays.example", Arrived: time.Now(), Header: http.Header{}},
+	}
+	x.group, x.begin = d.group(d.destination(x)), func() { x.started = true }
+	return x
+}
+
+// Guards against an empty success in place of a server's failure because the request's time ends just after the failure was received.
+func TestFailuresOfServersAreRelayedWhenTheTimeEnds(t *testing.T) {
+	d := newDrainFixture(t, 4500*time.Millisecond, func(*Front) {})
+	ctx := &endingContext{Context: context.Background()}
+	d.plain.SetFault(users.Failing)
+	d.plain.Before(func(*http.Request) { ctx.armed.Store(true) })
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		x := d.newCall(w)
+		d.finish(r, x, d.forwardPlain(ctx, x))
+	}))
+	defer host.Close()
+	resp, err := http.Get(host.URL)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	d.g.Expect(resp.Body.Close()).To(Succeed())
+	d.g.Expect(resp.StatusCode).To(Equal(http.StatusInternalServerError))
+	d.g.Expect(resp.Header.Get("Response-Stamp")).NotTo(BeEmpty())
+}
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -34,10 +34,11 @@
 	runs := 0
 	for {
 		a, key, err := f.sendPlain(ctx, x, excluded)
-		if err == nil && (a.Status < http.StatusInternalServerError || ctx.Err() != nil) {
+		ended := ctx.Err() != nil
+		if err == nil && (a.Status < http.StatusInternalServerError || ended) {
 			return f.writeResponse(x, a)
 		}
-		if key == "" || ctx.Err() != nil {
+		if key == "" || ended {
 			return err
 		}
 		if !notExecuted(err) {
