--- a/test/users/halfclose_test.go
+++ b/test/users/halfclose_test.go
@@ -38,6 +38,7 @@
 				p.g.Expect(err).NotTo(HaveOccurred(), name)
 				_, err = io.Copy(io.Discard, resp.Body)
 				p.g.Expect(err).NotTo(HaveOccurred(), name)
+				p.g.Expect(resp.Body.Close()).To(Succeed(), name)
 				p.g.Expect(resp.Header.Get("Request-Id")).To(Equal(id), name)
 				p.g.Expect(resp.StatusCode).To(BeElementOf(http.StatusBadGateway, http.StatusServiceUnavailable), name)
 				if resp.StatusCode == http.StatusServiceUnavailable {
