Do not begin a long response once the requests of a drain have been ended

What callers would see: a response of over 256 KiB that is broken off at its beginning, in place of a 502.

Cause: 0.3 s before the drain time ends, a goroutine of its own ends the context of each request whose response has not begun.

A response that is not complete now begins only if the drain has not ended its request; a complete one is relayed in any case.

--- a/internal/front/answers_test.go
+++ b/internal/front/answers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 
 	"github.com/boragecourse/boragecourse/internal/fleet"
 	"github.com/boragecourse/boragecourse/internal/outcome"
+	"github.com/boragecourse/boragecourse/platform"
 	"github.com/boragecourse/boragecourse/test/standin/users"
 )
 
@@ -37,7 +39,7 @@
 		w: w, config: config, route: config.Route("stays.example", "/reserve/1"), deadline: time.Now().Add(3 * time.Second),
 		request: &fleet.Request{ID: "1", Method: http.MethodPost, Target: "/reserve/1", Host: "stays.example", Arrived: time.Now(), Header: http.Header{}},
 	}
-	x.group, x.begin = d.group(d.destination(x)), func() { x.started = true }
+	x.group, x.begin = d.group(d.destination(x)), func() error { x.started = true; return nil }
 	return x
 }
 
@@ -68,3 +70,20 @@
 	d.g.Expect(errors.As(err, &failure)).To(BeTrue(), "%v", err)
 	d.g.Expect(failure.Status).To(Equal(http.StatusBadGateway))
 }
+
+// Guards against a broken response in place of a failure, because the drain time ends between the head of a response and its relay.
+func TestLongResponsesAreNotBegunAfterTheEndOfTheDrain(t *testing.T) {
+	d := newDrainFixture(t, 4500*time.Millisecond, func(*Front) {})
+	w := httptest.NewRecorder()
+	x := d.newCall(w)
+	ctx, cancel := d.requestContext(t.Context(), x)
+	defer cancel()
+	d.endAnswers(&DrainEndedError{})
+	<-ctx.Done()
+	rest, _ := io.Pipe()
+	context.AfterFunc(ctx, func() { _ = rest.CloseWithError(ctx.Err()) })
+	err := d.writeResponse(x, &response{Response: &platform.Response{Status: http.StatusOK, Header: http.Header{}, Length: -1}, body: []byte("a"), rest: rest})
+	var ended *DrainEndedError
+	d.g.Expect(errors.As(err, &ended)).To(BeTrue(), "%v", err)
+	d.g.Expect(x.started).To(BeFalse())
+}
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -238,8 +238,16 @@
 	return read, nil
 }
 
-// writeResponse relays a backend server's response to the caller. Errors are *DeliveryError and *BrokenStreamError.
+// writeResponse relays a backend server's response to the caller. Errors are *DeliveryError, *BrokenStreamError, and
+// *DrainEndedError for a response that is not complete when this host ends.
 func (f *Front) writeResponse(x *call, a *response) error {
+	if a.rest != nil {
+		defer func() { _ = a.rest.Close() }()
+	}
+	if err := x.begin(); err != nil && a.rest != nil {
+		return err
+	}
+	x.started = true
 	h := x.w.Header()
 	platform.CopyResponseHeader(h, a.Header)
 	switch {
@@ -248,7 +256,6 @@
 	case a.Length >= 0:
 		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
-	x.begin()
 	x.trace.first = f.now().Sub(x.request.Arrived)
 	f.observeLatency(x, x.trace.first)
 	x.w.WriteHeader(a.Status)
@@ -258,7 +265,6 @@
 	if a.rest == nil {
 		return nil
 	}
-	defer func() { _ = a.rest.Close() }()
 	if _, err := io.Copy(x.w, a.rest); err != nil {
 		return &BrokenStreamError{Cause: err}
 	}
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -49,9 +49,10 @@
 	prefilled bool
 	// accepted is set once an engine has begun to respond.
 	accepted bool
-	// started is set, by begin, once the response header is sent to the caller.
+	// started is set, by begin, once the response header is sent to the caller. begin returns an error if the response must not be
+	// relayed any more.
 	started bool
-	begin   func()
+	begin   func() error
 
 	trace trace
 }
@@ -185,9 +186,12 @@
 func (f *Front) requestContext(parent context.Context, x *call) (context.Context, context.CancelFunc) {
 	ctx, end := context.WithCancelCause(parent)
 	stop := context.AfterFunc(f.ending, func() { end(context.Cause(f.ending)) })
-	x.begin = func() {
+	x.begin = func() error {
+		if !stop() && f.ending.Err() != nil {
+			return context.Cause(f.ending)
+		}
 		x.started = true
-		stop()
+		return nil
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, &TimeoutError{})
 	return ctx, func() {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -108,8 +108,7 @@
 	if err := s.checkEnd(a, empty, continued); err != nil {
 		return err
 	}
-	s.begin(a)
-	return nil
+	return s.begin(a)
 }
 
 // checkEnd returns an error if a run that has ended between two events has ended early. empty is set for a run without an
@@ -128,13 +127,16 @@
 
 // begin sends the response header of the run with the first event; later runs continue the same response. Until then a failure
 // can still be reported with a status.
-func (s *stream) begin(a *platform.Response) {
+func (s *stream) begin(a *platform.Response) error {
 	if s.x.started {
-		return
+		return nil
+	}
+	if err := s.x.begin(); err != nil {
+		return err
 	}
-	s.x.begin()
 	platform.CopyResponseHeader(s.x.w.Header(), a.Header)
 	s.x.w.WriteHeader(a.Status)
+	return nil
 }
 
 // follow checks that an event follows the last relayed one, and records its id. It reports false for an event that is not
@@ -185,7 +187,9 @@
 		s.watch.received()
 		return nil
 	}
-	s.begin(a)
+	if err := s.begin(a); err != nil {
+		return err
+	}
 	if s.events == 0 {
 		s.x.trace.first = s.front.now().Sub(s.x.request.Arrived)
 		s.front.observeLatency(s.x, s.x.trace.first)
