Give up callers that do not read their response

What callers and operators would see: a caller that does not read a long response holds its request, and the slot of a stream, for as long as its connection stays open.

A response must have been received 1 s after the deadline of its request, when nothing more is read for it anyway.

--- a/internal/front/answers_test.go
+++ b/internal/front/answers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -87,3 +88,30 @@
 	d.g.Expect(errors.As(err, &ended)).To(BeTrue(), "%v", err)
 	d.g.Expect(x.started).To(BeFalse())
 }
+
+// Guards against a request that never ends because its caller does not read a long response.
+func TestCallersThatDoNotReadAreGivenUp(t *testing.T) {
+	d := newDrainFixture(t, 4500*time.Millisecond, func(*Front) {})
+	ended := make(chan struct{})
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer close(ended)
+		x := d.newCall(w)
+		x.deadline = time.Now().Add(200 * time.Millisecond)
+		ctx, cancel := d.requestContext(r.Context(), x)
+		defer cancel()
+		rest, server := io.Pipe()
+		go func() {
+			for ctx.Err() == nil {
+				_, _ = server.Write(make([]byte, 64<<10))
+			}
+			_ = server.CloseWithError(ctx.Err())
+		}()
+		d.finish(r, x, d.writeResponse(x, &response{Response: &platform.Response{Status: http.StatusOK, Header: http.Header{}, Length: -1}, rest: rest}))
+	}))
+	caller, err := net.Dial("tcp", host.Listener.Addr().String())
+	d.g.Expect(err).NotTo(HaveOccurred())
+	defer caller.Close()
+	_, err = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	d.g.Expect(err).NotTo(HaveOccurred())
+	d.g.Eventually(ended).WithTimeout(3 * time.Second).Should(BeClosed())
+}
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -181,6 +181,9 @@
 	return ctx, cancel, nil
 }
 
+// writeTime is how long after the request's deadline a caller may take to receive the end of a response.
+const writeTime = time.Second
+
 // requestContext returns a context that ends at the deadline of a request, or when this host ends and the response has not
 // begun.
 func (f *Front) requestContext(parent context.Context, x *call) (context.Context, context.CancelFunc) {
@@ -191,6 +194,8 @@
 			return context.Cause(f.ending)
 		}
 		x.started = true
+		// A caller that does not read would keep the request, and the slot of a stream, for as long as its connection is open.
+		_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline.Add(writeTime))
 		return nil
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, &TimeoutError{})
