Accept only whole entries of backend servers

What callers saw: bookings ran at a server of another service, because another writer had written that server's entry with the name of the bookings' service and without version, coldLeftMs, seq and born.

Cause: encoding/json takes a missing field and null for zero, and ignores case in names. Only the zero values of some fields were refused, and models was not decoded.

Each field that PROTOCOL.md names must be there under that name and of its type; stage and models may be missing. The entries that six test files write for their own servers lacked version, coldLeftMs and seq; they now have them, as real servers' have. Nothing is checked less.

--- a/test/users/cuthead_test.go
+++ b/test/users/cuthead_test.go
@@ -57,7 +57,7 @@
 	t.Cleanup(server.Close)
 	for i, spec := range [][2]string{{"app", ""}, {"app", ""}, {"app", ""}, {"llm", "prefill"}, {"llm", "decode"}, {"llm", "decode"}} {
 		value, _ := json.Marshal(map[string]any{
-			"service": spec[0], "address": server.Addr, "zone": "piran-a", "slots": 50, "state": "ready", "stage": spec[1], "born": 1,
+			"service": spec[0], "address": server.Addr, "zone": "piran-a", "slots": 50, "state": "ready", "stage": spec[1], "version": "v1", "coldLeftMs": 0, "seq": 0, "born": 1,
 		})
 		f.store.Put(fmt.Sprintf("servers/s-%d", i), value)
 	}
--- a/test/users/endless_test.go
+++ b/test/users/endless_test.go
@@ -92,7 +92,7 @@
 	t.Cleanup(server.Close)
 	for id, spec := range map[string][2]string{"app-1": {"app", ""}, "prefill-1": {"llm", "prefill"}, "decode-1": {"llm", "decode"}} {
 		value, _ := json.Marshal(map[string]any{
-			"service": spec[0], "address": server.Addr, "zone": "piran-a", "slots": 20, "state": "ready", "stage": spec[1], "born": 1,
+			"service": spec[0], "address": server.Addr, "zone": "piran-a", "slots": 20, "state": "ready", "stage": spec[1], "version": "v1", "coldLeftMs": 0, "seq": 0, "born": 1,
 		})
 		f.store.Put("servers/"+id, value)
 	}
@@ -201,7 +201,7 @@
 	t.Cleanup(server.Close)
 	for i, stage := range []string{"prefill", "prefill", "decode", "decode", "decode"} {
 		value, _ := json.Marshal(map[string]any{
-			"service": "llm", "address": server.Addr, "zone": "piran-a", "slots": 60, "state": "ready", "stage": stage, "born": 1,
+			"service": "llm", "address": server.Addr, "zone": "piran-a", "slots": 60, "state": "ready", "stage": stage, "version": "v1", "coldLeftMs": 0, "seq": 0, "born": 1,
 		})
 		f.store.Put(fmt.Sprintf("servers/llm-%d", i), value)
 	}
--- a/test/users/longevents_test.go
+++ b/test/users/longevents_test.go
@@ -60,7 +60,7 @@
 	t.Cleanup(server.Close)
 	for i, stage := range []string{"prefill", "decode", "decode", "decode"} {
 		value, _ := json.Marshal(map[string]any{
-			"service": "llm", "address": server.Addr, "zone": "piran-a", "slots": 50, "state": "ready", "stage": stage, "born": 1,
+			"service": "llm", "address": server.Addr, "zone": "piran-a", "slots": 50, "state": "ready", "stage": stage, "version": "v1", "coldLeftMs": 0, "seq": 0, "born": 1,
 		})
 		f.store.Put(fmt.Sprintf("servers/llm-%d", i), value)
 	}
--- a/test/users/oddentry_test.go
+++ b/test/users/oddentry_test.go
@@ -46,6 +46,16 @@
 		"IPv6 zone": change(address, "[fe80::1%lo]"+port), "name": change(address, "localhost"+port),
 		"no state": change(`"ready"`, `""`), "strange state": change(`"ready"`, `"`+strings.Repeat("x", 100_000)+`"`),
 	}
+	for _, field := range []string{`"service":"app"`, `"zone":"piran-a"`, `"version":"v1"`, `"slots":4`, `"state":"ready"`, `"coldLeftMs":0`, `"seq":1`, `"born":1`} {
+		name, _, _ := strings.Cut(field[1:], `"`)
+		entries["without "+name] = change(field, `"x":1`)
+		entries["null as "+name] = change(field, `"`+name+`":null`)
+		entries["list as "+name] = change(field, `"`+name+`":[]`)
+		entries["other case of "+name] = change(`"`+name+`"`, `"`+strings.ToUpper(name)+`"`)
+	}
+	for i, models := range []string{`"m"`, `1`, `{}`, `["m"]`, `[[]]`} {
+		entries[fmt.Sprintf("models %d", i)] = change(`"seq":1`, `"seq":1,"models":`+models)
+	}
 	keyed := map[string]string{"servers/": good, "servers/a\nb": good, "servers/\u00fc": good, "servers/with space": good}
 	for name, text := range entries {
 		keyed["servers/odd-"+strings.ReplaceAll(name, " ", "-")] = text
@@ -92,3 +102,32 @@
 	p.configure(routes(100000))
 	p.g.Eventually(func() int { return p.do(p.hosts[1], http.MethodGet, "/view/1").status }).WithTimeout(waitTimeout).Should(Equal(http.StatusOK))
 }
+
+// Guards against an entry of another writer that is used in place of a known server's: for another service, or as a new start of one
+// that is draining.
+func TestOddEntriesOfKnownServers(t *testing.T) {
+	p := newDeployment(t, 2)
+	config := routes(1_000_000)
+	config["services"] = append(config["services"].([]any), map[string]any{"name": "archive", "healthPath": "/healthz", "maxConns": 100})
+	config["routes"] = append(config["routes"].([]any), users.Route("file", hostName, "unsafe", "archive", 1, nil))
+	p.configure(config)
+	archive := p.worker(users.WorkerOptions{ID: "archive-1", Service: "archive"})
+	p.plain[0].Register(p.store, "draining")
+	p.g.Eventually(func() int { return p.do(p.hosts[1], http.MethodPost, "/file/1").status }).WithTimeout(waitTimeout).Should(Equal(http.StatusOK))
+	time.Sleep(time.Second)
+	before := []int{len(archive.Runs()), len(p.plain[0].Runs())}
+	for _, w := range []*users.Worker{archive, p.plain[0]} {
+		full := fmt.Sprintf(`{"service":"app","address":%q,"zone":"piran-a","version":"v1","slots":4,"state":"ready","coldLeftMs":0,"seq":1,"born":%d}`,
+			w.Addr, time.Now().UnixMilli())
+		for _, field := range []string{"version", "coldLeftMs", "seq", "born"} {
+			p.store.Put("servers/"+w.ID, []byte(strings.Replace(full, field, "x", 1)))
+			time.Sleep(200 * time.Millisecond)
+			for i := range 20 {
+				p.g.Expect(p.do(p.hosts[i%2], http.MethodPost, "/reserve/1").status).To(Equal(http.StatusOK), "%s without %s", w.ID, field)
+			}
+		}
+	}
+	p.g.Expect([]int{len(archive.Runs()), len(p.plain[0].Runs())}).To(Equal(before))
+	archive.Register(p.store, "ready")
+	p.g.Eventually(func() int { return p.do(p.hosts[0], http.MethodPost, "/file/1").status }).WithTimeout(waitTimeout).Should(Equal(http.StatusOK))
+}
--- a/test/users/repeatedrefusal_test.go
+++ b/test/users/repeatedrefusal_test.go
@@ -19,7 +19,7 @@
 // register writes the entry of an engine at an address.
 func (f *fleet) register(id, stage, address string) {
 	value, _ := json.Marshal(map[string]any{
-		"service": "llm", "address": address, "zone": "piran-a", "slots": 4, "state": "ready", "stage": stage, "born": 1,
+		"service": "llm", "address": address, "zone": "piran-a", "slots": 4, "state": "ready", "stage": stage, "version": "v1", "coldLeftMs": 0, "seq": 0, "born": 1,
 	})
 	f.store.Put("servers/"+id, value)
 }
--- a/test/users/resume_test.go
+++ b/test/users/resume_test.go
@@ -117,7 +117,7 @@
 		for i := range 5 {
 			for _, stage := range []string{"prefill", "decode"} {
 				value, _ := json.Marshal(map[string]any{
-					"service": service, "address": server.Addr, "zone": "piran-a", "slots": 50, "state": "ready", "stage": stage, "born": 1,
+					"service": service, "address": server.Addr, "zone": "piran-a", "slots": 50, "state": "ready", "stage": stage, "version": "v1", "coldLeftMs": 0, "seq": 0, "born": 1,
 				})
 				f.store.Put(fmt.Sprintf("servers/%s-%s-%d", service, stage, i), value)
 			}
