--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -72,6 +72,8 @@
 	servers *registry.Registry
 	// unreadable holds the keys of the copy whose values cannot be decoded, unreadableBefore those of the copy before.
 	unreadable, unreadableBefore map[string]bool
+	// registrations holds the decoded entries of the copy by key. Most entries stay the same from one copy to the next.
+	registrations map[string]registration
 
 	recheck *time.Timer
 	storeOK bool
@@ -316,6 +318,8 @@
 	now := s.now()
 	s.unreadableBefore, s.unreadable = s.unreadable, map[string]bool{}
 	var servers []fleet.Server
+	known := s.registrations
+	s.registrations = make(map[string]registration, len(known))
 	for _, item := range s.copy.Items() {
 		id, isRegistration := platform.RegistrationID(item.Key)
 		if item.Key == quarantineKey {
@@ -330,11 +334,17 @@
 			}
 			continue
 		}
-		server, err := platform.DecodeRegistration(id, item.Value)
-		if err != nil {
-			s.recordUnreadable(item.Key, err)
+		entry, decoded := known[item.Key]
+		if !decoded || !bytes.Equal(entry.value, item.Value) {
+			entry = registration{value: item.Value}
+			entry.server, entry.err = platform.DecodeRegistration(id, item.Value)
+		}
+		s.registrations[item.Key] = entry
+		if entry.err != nil {
+			s.recordUnreadable(item.Key, entry.err)
 			continue
 		}
+		server := entry.server
 		if s.restoredRevision > 0 && item.ModRevision > s.restoredRevision {
 			s.servers.RecordWrite(server.ID, server.StartMillis)
 		}
@@ -349,6 +359,13 @@
 	s.onServers(s.servers.Usable(now))
 }
 
+// registration is the outcome of decoding the entry of a backend server.
+type registration struct {
+	value  []byte
+	server fleet.Server
+	err    error
+}
+
 // recordUnreadable counts an entry that cannot be decoded and logs it once per key, so that an entry that stays
 // undecodable does not flood the log.
 func (s *State) recordUnreadable(key string, err error) {
