Refuse a request head that a shutdown cuts as not run, not as malformed

What callers saw: a proper request whose head is still arriving 0.5 s after its host has closed the listener was answered with status 400, which callers do not send again. Callers had sent all of it without an error.

Cause: keepalive ends the input of such a connection. net/http takes what has arrived for a malformed request, and overlooks the first end of input where it falls behind a complete line: the connection then outlived the time to receive, and by reading, the rest of a cut line could have been taken for a line of its own.

The end of input now stays, and 503 with Retry-After: 0 is sent in place of net/http's response. The host logs the number of these.

--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -106,6 +106,9 @@
 		f.log.Error(err, "failed to finish open requests within the drain time", "open", f.open.Load())
 		f.metrics.Inc("drains_cut_short")
 	}
+	if n := server.Refused(); n > 0 {
+		f.log.Info("refused requests that had not been received completely", "requests", n)
+	}
 }
 
 // refuseLate refuses a plain request that is not expected to be answered before the drain time ends.
--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -41,6 +41,8 @@
 	idleDeadlines int
 	// endIdle and endUnread are those of the server.
 	endIdle, endUnread bool
+	// headCut is set when the host has ended the connection in the middle of a request head.
+	headCut bool
 	// deadline is the read deadline that the HTTP server has set. interrupted is set while past replaces it.
 	deadline    time.Time
 	interrupted bool
@@ -49,6 +51,10 @@
 // Read implements net.Conn. It returns io.EOF if the connection is to end and nothing more has arrived on it.
 func (c *conn) Read(b []byte) (int, error) {
 	for {
+		if c.isCut() {
+			// net/http may overlook one end of input between two lines of a head, and then read the rest as other lines.
+			return 0, io.EOF
+		}
 		n, err := c.Conn.Read(b)
 		if n > 0 {
 			c.received()
@@ -66,10 +72,40 @@
 			return n, nil
 		}
 		c.ended(ByHost)
+		c.cutHead()
 		return 0, io.EOF
 	}
 }
 
+func (c *conn) cutHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headCut = c.phase == receiving
+}
+
+func (c *conn) isCut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.headCut
+}
+
+// headRefusal is the response to a request whose head has not arrived completely when the host ends. The listener is closed, so that
+// no retry can reach this host.
+const headRefusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0\r\nContent-Length: 0\r\n\r\n"
+
+// Write implements net.Conn. net/http takes a head that the host has cut for a malformed one and responds with status 400, which
+// callers do not retry; headRefusal is sent in its place.
+func (c *conn) Write(b []byte) (int, error) {
+	if !c.isCut() {
+		return c.Conn.Write(b)
+	}
+	c.server.refused.Add(1)
+	if _, err := io.WriteString(c.Conn, headRefusal); err != nil {
+		return 0, err
+	}
+	return len(b), nil
+}
+
 // failed records why no more can be read. A read that timed out says nothing about the connection.
 func (c *conn) failed(err error) {
 	switch {
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -36,6 +36,8 @@
 	stopping atomic.Bool
 	// closing is set when responses announce the end of their connections.
 	closing atomic.Bool
+	// refused counts the requests whose heads were cut.
+	refused atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -154,6 +156,9 @@
 	return len(s.conns), requests
 }
 
+// Refused returns the number of requests that were refused because their heads had not arrived when Shutdown stopped waiting for them.
+func (s *Server) Refused() int64 { return s.refused.Load() }
+
 // wrap marks the connection of a request as serving, and announces the end of the connection if the server does so.
 func (s *Server) wrap(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/keepalive/keepalive_test.go
+++ b/internal/keepalive/keepalive_test.go
@@ -358,6 +358,35 @@
 	g.Expect(f.cut.Load()).To(BeZero())
 }
 
+// Guards against a request that is refused for good, as malformed, because its head has not arrived completely as the time to receive ends.
+func TestRequestsCutInTheHeadAreRefusedAsNotRun(t *testing.T) {
+	for _, kept := range []bool{false, true} {
+		for _, part := range []string{"POST ", "POST / HTTP/1.1\r\nHo", "POST / HTTP/1.1\r\nHost: a\r\n", request[:strings.Index(request, "body")-1]} {
+			t.Run(fmt.Sprintf("kept: %t, %q", kept, part), func(t *testing.T) {
+				g := NewWithT(t)
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				g.Expect(err).NotTo(HaveOccurred())
+				f := startServer(t, l)
+				c := f.dial(t)
+				if kept {
+					_, err := c.exchange(request)
+					g.Expect(err).NotTo(HaveOccurred())
+				}
+				_, err = io.WriteString(c, part)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(f.Shutdown(t.Context())).To(Succeed())
+				resp, err := http.ReadResponse(c.in, nil)
+				g.Expect(err).NotTo(HaveOccurred())
+				defer resp.Body.Close()
+				g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+				g.Expect(resp.Header.Get("Retry-After")).To(Equal("0"))
+				g.Expect(resp.Close).To(BeTrue())
+				g.Expect(f.Refused()).To(Equal(int64(1)))
+			})
+		}
+	}
+}
+
 // Guards against a response that is lost because the server closes the connection while bytes of the request are unread.
 func TestEarlyResponsesAreNotReset(t *testing.T) {
 	g := NewWithT(t)
