--- a/internal/front/answers_test.go
+++ b/internal/front/answers_test.go
@@ -1,8 +1,10 @@
 package front
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -15,6 +17,7 @@
 
 	"github.com/boragecourse/boragecourse/internal/fleet"
 	"github.com/boragecourse/boragecourse/internal/outcome"
+	"github.com/boragecourse/boragecourse/internal/registry"
 	"github.com/boragecourse/boragecourse/platform"
 	"github.com/boragecourse/boragecourse/test/standin/users"
 )
@@ -115,3 +118,47 @@
 	d.g.Expect(err).NotTo(HaveOccurred())
 	d.g.Eventually(ended).WithTimeout(3 * time.Second).Should(BeClosed())
 }
+
+// Guards against a stream that gets no answer because its deadline passes, or its caller's input ends, between the head and the first event.
+func TestStreamsThatHaveOnlyAHeadAreAnswered(t *testing.T) {
+	for name, c := range map[string]struct {
+		deadlineMs, status int
+		endInput           bool
+	}{"deadline": {500, http.StatusGatewayTimeout, false}, "input ended": {3000, http.StatusBadGateway, true}} {
+		t.Run(name, func(t *testing.T) {
+			d := newDrainFixture(t, 4500*time.Millisecond, func(*Front) {})
+			begun := make(chan struct{}, 1)
+			engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/api/hold-take" {
+					_, _ = io.WriteString(w, `{"hold":"1"}`)
+					return
+				}
+				w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+				w.Header().Set("Response-Stamp", "stamp")
+				w.Header().Set("Content-Type", "text/event-stream")
+				_ = http.NewResponseController(w).Flush()
+				begun <- struct{}{}
+				<-r.Context().Done()
+			}))
+			defer engine.Close()
+			d.group("llm").update([]registry.State{{Server: fleet.Server{
+				ID: "decode-2", Service: "llm", Address: engine.Listener.Addr().String(), Zone: "piran-a", Slots: 4, Stage: fleet.Decode,
+			}}})
+			caller, err := net.Dial("tcp", d.callers.Addr().String())
+			d.g.Expect(err).NotTo(HaveOccurred())
+			defer caller.Close()
+			_, err = fmt.Fprintf(caller, "POST /note/1 HTTP/1.1\r\nHost: stays.example\r\nRequest-Id: 1\r\nAuthorization: Bearer key\r\nDeadline-Ms: %d\r\n"+
+				"Model: m\r\nToken-Counts: 100,100\r\nContent-Length: 0\r\n\r\n", c.deadlineMs)
+			d.g.Expect(err).NotTo(HaveOccurred())
+			<-begun
+			if c.endInput {
+				time.Sleep(50 * time.Millisecond)
+				d.g.Expect(caller.(*net.TCPConn).CloseWrite()).To(Succeed())
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+			d.g.Expect(err).NotTo(HaveOccurred())
+			d.g.Expect(resp.Body.Close()).To(Succeed())
+			d.g.Expect(resp.StatusCode).To(Equal(c.status))
+		})
+	}
+}
--- a/test/users/path_test.go
+++ b/test/users/path_test.go
@@ -133,6 +133,7 @@
 	a = p.stream(p.hosts[0], "note")
 	p.g.Expect(a.err).NotTo(HaveOccurred())
 	p.g.Expect(a.status).To(Equal(http.StatusBadGateway), "a response without any event")
+	p.g.Expect(a.header.Get("Response-Stamp")).To(BeEmpty())
 }
 
 // Guards against a non-idempotent request that runs twice, and against a "not run" refusal of a request that ran.
--- a/test/users/targets_test.go
+++ b/test/users/targets_test.go
@@ -51,6 +51,7 @@
 			p.g.Expect(err).NotTo(HaveOccurred(), target)
 			text, err := io.ReadAll(resp.Body)
 			p.g.Expect(err).NotTo(HaveOccurred(), target)
+			p.g.Expect(resp.Body.Close()).To(Succeed(), target)
 			p.g.Expect(string(text)).To(HavePrefix("answer to "+method+" "+want+" by app-"), "%s %q", method, target)
 			_ = conn.Close()
 		}
@@ -75,6 +76,7 @@
 		p.g.Expect(err).NotTo(HaveOccurred())
 		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		p.g.Expect(err).NotTo(HaveOccurred(), line)
+		p.g.Expect(resp.Body.Close()).To(Succeed(), line)
 		p.g.Expect(resp.StatusCode).To(Equal(http.StatusNotFound), line)
 		p.g.Expect(p.runs(id)).To(BeZero(), line)
 		_ = conn.Close()
@@ -93,6 +95,7 @@
 		p.g.Expect(err).NotTo(HaveOccurred())
 		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		p.g.Expect(err).NotTo(HaveOccurred(), line)
+		p.g.Expect(resp.Body.Close()).To(Succeed(), line)
 		p.g.Expect(resp.StatusCode).To(Equal(want), line)
 		p.g.Expect(resp.Header.Get("Response-Stamp") != "").To(Equal(want == http.StatusOK), line)
 		p.g.Expect(p.runs(id) > 0).To(Equal(want == http.StatusOK), line)
