Keep no connection to a server that is removed as the connection is returned

What callers saw: nothing; no report has shown it. A connection to a backend server that was gone stayed open for its idle time, 15 s at most.

Cause: the pool read the limit of idle connections before it took its lock, so that Retain could run in between, find nothing to close, and the connection was kept by the old limit.

The limit is now read under the lock.

--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -70,7 +70,7 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// MaxHeaderBytes bounds the response head, including informational responses.
 	MaxHeaderBytes int64
-	// IdleLimit returns the number of idle connections that may be kept to a target; 0 keeps none.
+	// IdleLimit returns the number of idle connections that may be kept to a target; 0 keeps none. It must not call the pool.
 	IdleLimit func(t Target) int
 	Metrics   *metrics.Registry
 	// Clock returns the time since some fixed point, including the time in which the machine is suspended.
@@ -175,8 +175,9 @@
 
 // put makes a connection available for further requests, or closes it when the limits do not allow it.
 func (p *Pool) put(c *connection) {
-	limit := p.o.IdleLimit(c.target)
 	p.mu.Lock()
+	// Retain, which follows a change of the limit, sees the connection, or the limit is the changed one.
+	limit := p.o.IdleLimit(c.target)
 	list := p.idle[c.target]
 	if len(list) >= limit || p.idleCount >= maxIdle {
 		p.mu.Unlock()
