Let calls of other hosts end before a stopping host cuts them

What callers saw: nothing; no report has shown it. A copy of the store that another host fetches from one that stops failed, and was fetched again.

Cause: at the end of a process the gRPC server was stopped under the calls that it was answering.

peer.Stop lets them end for up to 100 ms, a part of exitMargin. Both daemons use it.

That the two daemons cut calls before is by reading.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/boragecourse/boragecourse/internal/keepalive"
+	"github.com/boragecourse/boragecourse/internal/peer"
 )
 
 // Supervision limits. A service that fails more often than failureThreshold, with failures decaying over failureDecay,
@@ -151,7 +152,7 @@
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
-		g.server.Stop()
+		peer.Stop(g.server)
 		return ctx.Err()
 	}
 }
--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -20,7 +20,8 @@
 	// closeReserve is the last part of the drain time, in which the listener is closed so that plain requests that were
 	// accepted before can end.
 	closeReserve = time.Second
-	// exitMargin is the part of the shutdown grace period that is reserved for the process to exit before SIGKILL.
+	// exitMargin is the part of the shutdown grace period that is reserved for the process to exit before SIGKILL, with the last
+	// report and the end of the calls of other hosts (peer.Stop).
 	exitMargin = 400 * time.Millisecond
 	// answerReserve is the last part of the drain time, in which requests that are still open are answered.
 	answerReserve = 300 * time.Millisecond
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -160,7 +160,7 @@
 	servers := f.serve()
 	go func() { _ = f.peers.Serve(f.peersListener) }()
 	defer f.pool.Close()
-	defer f.peers.Stop()
+	defer peer.Stop(f.peers)
 	f.log.Info("started", "zone", f.settings.Zone, "callers", f.settings.Callers,
 		"peers", f.settings.Peers, "store", f.settings.Store, "memory", f.settings.MemoryBytes)
 	f.drain(ctx, signals, servers)
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -36,6 +36,8 @@
 	keepaliveTimeout  = 5 * time.Second
 	// retiredTimeout bounds the calls that are in progress on a connection when Prune takes it out of use. The connection may be dead.
 	retiredTimeout = 10 * time.Second
+	// stopTime bounds the wait for calls in progress when a server stops. It is a part of the time that a process has to exit.
+	stopTime = 100 * time.Millisecond
 )
 
 // Pool implements Dialer over TCP with one connection per address. It is safe for concurrent use.
@@ -187,6 +189,13 @@
 	return grpc.NewServer(options...)
 }
 
+// Stop stops a server. Calls in progress end first, but no later than after 100 ms.
+func Stop(s *grpc.Server) {
+	expiry := time.AfterFunc(stopTime, s.Stop)
+	defer expiry.Stop()
+	s.GracefulStop()
+}
+
 // requireSecret compares hashes in constant time, so that the response time reveals nothing about the secret. It runs
 // before the message is read, so that a caller without the secret cannot make the host decode up to maxMessageBytes.
 func requireSecret(secret string) tap.ServerInHandle {
--- a/internal/peer/prune_test.go
+++ b/internal/peer/prune_test.go
@@ -25,6 +25,7 @@
 	arrived, release chan struct{}
 	opened, closed   atomic.Int64
 	pool             *peer.Pool
+	server           *grpc.Server
 }
 
 func (s *heldServer) GetHead(ctx context.Context, _ *peerv1.GetHeadRequest) (*peerv1.GetHeadResponse, error) {
@@ -61,15 +62,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		listener := bufconn.Listen(1 << 20)
 		s := &heldServer{arrived: make(chan struct{}, 1), release: make(chan struct{})}
-		server := peer.NewServer("", nil)
-		peerv1.RegisterConfigServer(server, s)
-		go func() { _ = server.Serve(listener) }()
+		s.server = peer.NewServer("", nil)
+		peerv1.RegisterConfigServer(s.server, s)
+		go func() { _ = s.server.Serve(listener) }()
 		s.pool = peer.NewPool("", nil, grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) {
 			conn, err := listener.DialContext(ctx)
 			s.opened.Add(1)
 			return countedConn{conn, sync.OnceFunc(func() { s.closed.Add(1) })}, err
 		}))
-		defer func() { s.pool.Close(); server.Stop() }()
+		defer func() { s.pool.Close(); s.server.Stop() }()
 		done := s.call()
 		<-s.arrived
 		test(NewWithT(t), s, done)
@@ -118,3 +119,25 @@
 		g.Expect(time.Since(begun)).To(BeZero())
 	})
 }
+
+// Guards against calls that fail because the host that serves them stops, and against a stop that waits for them without bound.
+func TestStopLetsCallsEnd(t *testing.T) {
+	const limit = 100 * time.Millisecond
+	for name, ends := range map[string]bool{"call ends": true, "call never ends": false} {
+		t.Run(name, func(t *testing.T) {
+			held(t, func(g *WithT, s *heldServer, done <-chan error) {
+				begun, stopped := time.Now(), make(chan struct{})
+				go func() { defer close(stopped); peer.Stop(s.server) }()
+				time.Sleep(limit / 2)
+				if ends {
+					close(s.release)
+					g.Expect(<-done).To(Succeed())
+				} else {
+					g.Expect(status.Code(<-done)).To(Equal(codes.Unavailable))
+				}
+				<-stopped
+				g.Expect(time.Since(begun)).To(BeNumerically("<=", limit))
+			})
+		})
+	}
+}
