--- a/test/users/silentend_test.go
+++ b/test/users/silentend_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/boragecourse/boragecourse/test/standin/rawserver"
+	"github.com/boragecourse/boragecourse/test/standin/users"
 )
 
 // serveSilentEnd streams ten events and is silent for a while before it ends the stream. A resumed run has no events.
@@ -83,3 +84,31 @@
 		})
 	}
 }
+
+// Guards against a stream that is broken off because its engine is silent, although no attempt is left that could go on with it.
+func TestSilentEnginesKeepStreamsWithoutAttemptsLeft(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"before the first event": 0, "between events": 50 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			p := newDeployment(t, 1)
+			config := routes(1_000_000)
+			config["routes"] = append(config["routes"].([]any),
+				users.Route("once", hostName, "stream", "llm", 1, map[string]any{"canResume": true, "targetGapMs": 300, "timeoutMs": 9000}))
+			p.configure(config)
+			time.Sleep(time.Second)
+			var once sync.Once
+			for _, w := range p.decode {
+				w.Before(func(r *http.Request) {
+					if strings.HasPrefix(r.URL.Path, "/once/") {
+						once.Do(func() { time.AfterFunc(delay, func() { w.FallSilent(2300 * time.Millisecond) }) })
+					}
+				})
+			}
+			from := time.Now()
+			a := p.stream(p.hosts[0], "once", header("Deadline-Ms", "9000"))
+			p.g.Expect(a.err).NotTo(HaveOccurred())
+			p.g.Expect(events(a.body)).To(Equal(sequence(10)))
+			p.g.Expect(p.runs(a.id)).To(Equal(1))
+			p.g.Expect(time.Since(from)).To(BeNumerically(">", 2300*time.Millisecond), "the engine was not silent")
+		})
+	}
+}
