--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -9,6 +9,7 @@
 
 	"github.com/boragecourse/boragecourse/internal/fleet"
 	"github.com/boragecourse/boragecourse/internal/keepalive"
+	"github.com/boragecourse/boragecourse/internal/metrics"
 	"github.com/boragecourse/boragecourse/internal/outcome"
 	"github.com/boragecourse/boragecourse/internal/wait"
 )
@@ -107,7 +108,11 @@
 		f.log.Error(err, "failed to finish open requests within the drain time", "open", f.open.Load())
 		f.metrics.Inc("drains_cut_short")
 	}
-	if n := server.Refused(); n > 0 {
+	n := server.Refused()
+	for range n {
+		f.metrics.Inc("requests_refused", metrics.L("code", string(outcome.CodeDraining)), metrics.L("outcome", string(outcome.NotRun)))
+	}
+	if n > 0 {
 		f.log.Info("refused requests that had not been received completely", "requests", n)
 	}
 }
