--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -64,6 +64,10 @@
 	HealthPath string
 	// MaxConnections is the limit on connections to one backend server, summed over all hosts.
 	MaxConnections int
+	// ColdStart is how long a backend server is cold after its start. While cold it tolerates ColdRate requests a second
+	// from all hosts together; 0 means no limit.
+	ColdStart time.Duration
+	ColdRate  float64
 	// Engine is nil for plain services.
 	Engine *Engine
 }
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -38,6 +38,17 @@
 	Retry RetryLimits
 	// Quota is the tolerance by which workspaces may exceed their rates.
 	Quota QuotaLimits
+	// Evacuation is the time within which hosts must stop sending to the backend servers of an evacuated zone; zero where
+	// zones are not evacuated.
+	Evacuation time.Duration
+	// Cold is the tolerance of cold backend servers.
+	Cold ColdLimits
+}
+
+// ColdLimits bound the requests that a cold backend server gets in any second, summed over all hosts: Ratio times the rate
+// that its service states, plus Slack.
+type ColdLimits struct {
+	Ratio, Slack float64
 }
 
 // RetryLimits bound the retries of a service in any window, summed over all hosts.
