--- a/internal/ratelimit/limiter_test.go
+++ b/internal/ratelimit/limiter_test.go
@@ -23,7 +23,9 @@
 	// interval is the time between two reports of a host.
 	interval time.Duration
 	// change, if set, is called in each step; it may add or replace hosts.
-	change   func(at time.Duration)
+	change func(at time.Duration)
+	// load, if set, is the multiple of the rate at which requests arrive at a time.
+	load     func(at time.Duration) float64
 	names    map[int]string
 	limiters []*ratelimit.Limiter
 	admitted []time.Time
@@ -55,6 +57,9 @@
 	requests := 0
 	for at := time.Duration(0); at < time.Duration(seconds)*time.Second; at += 10 * time.Millisecond {
 		now := h.start.Add(at)
+		if h.load != nil {
+			gap = time.Duration(float64(cost) / (rate * h.load(at)) * float64(time.Second))
+		}
 		if h.change != nil {
 			h.change(at)
 		}
@@ -135,6 +140,52 @@
 	}
 }
 
+// Guards against hosts that together admit more than the limit, or less than rate and burst allow, when a workspace that was
+// quiet sends eight times its rate, also while all processes are replaced or some join.
+func TestBurstAfterQuietTimeGetsRateAndBurst(t *testing.T) {
+	for name, c := range map[string]struct {
+		hosts    int
+		interval time.Duration
+		change   func(h *simulation, now time.Time)
+	}{
+		"small fleet":       {hosts: 4, interval: 200 * time.Millisecond},
+		"large fleet":       {hosts: 60, interval: 300 * time.Millisecond},
+		"very large fleet":  {hosts: 120, interval: 500 * time.Millisecond},
+		"all replaced":      {hosts: 60, interval: 300 * time.Millisecond, change: replaceAll},
+		"all replaced, few": {hosts: 6, interval: 300 * time.Millisecond, change: replaceAll},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			h := newSimulationOf(c.hosts, c.interval)
+			h.names = map[int]string{}
+			h.load = func(at time.Duration) float64 {
+				if at < 10*time.Second {
+					return 0.3
+				}
+				return 8
+			}
+			h.change = func(at time.Duration) {
+				if c.change != nil && at == 13*time.Second {
+					c.change(h, h.start.Add(at))
+				}
+			}
+			h.run(1, 20, always)
+			t.Logf("%.0f of %.0f", h.worstWindow(), allowed())
+			g.Expect(h.worstWindow()).To(BeNumerically("<=", allowed()))
+			g.Expect(h.worstWindow()).To(BeNumerically(">=", rate*limits.Window.Seconds()+burst))
+		})
+	}
+}
+
+// replaceAll replaces all processes. New ones hear of each other before they serve requests.
+func replaceAll(h *simulation, now time.Time) {
+	for i := range h.limiters {
+		h.limiters[i] = newLimiter(now)
+		h.names[i] = "again"
+	}
+	h.report(0, now, map[[2]int]time.Duration{}, always)
+}
+
 // Guards against refusing requests of a workspace that stays within its rate.
 func TestWorkspaceWithinItsRateIsNotRefused(t *testing.T) {
 	g := NewWithT(t)
