Prefer the same prefill engine for the same prompt

A caller that returns after a host was killed, and a stream that goes on at another decode engine, had their prompt processed again at another prefill engine. Engines keep processed prompts for some seconds. Prompts are now ordered to prefill engines by rendezvous hashing of their last part, those of the host's zone first; the first one may have a third more work than others.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -17,6 +18,9 @@
 	// minSample is the least number of backend servers that are compared in a larger fleet. Two are enough to avoid the
 	// busy ones.
 	minSample = 2
+	// affinityBonus is how much higher the occupancy (fraction of slots in use) of the server that a job prefers by its affinity
+	// may be. It lets one prompt wait for another at a prefill engine: processing a prompt again takes as long.
+	affinityBonus = 0.3
 )
 
 // choose returns the least occupied backend server that has a free slot and the other resources that the job needs. It
@@ -36,7 +40,10 @@
 		free = append(free, scoredServer{s, score})
 	}
 	sample := sampleSize(len(free), int(p.hosts.Load()))
-	if sample < len(free) {
+	switch {
+	case job.Affinity != 0:
+		orderByAffinity(free, job.Affinity, p.zone)
+	case sample < len(free):
 		rand.Shuffle(len(free), func(i, j int) { free[i], free[j] = free[j], free[i] })
 	}
 	byScore := func(a, b scoredServer) int { return cmp.Compare(a.score, b.score) }
@@ -50,6 +57,35 @@
 	return nil
 }
 
+// orderByAffinity sorts servers in the order of preference of the jobs with an affinity (rendezvous hashing), those of a zone
+// first. It lowers the score of the first one by affinityBonus.
+func orderByAffinity(free []scoredServer, affinity uint64, zone string) {
+	rank := func(s *server) uint64 {
+		r := mix(s.hash^affinity) >> 1
+		if s.Zone != zone {
+			r |= 1 << 63
+		}
+		return r
+	}
+	slices.SortFunc(free, func(a, b scoredServer) int { return cmp.Compare(rank(a.server), rank(b.server)) })
+	if len(free) > 0 {
+		free[0].score -= affinityBonus
+	}
+}
+
+func hashKey(key string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(key))
+	return h.Sum64()
+}
+
+// mix spreads the bits of a hash (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // scoredServer is a backend server with a free slot. A lower score is better.
 type scoredServer struct {
 	server *server
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -25,6 +25,9 @@
 	StartBy time.Time
 	// Exclude holds the keys of backend servers that already failed this job.
 	Exclude map[string]bool
+	// Affinity, if not 0, is a hash of what backend servers may keep of the job's earlier runs. Jobs with the same hash prefer
+	// the same backend servers.
+	Affinity uint64
 	// Reserve reserves the other resources that the job needs at a backend server, such as KV memory, and reports whether
 	// they were available. Nil means that the job needs only a slot.
 	Reserve func(key string) bool
@@ -93,6 +96,8 @@
 	Candidate
 	// localSlots are in use by this host, remoteSlots by the other hosts according to their last reports.
 	localSlots, remoteSlots int
+	// hash is a hash of the key.
+	hash uint64
 	// fullUntil is when a backend server that refused a job as full becomes eligible again.
 	fullUntil time.Time
 }
@@ -115,7 +120,7 @@
 	for _, c := range candidates {
 		s := old[c.Key]
 		if s == nil {
-			s = &server{}
+			s = &server{hash: hashKey(c.Key)}
 		}
 		s.Candidate = c
 		p.servers[c.Key] = s
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -32,6 +32,9 @@
 	LengthHint int64
 	// SharedParts are those parts of the prompt that other requests may contain as well, at most MaxSharedParts.
 	SharedParts []PromptPart
+	// OwnPart is the last part of the prompt, which belongs to this request or its session and is the same in a caller's
+	// retry; 0 if the caller names no parts.
+	OwnPart PromptPart
 }
 
 // MaxSharedParts is the number of parts of one prompt that are tracked at most, whatever the caller sends.
--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -340,7 +340,9 @@
 	ledger := &prefillLedger{group: x.group, hosts: f.hosts(), repeated: x.prefilled}
 	defer ledger.refund()
 	for {
-		grant, err := x.group.prefill.Acquire(ctx, dispatch.Job{ID: x.request.ID, StartBy: f.latestPrefill(x), Exclude: excluded})
+		grant, err := x.group.prefill.Acquire(ctx, dispatch.Job{
+			ID: x.request.ID, StartBy: f.latestPrefill(x), Exclude: excluded, Affinity: uint64(x.request.OwnPart),
+		})
 		if err != nil {
 			return f.prefillSkipped(x, "no-engine", err)
 		}
