Add the decision which zones are evacuated, and a check before each send

Evacuations are keys in the store.

Requests and control calls to backend servers pass one check when their connection is open, since the wait for a connection is long enough for a server to become unusable.

--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -63,6 +63,7 @@
 	// Key identifies one incarnation of the server at one address. Connections are never shared between keys.
 	Key     string
 	Address string
+	Zone    string
 }
 
 // Options are the dependencies and limits of a Pool.
@@ -72,7 +73,10 @@
 	MaxHeaderBytes int64
 	// IdleLimit returns the number of idle connections that may be kept to a target; 0 keeps none. It must not call the pool.
 	IdleLimit func(t Target) int
-	Metrics   *metrics.Registry
+	// Check is called for each request directly before it is sent, when its connection is open. The request is not sent if
+	// it returns an error. Nil allows all requests.
+	Check   func(t Target) error
+	Metrics *metrics.Registry
 	// Clock returns the time since some fixed point, including the time in which the machine is suspended.
 	Clock func() time.Duration
 }
@@ -100,6 +104,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if p.o.Check != nil {
+		if err := p.o.Check(t); err != nil {
+			p.discard(c, reasonReplaced)
+			return nil, &NotSentError{Cause: err}
+		}
+	}
 	resp, err := p.exchange(ctx, c, req)
 	var dropped *DroppedConnectionError
 	if errors.As(err, &dropped) {
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -44,6 +44,7 @@
 	CodeQuarantined       Code = "prompt_quarantined"
 	CodeQuotaUnavailable  Code = "quota_unavailable"
 	CodeChargesFull       Code = "charges_full"
+	CodeZoneEvacuated     Code = "zone_evacuated"
 	CodeNoServer          Code = "no_backend_server"
 	CodeDeadline          Code = "deadline_unreachable"
 	CodeQueueFull         Code = "queue_full"
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -71,6 +71,8 @@
 	departed      map[incarnation]time.Time
 	// leaving holds the incarnations that have announced in a response that they leave, whatever the store lists.
 	leaving map[incarnation]bool
+	// evacuated holds the zones whose backend servers must get no requests.
+	evacuated map[string]bool
 	// withheld is set while an entry is ignored because it may be from before the restore.
 	withheld bool
 }
@@ -231,17 +233,39 @@
 	return s != nil && s.StartMillis == startMillis && !s.Draining
 }
 
-// Usable reports whether a backend server may get new requests.
+// SetEvacuated replaces the set of evacuated zones.
+func (r *Registry) SetEvacuated(zones map[string]bool) { r.evacuated = zones }
+
+// Evacuated returns the backend servers that get no requests only because their zone is evacuated, in order of id.
+func (r *Registry) Evacuated(now time.Time) []State {
+	return r.selected(func(s *State) bool { return s.Usable(now) && r.evacuated[s.Zone] })
+}
+
+// HasZone reports whether a backend server is registered in a zone.
+func (r *Registry) HasZone(zone string) bool {
+	for _, s := range r.servers {
+		if s.Zone == zone {
+			return true
+		}
+	}
+	return false
+}
+
+// Usable reports whether a backend server may get new requests unless its zone is evacuated.
 func (s *State) Usable(now time.Time) bool { return !s.Draining && !now.Before(s.avoidUntil) }
 
 // Usable returns the backend servers that may get new requests, in order of id.
 func (r *Registry) Usable(now time.Time) []State {
-	var usable []State
+	return r.selected(func(s *State) bool { return s.Usable(now) && !r.evacuated[s.Zone] })
+}
+
+func (r *Registry) selected(matches func(s *State) bool) []State {
+	var out []State
 	for _, s := range r.servers {
-		if s.Usable(now) {
-			usable = append(usable, *s)
+		if matches(s) {
+			out = append(out, *s)
 		}
 	}
-	sort.Slice(usable, func(i, j int) bool { return usable[i].ID < usable[j].ID })
-	return usable
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -58,7 +58,8 @@
 		c.removed, c.removalsFrom = map[string]int64{}, revision
 	}
 	for key := range old {
-		if _, kept := c.items[key]; !kept {
+		// What a restored store lacks was not removed. Changes are passed on within an era only.
+		if _, kept := c.items[key]; !kept && !c.fromOtherEra(revision) {
 			c.remember(key, revision)
 		}
 	}
@@ -108,6 +109,12 @@
 	c.removed[key] = revision
 }
 
+// RemovedAt returns the revision at which a key was removed from the store in the era of the copy, if that is known.
+func (c *Copy) RemovedAt(key string) (int64, bool) {
+	at, known := c.removed[key]
+	return at, known
+}
+
 // Removal is a key that was removed from the store at a revision.
 type Removal struct {
 	Key      string
