Send nothing to the backend servers of evacuated zones

Hosts read and watch op/evacuate/ with the rest of the store's copy and pass it on. The registry reports the servers of evacuated zones as not usable, so that queued requests, reservations, kept connections and the split of engines leave them out. Releases are left out, commands check again after each wait, and the check before each send covers all else. Evacuations that a restored store has lost are retained and passed on; a starting host asks for them. Requests that only evacuated servers could run are refused as not run with code zone_evacuated. A host without a copy is not ready.

--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -81,7 +81,7 @@
 			continue
 		}
 		at, known := removed[zone]
-		lost := kvstore.Era(e.Revision) < s.era && !(known && kvstore.Era(at) == s.era)
+		lost := kvstore.Era(e.Revision) < s.era && (!known || kvstore.Era(at) != s.era)
 		switch {
 		case !lost:
 			delete(s.entries, zone)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -111,6 +111,7 @@
 	})
 	f.exchange.Register(f.peers)
 	f.state = newState(store, log, reg, f.now)
+	f.backends.MaySend = f.state.MaySend
 	f.quarantine.changed = f.exchange.Notify
 	f.backends.OnLeaving = f.state.MarkLeaving
 	f.backends.OnRefusal = f.holdOff
@@ -204,7 +205,7 @@
 }
 
 func (f *Front) readyPage(w http.ResponseWriter, _ *http.Request) {
-	if f.draining.Load() || f.state.Configuration() == nil || !f.startupDone() {
+	if f.draining.Load() || f.state.Configuration() == nil || !f.state.Loaded() || !f.startupDone() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -220,9 +221,12 @@
 const catchUpTimeout = 3 * time.Second
 
 // startupDone reports whether another host has reported or contactTimeout has passed since the start, and this host does
-// not wait for a newer configuration.
+// not wait for a newer configuration or for evacuations that the store has lost.
 func (f *Front) startupDone() bool {
-	return (f.hasReports() || f.now().Sub(f.startedAt) > contactTimeout) && !f.catchingUp()
+	if !f.hasReports() {
+		return f.now().Sub(f.startedAt) > contactTimeout && !f.catchingUp()
+	}
+	return !f.catchingUp() && (!f.state.AwaitsRetained() || f.now().Sub(f.startedAt) > catchUpTimeout)
 }
 
 // catchingUp reports whether this host has just started and other hosts have a newer configuration.
@@ -272,10 +276,14 @@
 	return g
 }
 
-// setServers distributes the usable backend servers to the groups of their services. A service without usable backend
-// servers keeps an empty group.
-func (f *Front) setServers(usable []registry.State) {
-	byService := map[string][]registry.State{}
+// setServers distributes the usable backend servers, and those that are not usable only because their zone is evacuated, to
+// the groups of their services. A service without usable backend servers keeps an empty group.
+func (f *Front) setServers(usable, evacuated []registry.State) {
+	byService, excluded := map[string][]registry.State{}, map[string][]registry.State{}
+	for _, s := range evacuated {
+		excluded[s.Service] = append(excluded[s.Service], s)
+		byService[s.Service] = nil
+	}
 	for _, s := range usable {
 		byService[s.Service] = append(byService[s.Service], s)
 	}
@@ -288,6 +296,7 @@
 	f.groupsMu.Unlock()
 	f.setIdleLimits(usable)
 	for service, servers := range byService {
+		f.group(service).setEvacuated(excluded[service])
 		f.group(service).update(servers)
 	}
 }
--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -457,17 +457,19 @@
 	f.release(func(ctx context.Context) error { return f.backends.ReleasePrefillResult(ctx, r) }, "prefill result", r.Server)
 }
 
-// release frees memory at an engine in the background. If the call fails, or the engine is held off, the engine frees the memory
-// when it expires.
+// release frees memory at an engine in the background. If the call fails, or the engine is held off or evacuated, the engine frees
+// the memory when it expires.
 func (f *Front) release(call func(context.Context) error, what string, server fleet.Server) {
-	if f.group(server.Service).heldFor(server) > 0 {
+	if f.group(server.Service).heldFor(server) > 0 || f.state.ZoneEvacuated(server.Zone) {
 		f.metrics.Inc("releases_left_out")
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		if err := call(ctx); err != nil {
+		if err := call(ctx); neverSent(err) {
+			f.metrics.Inc("releases_left_out")
+		} else if err != nil {
 			f.metrics.Inc("releases_failed")
 			f.log.Error(err, "failed to release memory at engine", "what", what, "server", server.ID)
 		}
--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -29,9 +29,11 @@
 	// plain holds the servers of plain requests; prefill and decode hold the engines of the two stages of a generation.
 	plain, prefill, decode *dispatch.Pool
 
-	mu       sync.Mutex
-	servers  map[string]fleet.Server
-	outliers *outlier.Detector
+	mu sync.Mutex
+	// evacuated is the number of backend servers that are not usable only because their zone is evacuated, in the order of pools.
+	evacuated [3]int
+	servers   map[string]fleet.Server
+	outliers  *outlier.Detector
 	// changing holds the engines that are changing their stage, with the time until which they get no work.
 	changing map[string]time.Time
 	// heldOff holds the servers that have refused a request and named a time for which they want no others.
@@ -114,18 +116,25 @@
 // pauseRecheck is the interval at which paused backend servers are checked again.
 const pauseRecheck = 100 * time.Millisecond
 
+// Indexes of the pools of a group.
+const (
+	plainIndex = iota
+	prefillIndex
+	decodeIndex
+)
+
 // candidate converts a backend server to a candidate and returns the index of its pool in pools.
 func candidate(key string, s fleet.Server) (stage int, c dispatch.Candidate) {
 	c = dispatch.Candidate{Key: key, Zone: s.Zone, Slots: max(s.Slots, 1)}
 	switch s.Stage {
 	case fleet.Prefill:
 		c.Slots = prefillConcurrency
-		return 1, c
+		return prefillIndex, c
 	case fleet.Decode, fleet.Colocated:
-		return 2, c
+		return decodeIndex, c
 	default:
 		c.Slots *= plainQueueFactor
-		return 0, c
+		return plainIndex, c
 	}
 }
 
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/boragecourse/boragecourse/internal/evacuation"
 	"github.com/boragecourse/boragecourse/internal/exchange"
 	"github.com/boragecourse/boragecourse/internal/kvmemory"
 	"github.com/boragecourse/boragecourse/internal/kvstore"
@@ -148,6 +149,9 @@
 	out := &peerv1.FetchStateResponse{
 		Revision: kvstore.WithoutEra(t.Revision), Era: kvstore.Era(t.Revision), Configuration: t.Configuration, AgeMillis: now.Sub(t.ConfirmedAt).Milliseconds(), Partial: t.Partial, StoreLost: t.StoreLost,
 	}
+	for _, e := range t.Retained {
+		out.Retained = append(out.Retained, &peerv1.RetainedEvacuation{Zone: e.Zone, Revision: kvstore.WithoutEra(e.Revision), Era: kvstore.Era(e.Revision)})
+	}
 	if !t.RecoveredAt.IsZero() {
 		out.Recovered, out.RecoveredAgeMillis = true, now.Sub(t.RecoveredAt).Milliseconds()
 	}
@@ -169,6 +173,9 @@
 	if state.Recovered {
 		t.RecoveredAt = requestedAt.Add(-time.Duration(state.RecoveredAgeMillis) * time.Millisecond)
 	}
+	for _, e := range state.Retained {
+		t.Retained = append(t.Retained, evacuation.Entry{Zone: e.Zone, Revision: kvstore.InEra(e.Era, e.Revision)})
+	}
 	for _, item := range state.Items {
 		t.Items = append(t.Items, kvstore.KeyValue{Key: item.Key, Value: item.Value, ModRevision: kvstore.InEra(state.Era, item.Revision)})
 	}
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -149,7 +149,7 @@
 	}
 	x.request = request
 	x.config = f.state.Configuration()
-	if x.config == nil || f.catchingUp() {
+	if x.config == nil || !f.state.Loaded() || f.catchingUp() {
 		refusal := outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeNoConfiguration, "configuration not loaded yet")
 		refusal.RetryAfter = unreadyRetry
 		return nil, nil, refusal
@@ -387,10 +387,7 @@
 	case errors.As(err, &inputEnded):
 		return x.interrupted(outcome.CodeCanceled, "input ended before the response", plainRetryAfter, err)
 	case !x.mayHaveRun:
-		return &outcome.Error{
-			Outcome: outcome.NotRun, Code: outcome.CodeNoServer, Status: http.StatusServiceUnavailable,
-			Message: "no backend server ran the request", RetryAfter: f.retryAfter(x, err), Cause: err,
-		}
+		return f.noServerFailure(x, err)
 	case late:
 		return &outcome.Error{
 			Outcome: outcome.Unknown, Code: outcome.CodeDeadline, Status: http.StatusGatewayTimeout, Message: "no response before the deadline", Cause: err,
--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -202,7 +202,7 @@
 		return
 	}
 	f.recordChange(move, stageNotice+changeTime+stageMargin, stageNotice+changeTime+stageMargin)
-	err := f.commandStage(ctx, server, move.To)
+	err := f.commandStage(ctx, g, server, move.To)
 	var lost *platform.OutcomeUnknownError
 	outcome := "accepted"
 	switch {
@@ -232,11 +232,16 @@
 }
 
 // commandStage waits for stageNotice and sends the command if the engine is free and leadership is confirmed immediately
-// before. The fencing token lets the engine reject the command of a former leader.
-func (f *Front) commandStage(ctx context.Context, server fleet.Server, to fleet.Stage) error {
+// before. The fencing token lets the engine reject the command of a former leader. After each wait the engine may have become
+// unusable, for example because its zone was evacuated.
+func (f *Front) commandStage(ctx context.Context, g *group, server fleet.Server, to fleet.Stage) error {
 	if err := wait.For(ctx, stageNotice); err != nil {
 		return err
 	}
+	stale := &platform.NotRunError{Cause: &StaleServerError{Key: serverKey(server)}}
+	if !g.usable(server) {
+		return stale
+	}
 	state, err := f.backends.EngineState(ctx, server)
 	if err != nil {
 		return &platform.NotRunError{Cause: err}
@@ -248,6 +253,9 @@
 	if !held {
 		return &NotLeaderError{}
 	}
+	if !g.usable(server) {
+		return stale
+	}
 	return f.backends.ChangeStage(ctx, server, platform.StageCommand{
 		Stage: to, Leader: f.settings.Name, FencingToken: fence, ExpectedAccepted: state.Accepted,
 	})
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/boragecourse/boragecourse/internal/evacuation"
 	"github.com/boragecourse/boragecourse/internal/exchange"
 	"github.com/boragecourse/boragecourse/internal/fleet"
 	"github.com/boragecourse/boragecourse/internal/kvstore"
@@ -63,13 +64,26 @@
 	now     func() time.Time
 
 	configuration atomic.Pointer[fleet.Configuration]
-	onServers     func([]registry.State)
-	onConfig      func(*fleet.Configuration)
-	onQuarantine  func(kvstore.KeyValue)
+	// onServers gets the usable backend servers, and those that are not usable only because their zone is evacuated.
+	onServers    func(usable, evacuated []registry.State)
+	onConfig     func(*fleet.Configuration)
+	onQuarantine func(kvstore.KeyValue)
 
 	mu      sync.Mutex
 	copy    replica.Copy
 	servers *registry.Registry
+	// evacuations are those in force, offered the ones that another host retains and that are applied with its copy.
+	// copySource is the source of the copy, for logs. unseenZones are those of evacuations that have just begun.
+	evacuations *evacuation.Set
+	offered     []evacuation.Entry
+	copySource  string
+	unseenZones []string
+	// receivedCopy is set once another host has passed on its copy.
+	receivedCopy bool
+	startedAt    time.Time
+	// evacuated holds the evacuated zones. loaded is set once a copy has been read.
+	evacuated atomic.Pointer[map[string]bool]
+	loaded    atomic.Bool
 	// unreadable holds the keys of the copy whose values cannot be decoded, unreadableBefore those of the copy before.
 	unreadable, unreadableBefore map[string]bool
 	// registrations holds the decoded entries of the copy by key. Most entries stay the same from one copy to the next.
@@ -103,11 +117,14 @@
 }
 
 func newState(store Store, log logr.Logger, reg *metrics.Registry, now func() time.Time) *State {
-	return &State{
+	s := &State{
+		evacuations: evacuation.New(), copySource: sourceStore, startedAt: now(),
 		ownPrefix: storePrefix, store: store, log: log, metrics: reg, now: now, servers: registry.New(),
-		onServers: func([]registry.State) {}, onConfig: func(*fleet.Configuration) {}, onQuarantine: func(kvstore.KeyValue) {}, follows: func() bool { return false },
+		onServers: func(_, _ []registry.State) {}, onConfig: func(*fleet.Configuration) {}, onQuarantine: func(kvstore.KeyValue) {}, follows: func() bool { return false },
 		hosts: func() int { return 1 },
 	}
+	s.evacuated.Store(&map[string]bool{})
+	return s
 }
 
 // Configuration returns the active configuration, or nil before the first one was read.
@@ -201,6 +218,7 @@
 			"present", kvstore.WithoutEra(s.copy.Revision()))
 		s.metrics.Inc("store_snapshots_refused")
 	}
+	s.copySource = sourceStore
 	s.applyCopy()
 	return applied, nil
 }
@@ -210,7 +228,7 @@
 func (s *State) snapshot(ctx context.Context) ([]kvstore.KeyValue, int64, error) {
 	var all []kvstore.KeyValue
 	var lowest int64
-	for _, prefix := range []string{platform.ConfigurationKey, platform.RegistrationPrefix, s.ownPrefix} {
+	for _, prefix := range []string{platform.EvacuationPrefix, platform.ConfigurationKey, platform.RegistrationPrefix, s.ownPrefix} {
 		items, revision, err := s.store.Snapshot(ctx, prefix)
 		if err != nil {
 			return nil, 0, err
@@ -260,16 +278,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.copy.Apply(s.relevant(events), at, confirmedAt) {
+		s.copySource = sourceStore
 		s.applyCopy()
 	}
 	return len(events) > 0, nil
 }
 
-// relevant filters events in place, keeping those of the configuration, of registrations and of the project's own keys.
+// relevant filters events in place, keeping those of the configuration, of registrations, of evacuations and of the project's
+// own keys.
 func (s *State) relevant(events []kvstore.Event) []kvstore.Event {
 	kept := events[:0]
 	for _, e := range events {
-		if e.Key == platform.ConfigurationKey || platform.IsRegistration(e.Key) || strings.HasPrefix(e.Key, s.ownPrefix) {
+		if e.Key == platform.ConfigurationKey || platform.IsRegistration(e.Key) || strings.HasPrefix(e.Key, s.ownPrefix) ||
+			strings.HasPrefix(e.Key, platform.EvacuationPrefix) {
 			kept = append(kept, e)
 		}
 	}
@@ -317,6 +338,7 @@
 func (s *State) applyCopy() {
 	now := s.now()
 	s.unreadableBefore, s.unreadable = s.unreadable, map[string]bool{}
+	s.applyEvacuations()
 	var servers []fleet.Server
 	known := s.registrations
 	s.registrations = make(map[string]registration, len(known))
@@ -356,7 +378,9 @@
 		s.metrics.Inc("registration_changes", metrics.L("kind", string(c.Kind)))
 	}
 	s.scheduleRecheck(now)
-	s.onServers(s.servers.Usable(now))
+	evacuated := s.servers.Evacuated(now)
+	s.reportEvacuated(len(evacuated))
+	s.onServers(s.servers.Usable(now), evacuated)
 }
 
 // registration is the outcome of decoding the entry of a backend server.
@@ -490,6 +514,8 @@
 	Removed  []replica.Removal
 	Partial  bool
 	Revision int64
+	// Retained are the evacuations that the store has lost and that are in force even so.
+	Retained []evacuation.Entry
 	// Configuration is the newest configuration if the receiver lacks it and it is not among the items.
 	Configuration []byte
 	// ConfirmedAt is when the copy was last known to be current; RecoveredAt is when the last outage of the store ended,
@@ -502,7 +528,7 @@
 func (s *State) Since(version exchange.StateVersion) Transfer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := Transfer{Revision: s.copy.Revision(), ConfirmedAt: s.copy.ConfirmedAt(), StoreLost: s.storeLost}
+	t := Transfer{Revision: s.copy.Revision(), ConfirmedAt: s.copy.ConfirmedAt(), StoreLost: s.storeLost, Retained: s.evacuations.Retained()}
 	if s.now().Sub(s.recoveredAt) < recoveryNotice {
 		t.RecoveredAt = s.recoveredAt
 	}
@@ -530,16 +556,18 @@
 }
 
 // ShouldFetch reports whether a peer's copy with the given version and age should be fetched: it is newer, and the store
-// has not confirmed the local copy for as long as it should have, or it has a configuration that the store has lost.
+// has not confirmed the local copy for as long as it should have, or the peer may have a configuration or evacuations that the
+// store has lost.
 func (s *State) ShouldFetch(version exchange.StateVersion, age time.Duration) bool {
 	limit := staleAfter
-	if s.follows() {
+	follows := s.follows()
+	if follows {
 		limit = followLimit
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	if s.recordReported(version.Configuration, now) {
+	if s.recordReported(version.Configuration, now) || !follows && s.awaitsRetained(now) {
 		return true
 	}
 	return version.Revision > s.copy.Revision() && now.Sub(s.copy.ConfirmedAt()) > limit && now.Add(-age).After(s.copy.ConfirmedAt())
@@ -571,7 +599,11 @@
 	if t.Configuration != nil {
 		s.activate(t.Configuration, 0)
 	}
+	s.receivedCopy = s.receivedCopy || t.Revision > 0
 	if t.Revision < s.copy.Revision() || t.Revision == 0 {
+		if s.receiveRetained(t.Retained) {
+			s.applyCopy()
+		}
 		return
 	}
 	if t.RecoveredAt.After(s.recoveredAt) {
@@ -596,8 +628,12 @@
 		s.replaceCopy(t.Items, t.Revision, t.ConfirmedAt, restoredAt)
 	}
 	if !newer {
+		if s.receiveRetained(t.Retained) {
+			s.applyCopy()
+		}
 		return
 	}
+	s.copySource, s.offered = sourceHost, t.Retained
 	if !fromRelay {
 		s.log.Info("store copy replaced by a newer one from another host", "from", from, "revision", kvstore.WithoutEra(t.Revision), "age", s.now().Sub(t.ConfirmedAt))
 		s.metrics.Inc("state_transfers")
