--- a/test/users/fleet_test.go
+++ b/test/users/fleet_test.go
@@ -150,7 +150,9 @@
 	if o.Slots == 0 {
 		o.Slots = 4
 	}
-	o.Zone = "piran-a"
+	if o.Zone == "" {
+		o.Zone = "piran-a"
+	}
 	w, err := users.StartWorker(o, "")
 	f.g.Expect(err).NotTo(HaveOccurred())
 	f.t.Cleanup(w.Close)
