Let large fleets move several engines between stages at a time, while others come and go

Up to one in ten engines may now come or go without a reset, and one engine for each 16 may be moved at a time.

--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -160,14 +160,27 @@
 	}
 	engines := f.stages.withTargetStages(g.engines())
 	load := s.meter.Load(e.Slots, e.KVCapacity)
-	move, ok := s.splitter.Next(engines, load, now)
-	if !ok {
-		return
+	var group sync.WaitGroup
+	for range stagesplit.MaxMoves(len(engines)) {
+		move, ok := s.splitter.Next(engines, load, now)
+		if !ok {
+			break
+		}
+		f.decideMove(g, s, move, load, now)
+		for i := range engines {
+			if engines[i].Key == move.Key {
+				engines[i].Stage = move.To
+			}
+		}
+		group.Go(func() { f.moveEngine(ctx, g, move, e.StageChange) })
 	}
+	group.Wait()
+}
+
+func (f *Front) decideMove(g *group, s *serviceStages, move stagesplit.Move, load stagesplit.Load, now time.Time) {
 	f.log.Info("stage change decided", "service", g.service, "server", move.Key, "to", move.To, "before", move.Before, "after", move.After,
 		"perSecond", load.ArrivalRate, "prefillTime", ms(load.Prefill), "decodeTime", ms(load.Decode), "concurrency", load.Concurrency, "samples", load.Samples)
 	s.splitter.RecordMove(move, now)
-	f.moveEngine(ctx, g, move, e.StageChange)
 }
 
 func (s *stages) service(name string) *serviceStages {
--- a/internal/stagesplit/split.go
+++ b/internal/stagesplit/split.go
@@ -37,6 +37,11 @@
 	// settleTime is how long no engine is moved after engines were added or removed: during a rolling replacement, new
 	// engines start before the old ones leave.
 	settleTime = 3 * time.Second
+	// smallChange is the fraction of the engines that may be added or removed without a settleTime. A few of many engines do
+	// not change which split is best, and in a large fleet some come and go all the time.
+	smallChange = 0.1
+	// enginesPerMove is the number of engines for each of which one may be moved at a time.
+	enginesPerMove = 16
 	// minSamples is the number of arrivals that a usable measurement needs.
 	minSamples = 20
 )
@@ -89,6 +94,8 @@
 	// prefill is the number of prefill engines and total that of all engines at the last evaluation; target is the
 	// number of prefill engines to reach.
 	prefill, total, target int
+	// settled is the number of engines when it last changed considerably.
+	settled int
 	// towards is the direction that the last evaluations preferred, and agreed is the number of consecutive evaluations
 	// with that direction.
 	towards fleet.Stage
@@ -139,15 +146,21 @@
 	return m, movable
 }
 
-// observe records the current number of engines. If it changed other than by a move, the target and the last move are
-// reset, so that the next move does not wait for reversalPause.
+// MaxMoves returns how many of a number of engines may change their stage at the same time.
+func MaxMoves(engines int) int { return max(engines/enginesPerMove, 1) }
+
+// observe records the current number of engines. If it changed considerably other than by a move, the target and the last move
+// are reset, so that the next move does not wait for reversalPause.
 func (s *Splitter) observe(prefill, engines int, now time.Time) {
-	if prefill != s.prefill || engines != s.total {
-		s.target, s.lastTo, s.agreed, s.changedAt = prefill, fleet.NoStage, 0, now
+	change := abs(prefill-s.prefill) + abs((engines-prefill)-(s.total-s.prefill))
+	if float64(change) > smallChange*float64(s.settled) {
+		s.target, s.lastTo, s.agreed, s.changedAt, s.settled = prefill, fleet.NoStage, 0, now, engines
 	}
 	s.prefill, s.total = prefill, engines
 }
 
+func abs(n int) int { return max(n, -n) }
+
 // restore returns a move that assigns an engine of the other stage to a stage without engines.
 func (s *Splitter) restore(engines []Engine, prefill int) (Move, bool) {
 	if len(engines) < 2 {
--- a/internal/stagesplit/split_test.go
+++ b/internal/stagesplit/split_test.go
@@ -219,3 +219,45 @@
 	}
 	g.Expect(prefill).To(Equal(2), "of six engines")
 }
+
+// Guards against a large fleet whose split never follows the load because single engines come and go, or follows it too slowly
+// because engines are moved one by one.
+func TestLargeFleetFollowsTheLoadWhileEnginesComeAndGo(t *testing.T) {
+	g := NewWithT(t)
+	s := &stagesplit.Splitter{}
+	es := engines(21, 39)
+	load := longResponses(60)
+	now := start
+	for second := range 8 {
+		es = append(es, stagesplit.Engine{Key: fmt.Sprint("new", second), Zone: "0", Stage: fleet.Decode})
+		es = es[:len(es)-second%2]
+		for range stagesplit.MaxMoves(len(es)) {
+			m, ok := s.Next(es, load, now)
+			if !ok {
+				break
+			}
+			apply(es, m)
+			s.RecordMove(m, now)
+		}
+		now = now.Add(time.Second)
+	}
+	prefill := 0
+	for _, e := range es {
+		if e.Stage == fleet.Prefill {
+			prefill++
+		}
+	}
+	g.Expect(prefill).To(BeNumerically("<=", 16))
+}
+
+// Guards against moves right after a large part of the engines has changed, as in a rolling replacement, and against several
+// moves at a time in a small fleet.
+func TestManyNewEnginesDelayMoves(t *testing.T) {
+	g := NewWithT(t)
+	s := &stagesplit.Splitter{}
+	load := longResponses(60)
+	s.Next(engines(15, 30), load, start)
+	_, moved := s.Next(engines(15, 40), load, start.Add(4*time.Second))
+	g.Expect(moved).To(BeFalse())
+	g.Expect(stagesplit.MaxMoves(12)).To(Equal(1))
+}
