Share contended rate limits in large fleets only, and tell callers when the limit has room

Retry-After is the time until the bucket covers the request again. Up to 8 hosts report to each other directly within some tens of milliseconds and need no shares.

--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -22,6 +22,9 @@
 	startTolerance = 0.2
 	// guardTolerance is the fraction of the tolerated excess that is the guard level of a bucket.
 	guardTolerance = 0.4
+	// sharingPeers is the number of peers from which on the hosts share the rate of a contended bucket. Fewer hosts report
+	// to each other directly, within some tens of milliseconds.
+	sharingPeers = 8
 	// activeWindow is how long a peer counts as one that admits requests of a workspace.
 	activeWindow = 3 * time.Second
 	// rateWindow is the time constant of the average rate at which the other hosts admit tokens.
@@ -134,12 +137,12 @@
 func (l *Limiter) admits(name string, t *bucket, cost float64, now time.Time) bool {
 	available := t.level - t.reportedRate(now)*l.reportAge(now).Seconds() - cost
 	t.contended = available < 0 || t.contended && available < t.guard
-	if !t.contended {
+	if !t.contended || available >= 0 && len(l.peers) < sharingPeers {
 		return true
 	}
 	hosts := float64(l.activePeers(name, now) + 1)
 	t.share = math.Min(t.share, t.rate+hosts*cost)
-	return t.level >= cost && t.share >= hosts*cost
+	return len(l.peers) >= sharingPeers && t.level >= cost && t.share >= hosts*cost
 }
 
 // activePeers returns the number of peers that have admitted tokens of a workspace within activeWindow.
@@ -163,8 +166,12 @@
 	l.subtractUnreachable(now)
 	l.refill(t, now)
 	if !l.admits(workspace, t, float64(cost), now) {
-		missing := (float64(cost) + t.guard - t.level) / t.rate
-		return false, time.Duration(math.Max(missing, 0) * float64(time.Second))
+		// If only the host's share is used up, the shares of all hosts together cover the request after the time of its cost.
+		missing := float64(cost)
+		if t.level < float64(cost) {
+			missing = float64(cost) - t.level
+		}
+		return false, time.Duration(missing / t.rate * float64(time.Second))
 	}
 	t.level -= float64(cost)
 	t.share = math.Max(t.share-float64(l.activePeers(workspace, now)+1)*float64(cost), 0)
