--- a/internal/dispatch/affinity_test.go
+++ b/internal/dispatch/affinity_test.go
@@ -45,7 +45,7 @@
 		g.Expect(n).To(BeNumerically("<", 50), key)
 	}
 
-	job := dispatch.Job{Affinity: 1, StartBy: time.Now().Add(time.Second)}
+	job := dispatch.Job{Affinity: 1, Repeated: true, StartBy: time.Now().Add(time.Second)}
 	grants := map[string]int{}
 	for range 4 {
 		grant, err := pools[0].Acquire(context.Background(), job)
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -43,6 +43,9 @@
 	switch {
 	case job.Affinity != 0:
 		orderByAffinity(free, job.Affinity, p.zone)
+		if job.Repeated && len(free) > 0 {
+			free[0].score -= affinityBonus
+		}
 	case sample < len(free):
 		rand.Shuffle(len(free), func(i, j int) { free[i], free[j] = free[j], free[i] })
 	}
@@ -58,7 +61,7 @@
 }
 
 // orderByAffinity sorts servers in the order of preference of the jobs with an affinity (rendezvous hashing), those of a zone
-// first. It lowers the score of the first one by affinityBonus.
+// first.
 func orderByAffinity(free []scoredServer, affinity uint64, zone string) {
 	rank := func(s *server) uint64 {
 		r := mix(s.hash^affinity) >> 1
@@ -68,9 +71,6 @@
 		return r
 	}
 	slices.SortFunc(free, func(a, b scoredServer) int { return cmp.Compare(rank(a.server), rank(b.server)) })
-	if len(free) > 0 {
-		free[0].score -= affinityBonus
-	}
 }
 
 func hashKey(key string) uint64 {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -26,8 +26,10 @@
 	// Exclude holds the keys of backend servers that already failed this job.
 	Exclude map[string]bool
 	// Affinity, if not 0, is a hash of what backend servers may keep of the job's earlier runs. Jobs with the same hash prefer
-	// the same backend servers.
+	// the same backend servers. Repeated is set if an earlier run may have left something, so that the preference is worth a
+	// wait.
 	Affinity uint64
+	Repeated bool
 	// Reserve reserves the other resources that the job needs at a backend server, such as KV memory, and reports whether
 	// they were available. Nil means that the job needs only a slot.
 	Reserve func(key string) bool
--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -342,6 +342,7 @@
 	for {
 		grant, err := x.group.prefill.Acquire(ctx, dispatch.Job{
 			ID: x.request.ID, StartBy: f.latestPrefill(x), Exclude: excluded, Affinity: uint64(x.request.OwnPart),
+			Repeated: x.prefilled || lastEvent != "" || f.isLate(x),
 		})
 		if err != nil {
 			return f.prefillSkipped(x, "no-engine", err)
