Divide the limit of cold servers among the hosts

A server counts as cold by its registration, its responses, as a new incarnation, or when the evacuation of its zone ends. The first hosts in its rendezvous order share what it tolerates, without messages; hosts that were known within 2 min keep their place, so that the sides of a partition do not send it together more than once. The ranking of one host is counted in one pass, since a returning zone makes more than a thousand servers cold at once.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -104,6 +104,7 @@
 	f.quarantine = newQuarantineLedger(log, reg, f.now)
 	f.limits = newServerLimits()
 	f.backends.OnRateLimit = f.observeLimit
+	f.backends.OnCold = f.observeCold
 	f.exchange = exchange.New(exchange.Options{
 		Name: settings.Name, Address: settings.Peers, Zone: settings.Zone, LinkMbps: int32(settings.LinkMbps),
 		Incarnation: f.incarnation, Seeds: settings.Seeds, Local: f, Pool: f.pool,
@@ -295,9 +296,14 @@
 	}
 	f.groupsMu.Unlock()
 	f.setIdleLimits(usable)
+	f.registerCold(usable, evacuated)
 	for service, servers := range byService {
-		f.group(service).setEvacuated(excluded[service])
-		f.group(service).update(servers)
+		g := f.group(service)
+		g.setEvacuated(excluded[service])
+		g.setServers(servers)
+		// Waiting requests are sent as soon as the pools have a new server, so its limits must be known before.
+		f.applyLimitsTo(g)
+		g.refresh()
 	}
 }
 
--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -62,7 +62,14 @@
 
 // update replaces the usable backend servers and refreshes the pools.
 func (g *group) update(usable []registry.State) {
+	g.setServers(usable)
+	g.refresh()
+}
+
+// setServers replaces the usable backend servers. The pools get them with refresh.
+func (g *group) setServers(usable []registry.State) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.servers = make(map[string]fleet.Server, len(usable))
 	for _, s := range usable {
 		g.servers[serverKey(s.Server)] = s.Server
@@ -70,8 +77,6 @@
 	g.outliers.Retain(func(key string) bool { _, known := g.servers[key]; return known })
 	maps.DeleteFunc(g.refusing, func(key string, _ bool) bool { _, known := g.servers[key]; return !known })
 	maps.DeleteFunc(g.heldOff, func(_ string, until time.Time) bool { return !g.now().Before(until) })
-	g.mu.Unlock()
-	g.refresh()
 }
 
 // refresh sets the pools' candidates to the usable backend servers, except those that are held off, paused or changing their
--- a/test/standin/users/host.go
+++ b/test/standin/users/host.go
@@ -48,6 +48,9 @@
 quotaWindowS = 8
 quotaOver = 0.1
 quotaSlack = 1000
+evacuateMs = 5000
+coldOver = 1.5
+coldSlack = 5
 leaseMs = 3000
 [platform]
 address = %q
--- a/test/standin/users/worker.go
+++ b/test/standin/users/worker.go
@@ -105,6 +105,8 @@
 	leaving                    bool
 	refusingUntil, silentUntil time.Time
 	refusals                   []Refusal
+	// coldUntil is the time until which the server says that it is cold.
+	coldUntil time.Time
 }
 
 // StartWorker starts a stand-in for a backend server at addr, or at a new loopback address if addr is empty.
@@ -155,7 +157,7 @@
 	w.leaving = w.leaving || state == "draining"
 	value, _ := json.Marshal(map[string]any{
 		"service": w.Service, "address": cmp.Or(w.advertised, w.Addr), "zone": w.Zone, "version": "v1", "slots": w.Slots, "state": state,
-		"coldLeftMs": 0, "stage": w.Stage, "seq": 0, "born": w.StartMillis,
+		"coldLeftMs": w.coldLeft(), "stage": w.Stage, "seq": 0, "born": w.StartMillis,
 	})
 	s.Put("servers/"+w.ID, value)
 }
@@ -237,6 +239,7 @@
 	}
 	w.awaitSilence()
 	w.announceLeaving(rw)
+	w.announceCold(rw)
 	if w.refuse(rw, r) {
 		return
 	}
