--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -21,15 +21,16 @@
 	Output     string        `help:"Output format: human or json." enum:"human,json" default:"human"`
 	Timeout    time.Duration `help:"Longest time for the whole command." default:"60s"`
 
-	Check   CheckCmd   `cmd:"" help:"Check a rules file without contacting a host. Example: boragecourse check fleet.rules"`
-	Diff    DiffCmd    `cmd:"" help:"Show what a rules file would change. Example: boragecourse diff fleet.rules"`
-	Apply   ApplyCmd   `cmd:"" help:"Put a rules file in force. Example: boragecourse apply fleet.rules"`
-	Get     GetCmd     `cmd:"" help:"Print the installed rules file. Example: boragecourse get > fleet.rules"`
-	Keys    KeysCmd    `cmd:"" help:"Issue and withdraw keys."`
-	Status  StatusCmd  `cmd:"" help:"Show hosts, zones, generations and backend servers. Example: boragecourse status"`
-	Charges ChargesCmd `cmd:"" help:"Look up charges."`
-	Drain   DrainCmd   `cmd:"" help:"Drain one host: finish its requests, take no new ones. Example: boragecourse drain 10.0.0.5:8082"`
-	Explain ExplainCmd `cmd:"" help:"Print what the hosts' logs tell of one request. Example: boragecourse explain 9c41d07b host-*.log"`
+	Check    CheckCmd    `cmd:"" help:"Check a rules file without contacting a host. Example: boragecourse check fleet.rules"`
+	Diff     DiffCmd     `cmd:"" help:"Show what a rules file would change. Example: boragecourse diff fleet.rules"`
+	Apply    ApplyCmd    `cmd:"" help:"Put a rules file in force. Example: boragecourse apply fleet.rules"`
+	Get      GetCmd      `cmd:"" help:"Print the installed rules file. Example: boragecourse get > fleet.rules"`
+	Keys     KeysCmd     `cmd:"" help:"Issue and withdraw keys."`
+	Status   StatusCmd   `cmd:"" help:"Show hosts, zones, generations and backend servers. Example: boragecourse status"`
+	Charges  ChargesCmd  `cmd:"" help:"Look up charges."`
+	Drain    DrainCmd    `cmd:"" help:"Drain one host: finish its requests, take no new ones. Example: boragecourse drain 10.0.0.5:8082"`
+	Evacuate EvacuateCmd `cmd:"" help:"Take the backend servers of a zone out of use, or end that. Example: boragecourse evacuate piran-a --why='power works'"`
+	Explain  ExplainCmd  `cmd:"" help:"Print what the hosts' logs tell of one request. Example: boragecourse explain 9c41d07b host-*.log"`
 
 	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Print the shell line that installs completion."`
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -150,6 +150,22 @@
 	g.Expect(run(t, f, "", "keys", "withdraw", "inspectors", "k1").code).To(Equal(cli.ExitFailure))
 }
 
+// Guards against an evacuation without an author, one that replaces another change or rule, and one that can't be ended.
+func TestZoneIsEvacuated(t *testing.T) {
+	g := NewWithT(t)
+	other := rulesText + "workspace guests rate=10/s burst=100 # bojan: trial\n"
+	race := func(f *fleet) { f.file = operatorapi.File{Generation: f.file.Generation + 1, Text: other} }
+	f := &fleet{status: operatorapi.StatusActive, file: operatorapi.File{Generation: 1, Text: rulesText}, before: race}
+	g.Expect(run(t, f, "", "evacuate", "piran-a", "--who=").code).To(Equal(cli.ExitUsage))
+	r := run(t, f, "", "evacuate", "piran-a", "--who=ana", "--why=power works")
+	g.Expect(r.code).To(Equal(cli.ExitOK), r.err)
+	g.Expect(f.file.Text).To(Equal(other + "evacuate piran-a # ana: power works\n"))
+	g.Expect(run(t, f, "", "evacuate", "piran-a", "--who=ana").code).To(Equal(cli.ExitFailure))
+	g.Expect(run(t, f, "", "evacuate", "piran-a", "--end").code).To(Equal(cli.ExitOK))
+	g.Expect(f.file.Text).To(Equal(other))
+	g.Expect(run(t, f, "", "evacuate", "piran-a", "--end").code).To(Equal(cli.ExitFailure))
+}
+
 // Guards against a status command that fails when one of the hosts is unreachable.
 func TestStatusWithADeadHost(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/cli/errors.go
+++ b/internal/cli/errors.go
@@ -35,3 +35,25 @@
 func (e *noSuchKeyError) Error() string {
 	return fmt.Sprintf("workspace %s has no key %s", e.Workspace, e.ID)
 }
+
+// evacuationError reports an evacuation that is in force already, or the end of one that is not.
+type evacuationError struct {
+	Zone    string
+	InForce bool
+}
+
+// Error implements error.
+func (e *evacuationError) Error() string {
+	if e.InForce {
+		return fmt.Sprintf("zone %s is evacuated already", e.Zone)
+	}
+	return fmt.Sprintf("zone %s is not evacuated", e.Zone)
+}
+
+// missingAuthorError reports a change without the person who asks for it.
+type missingAuthorError struct{}
+
+// Error implements error.
+func (*missingAuthorError) Error() string {
+	return "--who is required: every rule names the person who asked for it"
+}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -76,9 +76,13 @@
 	}
 	_, _ = fmt.Fprintln(w)
 	t = tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
-	_, _ = fmt.Fprintln(t, "ZONE\tSHARE OF EACH BUCKET")
+	_, _ = fmt.Fprintln(t, "ZONE\tSHARE OF EACH BUCKET\tSTATE")
 	for _, z := range newest.Shares {
-		_, _ = fmt.Fprintf(t, "%s\t%.3f\n", z.Zone, z.Share)
+		state := "in use"
+		if z.Evacuated {
+			state = "evacuated"
+		}
+		_, _ = fmt.Fprintf(t, "%s\t%.3f\t%s\n", z.Zone, z.Share, state)
 	}
 	_, _ = fmt.Fprintln(t, "\nBACKEND SERVER\tZONE\tROLE\tFOR\tSTATE")
 	for _, b := range newest.Servers {
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -31,6 +31,7 @@
 	byPool     map[string][]*rules.Server
 	routes     []*rules.Route
 	models     []string
+	evacuated  map[string]bool
 }
 
 // NewSnapshot indexes the rules of one file, which must have passed rules.Check.
@@ -43,6 +44,12 @@
 		servers:    map[string]*rules.Server{},
 		byModel:    map[string][]*rules.Server{},
 		byPool:     map[string][]*rules.Server{},
+		evacuated:  map[string]bool{},
+	}
+	for _, r := range all {
+		if e, ok := r.(*rules.Evacuation); ok {
+			s.evacuated[e.Zone] = true
+		}
 	}
 	for _, r := range all {
 		s.add(r)
@@ -65,6 +72,12 @@
 	case *rules.Route:
 		s.routes = append(s.routes, r)
 	case *rules.Server:
+		if s.evacuated[r.Zone] {
+			// Whatever leaves out the servers that leave also leaves out those of evacuated zones.
+			leaving := *r
+			leaving.State = rules.ServerLeaving
+			r = &leaving
+		}
 		s.servers[r.Name] = r
 		if r.Role == rules.RoleService {
 			s.byPool[r.Pool] = append(s.byPool[r.Pool], r)
@@ -77,6 +90,9 @@
 // Zones returns the availability zones by name. The map must not be changed.
 func (s *Snapshot) Zones() map[string]*rules.Zone { return s.zones }
 
+// Evacuated reports whether a zone is evacuated. Its servers are then in state leaving.
+func (s *Snapshot) Evacuated(zone string) bool { return s.evacuated[zone] }
+
 // Workspaces returns the workspaces by name. The map must not be changed.
 func (s *Snapshot) Workspaces() map[string]*rules.Workspace { return s.workspaces }
 
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -149,9 +149,11 @@
 func serverStatus(snap *config.Snapshot) []operatorapi.Server {
 	servers := make([]operatorapi.Server, 0, len(snap.Servers()))
 	for _, s := range snap.Servers() {
-		servers = append(servers, operatorapi.Server{
-			Name: s.Name, Zone: s.Zone, Role: string(s.Role), ModelOrPool: s.Model + s.Pool, State: string(s.State),
-		})
+		state := string(s.State)
+		if snap.Evacuated(s.Zone) {
+			state = "evacuated"
+		}
+		servers = append(servers, operatorapi.Server{Name: s.Name, Zone: s.Zone, Role: string(s.Role), ModelOrPool: s.Model + s.Pool, State: state})
 	}
 	slices.SortFunc(servers, func(a, b operatorapi.Server) int { return strings.Compare(a.Name, b.Name) })
 	return servers
@@ -164,7 +166,7 @@
 	}
 	shares := make([]operatorapi.ZoneShare, 0, len(snap.Zones()))
 	for _, z := range snap.Zones() {
-		shares = append(shares, operatorapi.ZoneShare{Zone: z.Name, Share: float64(z.Share) / float64(total)})
+		shares = append(shares, operatorapi.ZoneShare{Zone: z.Name, Share: float64(z.Share) / float64(total), Evacuated: snap.Evacuated(z.Name)})
 	}
 	slices.SortFunc(shares, func(a, b operatorapi.ZoneShare) int { return strings.Compare(a.Zone, b.Zone) })
 	return shares
--- a/internal/operatorapi/types.go
+++ b/internal/operatorapi/types.go
@@ -83,10 +83,12 @@
 	State       string `json:"state"`
 }
 
-// ZoneShare is the fraction of every workspace's token bucket that belongs to a zone.
+// ZoneShare is the fraction of every workspace's token bucket that belongs to a zone. Evacuated is set while the backend servers of
+// the zone get no new work.
 type ZoneShare struct {
-	Zone  string  `json:"zone"`
-	Share float64 `json:"share"`
+	Zone      string  `json:"zone"`
+	Share     float64 `json:"share"`
+	Evacuated bool    `json:"evacuated,omitempty"`
 }
 
 // Charge is the charge record of a request with the rule that caused it.
--- a/internal/rules/check.go
+++ b/internal/rules/check.go
@@ -32,6 +32,7 @@
 type checker struct {
 	name       string
 	zones      map[string]int
+	evacuated  map[string]int
 	workspaces map[string]int
 	keyIDs     map[[2]string]int
 	hashes     map[KeyHash]int
@@ -45,7 +46,7 @@
 
 func check(name string, all []Rule) []Fault {
 	c := &checker{
-		name: name, zones: map[string]int{}, workspaces: map[string]int{}, keyIDs: make(map[[2]string]int, len(all)/2),
+		name: name, zones: map[string]int{}, evacuated: map[string]int{}, workspaces: map[string]int{}, keyIDs: make(map[[2]string]int, len(all)/2),
 		hashes: make(map[KeyHash]int, len(all)/2), servers: map[string]int{}, addrs: map[string]int{},
 		models: map[string]*servedRoles{}, pools: map[string]*servedRoles{}, paths: map[string][]*Route{},
 	}
@@ -103,6 +104,8 @@
 		c.declareServer(r)
 	case *Route:
 		c.declareRoute(r)
+	case *Evacuation:
+		checkUnique(c, c.evacuated, r.Zone, r.Origin, "", r.ID)
 	}
 }
 
@@ -147,6 +150,10 @@
 		if _, ok := c.zones[r.Zone]; !ok {
 			c.faults = append(c.faults, &ReferenceError{Position: c.position(r.Origin, "zone"), Kind: "zone", Name: r.Zone})
 		}
+	case *Evacuation:
+		if _, ok := c.zones[r.Zone]; !ok {
+			c.faults = append(c.faults, &ReferenceError{Position: c.subject(r.Origin), Kind: "zone", Name: r.Zone})
+		}
 	case *Route:
 		c.resolveRoute(r)
 	}
--- a/internal/rules/format.go
+++ b/internal/rules/format.go
@@ -109,6 +109,10 @@
 		c := *r
 		c.Line = number
 		return &c
+	case *Evacuation:
+		c := *r
+		c.Line = number
+		return &c
 	}
 	return r
 }
--- a/internal/rules/kinds.go
+++ b/internal/rules/kinds.go
@@ -59,7 +59,7 @@
 	expectYesNo  = "yes or no"
 )
 
-var kinds = []*kind{zoneKind, workspaceKind, keyKind, serverKind, routeKind}
+var kinds = []*kind{zoneKind, workspaceKind, keyKind, serverKind, routeKind, evacuationKind}
 
 var kindByKeyword = func() map[string]*kind {
 	m := map[string]*kind{}
@@ -79,6 +79,8 @@
 		return keyKind
 	case *Server:
 		return serverKind
+	case *Evacuation:
+		return evacuationKind
 	default:
 		return routeKind
 	}
@@ -222,6 +224,12 @@
 	check: checkRoute,
 }
 
+var evacuationKind = &kind{
+	keyword: "evacuate",
+	newRule: func(o Origin) Rule { return &Evacuation{Origin: o} },
+	subject: nameAttr("evacuate", true, func(r Rule) *string { return &r.(*Evacuation).Zone }),
+}
+
 func checkRoute(r Rule) (attr, expected, found string) {
 	route := r.(*Route)
 	switch {
--- a/internal/rules/parse.go
+++ b/internal/rules/parse.go
@@ -167,7 +167,7 @@
 func (p *lineParser) rule(origin Origin, words []field) Rule {
 	k := kindByKeyword[words[0].text]
 	if k == nil {
-		p.syntax(words[0].offset, "one of zone, workspace, key, server, route", fmt.Sprintf("%q", words[0].text))
+		p.syntax(words[0].offset, "one of zone, workspace, key, server, route, evacuate", fmt.Sprintf("%q", words[0].text))
 		return nil
 	}
 	end := words[len(words)-1].offset + len(words[len(words)-1].text)
--- a/internal/rules/types.go
+++ b/internal/rules/types.go
@@ -17,7 +17,7 @@
 	column int
 }
 
-// Rule is one of *Zone, *Workspace, *Key, *Server and *Route.
+// Rule is one of *Zone, *Workspace, *Key, *Server, *Route and *Evacuation.
 type Rule interface {
 	// Source returns the rule's origin.
 	Source() Origin
@@ -139,6 +139,12 @@
 	Cost int64
 }
 
+// Evacuation takes the backend servers of a zone out of use. They get no new work, and finish what they have.
+type Evacuation struct {
+	Origin
+	Zone string
+}
+
 // Source implements Rule for all types that embed Origin.
 func (o Origin) Source() Origin { return o }
 
@@ -156,3 +162,6 @@
 
 // ID implements Rule.
 func (r *Route) ID() string { return "route " + r.Path + " " + r.Model + r.Pool }
+
+// ID implements Rule.
+func (e *Evacuation) ID() string { return "evacuate " + e.Zone }
