Ask other hosts for retained evacuations after each restore of the store

A host that was suspended through an evacuation and a restore reads a copy in which nothing of the evacuation is left, so it asks another host once per era.

--- a/internal/front/evacuation.go
+++ b/internal/front/evacuation.go
@@ -19,7 +19,8 @@
 	// ends is not known. A random part of evacuatedRetrySpread is added, so that refused callers do not all return at once.
 	evacuatedRetryAfter  = time.Second
 	evacuatedRetrySpread = 3 * time.Second
-	// retainedLimit is how long after its start a host asks others for the evacuations that the store has lost.
+	// retainedLimit is how long after its start, or after a restore of the store, a host asks others for the evacuations that the
+	// store has lost.
 	retainedLimit = 30 * time.Second
 )
 
@@ -113,8 +114,8 @@
 	return len(changes) > 0
 }
 
-// AwaitsRetained reports whether the store was restored and this host, which has just started, has not asked another one for the
-// evacuations that the store may have lost.
+// AwaitsRetained reports whether the store may have been restored while this host did not run or was cut off, and no other one has
+// told it of the evacuations that the store may have lost.
 func (s *State) AwaitsRetained() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -122,7 +123,7 @@
 }
 
 func (s *State) awaitsRetained(now time.Time) bool {
-	return !s.receivedCopy && kvstore.Era(s.copy.Revision()) > 0 && now.Sub(s.startedAt) < retainedLimit
+	return !s.receivedCopy && kvstore.Era(s.copy.Revision()) > 0 && now.Sub(s.eraSeenAt) < retainedLimit
 }
 
 // noServerFailure returns the failure of a request that no backend server ran and none will.
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -78,9 +78,10 @@
 	offered     []evacuation.Entry
 	copySource  string
 	unseenZones []string
-	// receivedCopy is set once another host has passed on its copy.
+	// receivedCopy is set once another host has passed on its copy since eraSeenAt, the time at which this host started or first
+	// saw the era of its copy.
 	receivedCopy bool
-	startedAt    time.Time
+	eraSeenAt    time.Time
 	// evacuated holds the evacuated zones. loaded is set once a copy has been read.
 	evacuated atomic.Pointer[map[string]bool]
 	loaded    atomic.Bool
@@ -118,7 +119,7 @@
 
 func newState(store Store, log logr.Logger, reg *metrics.Registry, now func() time.Time) *State {
 	s := &State{
-		evacuations: evacuation.New(), copySource: sourceStore, startedAt: now(),
+		evacuations: evacuation.New(), copySource: sourceStore, eraSeenAt: now(),
 		ownPrefix: storePrefix, store: store, log: log, metrics: reg, now: now, servers: registry.New(),
 		onServers: func(_, _ []registry.State) {}, onConfig: func(*fleet.Configuration) {}, onQuarantine: func(kvstore.KeyValue) {}, follows: func() bool { return false },
 		hosts: func() int { return 1 },
@@ -257,6 +258,7 @@
 		s.metrics.Inc("store_restored")
 		s.recoveredAt, s.restoredRevision = restoredAt, revision
 		s.servers.StoreRestored(restoredAt)
+		s.receivedCopy, s.eraSeenAt = false, s.now()
 	}
 	return true
 }
@@ -599,8 +601,8 @@
 	if t.Configuration != nil {
 		s.activate(t.Configuration, 0)
 	}
-	s.receivedCopy = s.receivedCopy || t.Revision > 0
 	if t.Revision < s.copy.Revision() || t.Revision == 0 {
+		s.receivedCopy = s.receivedCopy || t.Revision > 0
 		if s.receiveRetained(t.Retained) {
 			s.applyCopy()
 		}
@@ -627,6 +629,7 @@
 		}
 		s.replaceCopy(t.Items, t.Revision, t.ConfirmedAt, restoredAt)
 	}
+	s.receivedCopy = true
 	if !newer {
 		if s.receiveRetained(t.Retained) {
 			s.applyCopy()
