--- a/internal/front/evacuation.go
+++ b/internal/front/evacuation.go
@@ -45,10 +45,10 @@
 // Loaded reports whether a copy of the store has been read, so that the evacuations in force are known.
 func (s *State) Loaded() bool { return s.loaded.Load() }
 
-// applyEvacuations updates the evacuations in force from the copy, with what another host retains. s.mu must be held.
-func (s *State) applyEvacuations() {
+// applyEvacuations updates the evacuations in force from the items of the copy, with what another host retains. s.mu must be held.
+func (s *State) applyEvacuations(items []kvstore.KeyValue) {
 	present, removed := map[string]int64{}, map[string]int64{}
-	for _, item := range s.copy.Items() {
+	for _, item := range items {
 		if zone, requested := platform.EvacuatedZone(item.Key); requested {
 			present[zone] = item.ModRevision
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -297,12 +297,13 @@
 	f.groupsMu.Unlock()
 	f.setIdleLimits(usable)
 	f.registerCold(usable, evacuated)
+	applyLimits := f.currentLimits()
 	for service, servers := range byService {
 		g := f.group(service)
 		g.setEvacuated(excluded[service])
 		g.setServers(servers)
 		// Waiting requests are sent as soon as the pools have a new server, so its limits must be known before.
-		f.applyLimitsTo(g)
+		applyLimits(g)
 		g.refresh()
 	}
 }
--- a/internal/front/serverlimits.go
+++ b/internal/front/serverlimits.go
@@ -130,9 +130,15 @@
 }
 
 // applyLimits passes this host's shares of the limits that servers have named, or that hold while they are cold, to the pools.
-func (f *Front) applyLimits() { f.applyLimitsTo(f.allGroups()...) }
+func (f *Front) applyLimits() {
+	apply := f.currentLimits()
+	for _, g := range f.allGroups() {
+		apply(g)
+	}
+}
 
-func (f *Front) applyLimitsTo(groups ...*group) {
+// currentLimits returns a function that passes the limits, as they are now, to the pools of a group.
+func (f *Front) currentLimits() func(g *group) {
 	now := f.now()
 	var hosts []serverlimit.Host
 	for _, m := range f.exchange.Members() {
@@ -142,7 +148,10 @@
 	f.limits.mu.Lock()
 	defer f.limits.mu.Unlock()
 	all := serverlimit.NewHostSet(f.limits.remember(hosts, now), f.settings.Peers)
-	for _, g := range groups {
+	f.metrics.Set("cold_servers", int64(f.limits.cold.Count(now)))
+	return func(g *group) {
+		f.limits.mu.Lock()
+		defer f.limits.mu.Unlock()
 		var service *fleet.Service
 		if config != nil {
 			service = config.Services[g.service]
@@ -160,7 +169,6 @@
 			return min(perSecond, cold), true
 		})
 	}
-	f.metrics.Set("cold_servers", int64(f.limits.cold.Count(now)))
 }
 
 // coldShare returns this host's share of the limit of a cold server, in jobs per second. A generation is two requests at its
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -340,11 +340,12 @@
 func (s *State) applyCopy() {
 	now := s.now()
 	s.unreadableBefore, s.unreadable = s.unreadable, map[string]bool{}
-	s.applyEvacuations()
+	items := s.copy.Items()
+	s.applyEvacuations(items)
 	var servers []fleet.Server
 	known := s.registrations
 	s.registrations = make(map[string]registration, len(known))
-	for _, item := range s.copy.Items() {
+	for _, item := range items {
 		id, isRegistration := platform.RegistrationID(item.Key)
 		if item.Key == quarantineKey {
 			s.onQuarantine(item)
