--- a/internal/front/evacuation.go
+++ b/internal/front/evacuation.go
@@ -22,6 +22,9 @@
 	// retainedLimit is how long after its start, or after a restore of the store, a host asks others for the evacuations that the
 	// store has lost.
 	retainedLimit = 30 * time.Second
+	// retainedWait is how long after its start a host is not ready while it waits for them. Restores are rare, so it must not
+	// delay the start by much.
+	retainedWait = time.Second
 )
 
 // Sources from which a host learns of an evacuation, as used in logs.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -227,7 +227,7 @@
 	if !f.hasReports() {
 		return f.now().Sub(f.startedAt) > contactTimeout && !f.catchingUp()
 	}
-	return !f.catchingUp() && (!f.state.AwaitsRetained() || f.now().Sub(f.startedAt) > catchUpTimeout)
+	return !f.catchingUp() && (!f.state.AwaitsRetained() || f.now().Sub(f.startedAt) > retainedWait)
 }
 
 // catchingUp reports whether this host has just started and other hosts have a newer configuration.
