--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -1,8 +1,8 @@
 package front
 
 import (
-	"fmt"
 	"maps"
+	"strconv"
 	"sync"
 	"time"
 
@@ -46,6 +46,8 @@
 	now        func() time.Time
 	// recheckDue is set while a re-check of paused backend servers is scheduled.
 	recheckDue bool
+	// limited is set while a backend server has a rate limit.
+	limited bool
 }
 
 func newGroup(service, zone string, limits fleet.RetryLimits, started time.Time, now func() time.Time) *group {
@@ -58,7 +60,7 @@
 }
 
 // serverKey identifies one incarnation of a backend server.
-func serverKey(s fleet.Server) string { return fmt.Sprintf("%s/%d", s.ID, s.StartMillis) }
+func serverKey(s fleet.Server) string { return s.ID + "/" + strconv.FormatInt(s.StartMillis, 10) }
 
 // update replaces the usable backend servers and refreshes the pools.
 func (g *group) update(usable []registry.State) {
@@ -175,12 +177,23 @@
 			rates[key] = perSecond
 		}
 	}
+	g.limited = len(rates) > 0
 	g.mu.Unlock()
 	for _, p := range g.pools() {
 		p.SetRateLimits(rates)
 	}
 }
 
+// clearRateLimits removes the limits that setRateLimits has set.
+func (g *group) clearRateLimits() {
+	g.mu.Lock()
+	limited := g.limited
+	g.mu.Unlock()
+	if limited {
+		g.setRateLimits(func(string, fleet.Server) (float64, bool) { return 0, false })
+	}
+}
+
 // setChanging replaces the engines that are changing their stage, and refreshes the pools if the set has changed.
 func (g *group) setChanging(until map[string]time.Time) {
 	g.mu.Lock()
--- a/internal/front/serverlimits.go
+++ b/internal/front/serverlimits.go
@@ -152,6 +152,10 @@
 	return func(g *group) {
 		f.limits.mu.Lock()
 		defer f.limits.mu.Unlock()
+		if f.limits.table.Empty() && !f.limits.cold.MayHave(now) {
+			g.clearRateLimits()
+			return
+		}
 		var service *fleet.Service
 		if config != nil {
 			service = config.Services[g.service]
@@ -189,7 +193,7 @@
 	applied := false
 	for wait.For(ctx, limitsInterval) == nil {
 		f.limits.mu.Lock()
-		empty := f.limits.table.Empty() && f.limits.cold.Count(f.now()) == 0
+		empty := f.limits.table.Empty() && !f.limits.cold.MayHave(f.now())
 		f.limits.mu.Unlock()
 		if !empty || applied {
 			f.applyLimits()
--- a/internal/serverlimit/cold.go
+++ b/internal/serverlimit/cold.go
@@ -40,6 +40,8 @@
 // Cold records until when servers are cold. It is not safe for concurrent use.
 type Cold struct {
 	servers map[uint64]coldServer
+	// latest is a time after which no server is cold.
+	latest time.Time
 }
 
 // NewCold returns a record without servers.
@@ -62,6 +64,7 @@
 		}
 		s.left, s.seen, s.evacuated = r.Left, now, r.Evacuated
 		c.servers[r.Server] = s
+		c.raise(s.until)
 		if !wasCold && now.Before(s.until) {
 			begun++
 		}
@@ -70,6 +73,15 @@
 	return begun
 }
 
+func (c *Cold) raise(until time.Time) {
+	if until.After(c.latest) {
+		c.latest = until
+	}
+}
+
+// MayHave reports whether a server may be cold, without looking at each.
+func (c *Cold) MayHave(now time.Time) bool { return now.Before(c.latest) }
+
 func (s *coldServer) extend(d time.Duration, now time.Time) {
 	if until := now.Add(min(d, maxColdTime)); until.After(s.until) {
 		s.until = until
@@ -86,6 +98,7 @@
 	wasCold := now.Before(s.until)
 	s.until = now.Add(min(left, maxColdTime))
 	s.seen = now
+	c.raise(s.until)
 	c.servers[server] = s
 	return !wasCold && now.Before(s.until)
 }
--- a/internal/serverlimit/cold_test.go
+++ b/internal/serverlimit/cold_test.go
@@ -52,7 +52,10 @@
 	joined := serverlimit.Registered{Server: 3, ColdStart: 10 * time.Second}
 	c.Register([]serverlimit.Registered{a, b, joined}, at(5))
 	g.Expect(c.IsCold(3, at(14.9))).To(BeTrue())
+	g.Expect(c.Count(at(14.9))).To(Equal(1))
+	g.Expect(c.MayHave(at(14.9))).To(BeTrue())
 	g.Expect(c.Count(at(15))).To(BeZero())
+	g.Expect(c.MayHave(at(15))).To(BeFalse())
 	c.Register([]serverlimit.Registered{a, joined}, at(16))
 	c.Register([]serverlimit.Registered{a, b, joined}, at(40))
 	g.Expect(c.IsCold(2, at(40))).To(BeFalse(), "its registration had expired")
