--- a/internal/front/evacuation.go
+++ b/internal/front/evacuation.go
@@ -19,8 +19,12 @@
 	// ends is not known. A random part of evacuatedRetrySpread is added, so that refused callers do not all return at once.
 	evacuatedRetryAfter  = time.Second
 	evacuatedRetrySpread = 3 * time.Second
-	// retainedLimit is how long after its start a host asks others for the evacuations that the store has lost.
+	// retainedLimit is how long after its start, or after a restore of the store, a host asks others for the evacuations that the
+	// store has lost.
 	retainedLimit = 30 * time.Second
+	// retainedWait is how long after its start a host is not ready while it waits for them. Restores are rare, so it must not
+	// delay the start by much.
+	retainedWait = time.Second
 )
 
 // Sources from which a host learns of an evacuation, as used in logs.
@@ -44,10 +48,10 @@
 // Loaded reports whether a copy of the store has been read, so that the evacuations in force are known.
 func (s *State) Loaded() bool { return s.loaded.Load() }
 
-// applyEvacuations updates the evacuations in force from the copy, with what another host retains. s.mu must be held.
-func (s *State) applyEvacuations() {
+// applyEvacuations updates the evacuations in force from the items of the copy, with what another host retains. s.mu must be held.
+func (s *State) applyEvacuations(items []kvstore.KeyValue) {
 	present, removed := map[string]int64{}, map[string]int64{}
-	for _, item := range s.copy.Items() {
+	for _, item := range items {
 		if zone, requested := platform.EvacuatedZone(item.Key); requested {
 			present[zone] = item.ModRevision
 		}
@@ -113,8 +117,8 @@
 	return len(changes) > 0
 }
 
-// AwaitsRetained reports whether the store was restored and this host, which has just started, has not asked another one for the
-// evacuations that the store may have lost.
+// AwaitsRetained reports whether the store may have been restored while this host did not run or was cut off, and no other one has
+// told it of the evacuations that the store may have lost.
 func (s *State) AwaitsRetained() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -122,7 +126,7 @@
 }
 
 func (s *State) awaitsRetained(now time.Time) bool {
-	return !s.receivedCopy && kvstore.Era(s.copy.Revision()) > 0 && now.Sub(s.startedAt) < retainedLimit
+	return !s.receivedCopy && kvstore.Era(s.copy.Revision()) > 0 && now.Sub(s.eraSeenAt) < retainedLimit
 }
 
 // noServerFailure returns the failure of a request that no backend server ran and none will.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -104,6 +104,7 @@
 	f.quarantine = newQuarantineLedger(log, reg, f.now)
 	f.limits = newServerLimits()
 	f.backends.OnRateLimit = f.observeLimit
+	f.backends.OnCold = f.observeCold
 	f.exchange = exchange.New(exchange.Options{
 		Name: settings.Name, Address: settings.Peers, Zone: settings.Zone, LinkMbps: int32(settings.LinkMbps),
 		Incarnation: f.incarnation, Seeds: settings.Seeds, Local: f, Pool: f.pool,
@@ -226,7 +227,7 @@
 	if !f.hasReports() {
 		return f.now().Sub(f.startedAt) > contactTimeout && !f.catchingUp()
 	}
-	return !f.catchingUp() && (!f.state.AwaitsRetained() || f.now().Sub(f.startedAt) > catchUpTimeout)
+	return !f.catchingUp() && (!f.state.AwaitsRetained() || f.now().Sub(f.startedAt) > retainedWait)
 }
 
 // catchingUp reports whether this host has just started and other hosts have a newer configuration.
@@ -295,9 +296,15 @@
 	}
 	f.groupsMu.Unlock()
 	f.setIdleLimits(usable)
+	f.registerCold(usable, evacuated)
+	applyLimits := f.currentLimits()
 	for service, servers := range byService {
-		f.group(service).setEvacuated(excluded[service])
-		f.group(service).update(servers)
+		g := f.group(service)
+		g.setEvacuated(excluded[service])
+		g.setServers(servers)
+		// Waiting requests are sent as soon as the pools have a new server, so its limits must be known before.
+		applyLimits(g)
+		g.refresh()
 	}
 }
 
