--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -28,6 +28,8 @@
 	// Reserve reserves the other resources that the job needs at a backend server, such as KV memory, and reports whether
 	// they were available. Nil means that the job needs only a slot.
 	Reserve func(key string) bool
+	// Unreserve, if it is not nil, takes back a reservation when the slot is freed.
+	Unreserve func(key string)
 }
 
 // Grant is a slot allocated to a job. The caller ends it with either Release or ReleaseRejected.
@@ -39,19 +41,33 @@
 	// Waited is the time that the job spent in the queue.
 	Waited time.Duration
 
-	pool *Pool
-	once sync.Once
+	pool      *Pool
+	unreserve func(key string)
+	once      sync.Once
 }
 
 // Release frees the slot. Repeated calls have no effect.
 func (g *Grant) Release() {
-	g.once.Do(func() { g.pool.release(g.Key) })
+	g.once.Do(func() {
+		g.freeReserved()
+		g.pool.release(g.Key)
+	})
 }
 
 // ReleaseRejected frees a slot that the backend server refused because it had none free. The backend server gets no new
 // jobs for fullBackoff, or until one of its other slots is released.
 func (g *Grant) ReleaseRejected() {
-	g.once.Do(func() { g.pool.rejected(g.Key) })
+	g.once.Do(func() {
+		g.freeReserved()
+		g.pool.rejected(g.Key)
+	})
+}
+
+// freeReserved takes back the reservation of the job before the slot is given to another one.
+func (g *Grant) freeReserved() {
+	if g.unreserve != nil {
+		g.unreserve(g.Key)
+	}
 }
 
 const (
@@ -290,6 +306,7 @@
 		p.grants.add(now)
 		w.done <- result{grant: &Grant{
 			Candidate: s.Candidate, Occupied: s.localSlots + s.remoteSlots, Waited: now.Sub(w.since), pool: p,
+			unreserve: w.job.Unreserve,
 		}}
 	}
 	p.refuseLate(now)
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -19,6 +19,9 @@
 	Store string
 
 	MemoryBytes int64
+	// BoundBufferedBytes is set where callers and backend servers may read so slowly that the bytes held for them have to be
+	// bounded.
+	BoundBufferedBytes bool
 	// LinkMbps is the bandwidth of the host's network link, in Mbit/s.
 	LinkMbps float64
 	Limits   OperatingLimits
--- a/internal/front/answers_test.go
+++ b/internal/front/answers_test.go
@@ -86,7 +86,7 @@
 	<-ctx.Done()
 	rest, _ := io.Pipe()
 	context.AfterFunc(ctx, func() { _ = rest.CloseWithError(ctx.Err()) })
-	err := d.writeResponse(x, &response{Response: &platform.Response{Status: http.StatusOK, Header: http.Header{}, Length: -1}, body: []byte("a"), rest: rest})
+	err := d.writeResponse(ctx, x, &response{Response: &platform.Response{Status: http.StatusOK, Header: http.Header{}, Length: -1}, body: []byte("a"), rest: rest})
 	var ended *DrainEndedError
 	d.g.Expect(errors.As(err, &ended)).To(BeTrue(), "%v", err)
 	d.g.Expect(x.started).To(BeFalse())
@@ -109,7 +109,7 @@
 			}
 			_ = server.CloseWithError(ctx.Err())
 		}()
-		d.finish(r, x, d.writeResponse(x, &response{Response: &platform.Response{Status: http.StatusOK, Header: http.Header{}, Length: -1}, rest: rest}))
+		d.finish(r, x, d.writeResponse(ctx, x, &response{Response: &platform.Response{Status: http.StatusOK, Header: http.Header{}, Length: -1}, rest: rest}))
 	}))
 	caller, err := net.Dial("tcp", host.Listener.Addr().String())
 	d.g.Expect(err).NotTo(HaveOccurred())
--- /dev/null
+++ b/internal/front/delivery.go
@@ -0,0 +1,283 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/boragecourse/boragecourse/internal/bytebudget"
+)
+
+const (
+	// slowCallerLimit is how long the host waits for a caller that reads nothing while its share of the budget is used up.
+	// Engines cut a response that stays unread for some seconds, which would count as a failure of the engine.
+	slowCallerLimit = 1500 * time.Millisecond
+	// roomPoll is the interval at which a response that waits for room looks for bytes that other connections have released.
+	// Bytes that its own caller has read end the wait at once.
+	roomPoll = 25 * time.Millisecond
+	// maxWrite is the number of bytes that are written at a time, so that a caller's progress within a long event is seen.
+	maxWrite = 16 << 10
+	// partOverhead is the memory of a queued part beside its bytes.
+	partOverhead = 48
+)
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
+// SlowCallerError reports a caller that has read nothing for Waited while its share of the buffered bytes was used up.
+type SlowCallerError struct{ Waited time.Duration }
+
+// Error implements error.
+func (e *SlowCallerError) Error() string {
+	return fmt.Sprintf("caller has read nothing for %v and its share of the buffered bytes is used up", e.Waited)
+}
+
+// HostMemoryError reports that the budget of buffered bytes has no room.
+type HostMemoryError struct{}
+
+// Error implements error.
+func (e *HostMemoryError) Error() string { return "the budget of buffered bytes has no room" }
+
+// delivery writes a response to its caller from a goroutine of its own, so that the backend server's response is read at the
+// server's pace. What the caller has not read yet is queued, as far as the account allows.
+type delivery struct {
+	w       http.ResponseWriter
+	account *bytebudget.Account
+	// failed is called once with the *DeliveryError that ends the delivery early. It must not call the delivery.
+	failed func(error)
+	// panicked is called with the value of a panic and its stack.
+	panicked func(value any, stack []byte)
+
+	mu    sync.Mutex
+	queue [][]byte
+	// idle is set while the writer has nothing to write.
+	idle bool
+	// ending is set when nothing more will be queued, err when the delivery has failed.
+	ending bool
+	err    error
+	// accepted counts the writes that the connection has accepted.
+	accepted int64
+
+	// wake and room have a capacity of one. wake tells the writer that mu's fields have changed, room tells push.
+	wake, room chan struct{}
+	// done is closed when the writer has ended.
+	done chan struct{}
+}
+
+// startDelivery starts the writer. Its caller must call finish or abort before the request's handler returns.
+func startDelivery(w http.ResponseWriter, account *bytebudget.Account, failed func(error), panicked func(any, []byte)) *delivery {
+	d := &delivery{
+		w: w, account: account, failed: failed, panicked: panicked, idle: true,
+		wake: make(chan struct{}, 1), room: make(chan struct{}, 1), done: make(chan struct{}),
+	}
+	go d.run()
+	return d
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// push queues a copy of a part. It waits while there is no room for it; see hold.
+func (d *delivery) push(ctx context.Context, part []byte, waits func()) error {
+	if err := d.hold(ctx, int64(partOverhead+len(part)), waits); err != nil {
+		return err
+	}
+	return d.enqueue(append([]byte(nil), part...))
+}
+
+// enqueue queues a part that the account counts. Errors are *DeliveryError.
+func (d *delivery) enqueue(part []byte) error {
+	d.mu.Lock()
+	if d.err != nil {
+		defer d.mu.Unlock()
+		return &DeliveryError{Cause: d.err}
+	}
+	d.queue = append(d.queue, part)
+	idle := d.idle
+	d.idle = false
+	d.mu.Unlock()
+	if idle {
+		signal(d.wake)
+		// Lets the writer send the part before more of the response is read.
+		runtime.Gosched()
+	}
+	return nil
+}
+
+// hold adds n bytes to the account. While there is no room it waits, and calls waits once when the wait begins. Errors are
+// *DeliveryError, which ends the delivery, and the cause of ctx.
+func (d *delivery) hold(ctx context.Context, n int64, waits func()) error {
+	accepted, held, err := d.tryHold(n)
+	if held || err != nil {
+		return err
+	}
+	waits()
+	poll := time.NewTicker(roomPoll)
+	defer poll.Stop()
+	// Polls are counted, rather than time: a process that was suspended must first give its caller a chance to read.
+	polls := 0
+	for {
+		select {
+		case <-d.room:
+		case <-poll.C:
+			polls++
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+		before := accepted
+		accepted, held, err = d.tryHold(n)
+		switch {
+		case held || err != nil:
+			return err
+		case accepted != before:
+			polls = 0
+		case polls >= int(slowCallerLimit/roomPoll):
+			d.fail(d.waitError())
+		}
+	}
+}
+
+// tryHold adds n bytes to the account if there is room, and returns the number of accepted writes.
+func (d *delivery) tryHold(n int64) (accepted int64, held bool, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.err != nil {
+		return d.accepted, false, &DeliveryError{Cause: d.err}
+	}
+	return d.accepted, d.account.Hold(n), nil
+}
+
+// waitError returns// waitError returns why a wait for room has ended: because of the caller, or of the other connections.
+func (d *delivery) waitError() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.idle {
+		return &HostMemoryError{}
+	}
+	return &SlowCallerError{Waited: slowCallerLimit}
+}
+
+// run writes the queued parts until the delivery ends.
+func (d *delivery) run() {
+	defer close(d.done)
+	defer func() {
+		if v := recover(); v != nil {
+			d.panicked(v, debug.Stack())
+			d.fail(&PanicError{v})
+		}
+	}()
+	for {
+		parts, ended := d.next()
+		if ended {
+			return
+		}
+		if err := d.write(parts); err != nil {
+			d.fail(err)
+			return
+		}
+	}
+}
+
+// next waits for parts to write. It reports whether the delivery has ended.
+func (d *delivery) next() (parts [][]byte, ended bool) {
+	for {
+		d.mu.Lock()
+		parts, d.queue = d.queue, nil
+		d.idle = len(parts) == 0
+		failed, ending := d.err != nil, d.ending
+		d.mu.Unlock()
+		if failed || ending && len(parts) == 0 {
+			return nil, true
+		}
+		if len(parts) > 0 {
+			return parts, false
+		}
+		<-d.wake
+	}
+}
+
+// write sends parts to the caller. Parts that were queued together are flushed together.
+func (d *delivery) write(parts [][]byte) error {
+	for i, part := range parts {
+		size := int64(partOverhead + len(part))
+		for len(part) > 0 {
+			n := min(len(part), maxWrite)
+			if _, err := d.w.Write(part[:n]); err != nil {
+				return err
+			}
+			part = part[n:]
+			d.mu.Lock()
+			d.accepted++
+			d.mu.Unlock()
+		}
+		parts[i] = nil
+		d.account.Release(size)
+		signal(d.room)
+	}
+	return http.NewResponseController(d.w).Flush()
+}
+
+// fail ends the delivery and drops what is queued.
+func (d *delivery) fail(cause error) {
+	d.mu.Lock()
+	first := d.err == nil
+	if first {
+		d.err, d.queue = cause, nil
+	}
+	d.mu.Unlock()
+	signal(d.wake)
+	signal(d.room)
+	if first {
+		d.failed(&DeliveryError{Cause: cause})
+	}
+}
+
+// finish waits until everything queued is written, and until the delivery has ended. It aborts the delivery when caller
+// ends. Errors are *DeliveryError.
+func (d *delivery) finish(caller context.Context) error {
+	d.mu.Lock()
+	d.ending = true
+	failed := d.err != nil
+	d.mu.Unlock()
+	signal(d.wake)
+	if failed {
+		d.abort(nil)
+	}
+	select {
+	case <-d.done:
+	case <-caller.Done():
+		d.abort(context.Cause(caller))
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.err != nil {
+		return &DeliveryError{Cause: d.err}
+	}
+	return nil
+}
+
+// abort ends the delivery without writing the rest. A write that waits for the caller is interrupted. After the delivery has
+// ended it has no effect.
+func (d *delivery) abort(cause error) {
+	select {
+	case <-d.done:
+		return
+	default:
+	}
+	d.mu.Lock()
+	writing := !d.idle
+	d.mu.Unlock()
+	d.fail(cause)
+	if writing {
+		_ = http.NewResponseController(d.w).SetWriteDeadline(past)
+	}
+	<-d.done
+}
--- a/internal/front/eventreader.go
+++ b/internal/front/eventreader.go
@@ -21,20 +21,32 @@
 	afterCR, bareCR bool
 	// complete is set with afterCR when the event ends with that line, returned when it has been returned already.
 	complete, returned bool
+	// hold is called before an event's buffer grows beyond heldEvent, with the number of bytes, and release when they are not
+	// used any more. Both may be nil.
+	hold    func(n int64) error
+	release func(n int64)
+	held    int64
 }
 
+// heldEvent is the size of the buffer up to which it is kept between events, in bytes.
+const heldEvent = 4 << 10
+
 func newEventReader(r io.Reader) *eventReader { return &eventReader{in: bufio.NewReader(r)} }
 
 // next returns the next complete event with its line ends. With an error it returns what has been read of an incomplete one.
 // The slice is valid until the next call.
 func (r *eventReader) next() ([]byte, error) {
 	r.event = r.event[:0]
+	r.free()
 	for {
 		if _, err := r.in.Peek(1); err != nil {
 			return r.event, err
 		}
 		buffered, _ := r.in.Peek(r.in.Buffered())
 		n, ended := r.scan(buffered)
+		if err := r.grow(n); err != nil {
+			return r.event, err
+		}
 		r.event = append(r.event, buffered[:n]...)
 		_, _ = r.in.Discard(n)
 		if len(r.event) > maxEvent {
@@ -46,6 +58,29 @@
 	}
 }
 
+// grow makes room for n more bytes of the event. A larger buffer doubles, and is held before it is allocated.
+func (r *eventReader) grow(n int) error {
+	size := len(r.event) + n
+	if r.hold == nil || size <= heldEvent || size <= cap(r.event) {
+		return nil
+	}
+	size = max(size, 2*cap(r.event))
+	if err := r.hold(int64(size) - r.held); err != nil {
+		return err
+	}
+	r.held = int64(size)
+	r.event = append(make([]byte, 0, size), r.event...)
+	return nil
+}
+
+// free drops a buffer that is larger than heldEvent.
+func (r *eventReader) free() {
+	if r.held > 0 {
+		r.release(r.held)
+		r.event, r.held = nil, 0
+	}
+}
+
 // scan returns how many bytes of b belong to the current event, and whether it ends with them.
 func (r *eventReader) scan(b []byte) (n int, ended bool) {
 	for n < len(b) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -20,6 +20,7 @@
 	"github.com/thejerf/suture/v4"
 	"google.golang.org/grpc"
 
+	"github.com/boragecourse/boragecourse/internal/bytebudget"
 	"github.com/boragecourse/boragecourse/internal/exchange"
 	"github.com/boragecourse/boragecourse/internal/fleet"
 	"github.com/boragecourse/boragecourse/internal/keepalive"
@@ -61,6 +62,11 @@
 	limiterMu sync.Mutex
 	limiter   *ratelimit.Limiter
 
+	// budget and outstanding bound the bytes that are held for callers and backend servers. Both are nil where they are not
+	// bounded.
+	budget      *bytebudget.Budget
+	outstanding *bytebudget.Outstanding
+
 	runTable   *runTable
 	stages     *stages
 	quarantine *quarantineLedger
@@ -99,6 +105,7 @@
 		pool: peer.NewPool("", nil), peers: peer.NewServer("", nil), startedAt: time.Now(), LogLinesDropped: func() int64 { return 0 },
 	}
 	f.ending, f.endAnswers = context.WithCancelCause(context.Background())
+	f.budget, f.outstanding = newBudget(settings.BoundBufferedBytes, settings.MemoryBytes)
 	f.runTable = newRunTable(f.now)
 	f.stages = newStages()
 	f.quarantine = newQuarantineLedger(log, reg, f.now)
@@ -162,7 +169,7 @@
 	defer f.pool.Close()
 	defer peer.Stop(f.peers)
 	f.log.Info("started", "zone", f.settings.Zone, "callers", f.settings.Callers,
-		"peers", f.settings.Peers, "store", f.settings.Store, "memory", f.settings.MemoryBytes)
+		"peers", f.settings.Peers, "store", f.settings.Store, "memory", f.settings.MemoryBytes, "bufferedBytesBounded", f.settings.BoundBufferedBytes)
 	f.drain(ctx, signals, servers)
 	cancel()
 	if err := <-stopped; err != nil && !errors.Is(err, context.Canceled) {
@@ -179,6 +186,8 @@
 	metricsRouter := chi.NewRouter()
 	metricsRouter.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		f.metrics.Set("log_lines_dropped", f.LogLinesDropped())
+		f.metrics.Set("held_bytes", f.budget.Held())
+		f.metrics.Set("server_bytes_most", f.outstanding.Most())
 		if _, err := f.metrics.WriteTo(w); err != nil {
 			f.log.Error(err, "failed to send metrics page")
 		}
@@ -197,6 +206,9 @@
 			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerLimit,
 			DisableGeneralOptionsHandler: true,
 		}, s.listener)
+		if f.budget != nil {
+			server.SetSocketBuffers(socketBuffer)
+		}
 		servers = append(servers, server)
 		go func() { _ = server.Serve() }()
 	}
--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -128,11 +128,11 @@
 	}
 	if response.Status != http.StatusOK {
 		f.recordResponse(x, p.grant.Key, response.Status)
-		return p.grant.Key, f.relayEngineError(x, response, &platform.StatusError{Status: response.Status})
+		return p.grant.Key, f.relayEngineError(ctx, x, response, &platform.StatusError{Status: response.Status})
 	}
 	if err := checkEventStream(response); err != nil {
 		f.recordFailure(ctx, x, p.grant.Key, err)
-		return p.grant.Key, f.relayEngineError(x, response, err)
+		return p.grant.Key, f.relayEngineError(ctx, x, response, err)
 	}
 	s.run, s.runStartedAt, s.watch = p.run, f.now(), watch
 	before := s.events
@@ -230,8 +230,10 @@
 	}
 	job := dispatch.Job{
 		ID: x.request.ID, Value: f.value(x, r.Output), StartBy: startBy, Exclude: excluded,
-		Reserve: func(key string) bool { return f.runTable.add(r, key, capacity) },
+		Reserve:   func(key string) bool { return f.runTable.add(r, key, capacity) },
+		Unreserve: func(string) { f.runTable.end(r) },
 	}
+	job = f.withinServerBytes(x, job)
 	for {
 		grant, err := x.group.decode.Acquire(ctx, job)
 		if err != nil {
@@ -340,7 +342,9 @@
 	ledger := &prefillLedger{group: x.group, hosts: f.hosts(), repeated: x.prefilled}
 	defer ledger.refund()
 	for {
-		grant, err := x.group.prefill.Acquire(ctx, dispatch.Job{ID: x.request.ID, StartBy: f.latestPrefill(x), Exclude: excluded})
+		grant, err := x.group.prefill.Acquire(ctx, f.withinServerBytes(x, dispatch.Job{
+			ID: x.request.ID, StartBy: f.latestPrefill(x), Exclude: excluded,
+		}))
 		if err != nil {
 			return f.prefillSkipped(x, "no-engine", err)
 		}
@@ -424,18 +428,16 @@
 
 // relayEngineError relays an engine's response that is not a stream of events, for the given reason, to the caller. It
 // returns *platform.OutcomeUnknownError instead when the stream has begun or the request may be retried.
-func (f *Front) relayEngineError(x *call, a *platform.Response, reason error) error {
-	read, err := readResponse(a)
+func (f *Front) relayEngineError(ctx context.Context, x *call, a *platform.Response, reason error) error {
+	read, err := readResponse(x, a)
 	if err != nil {
 		return err
 	}
 	if x.started || x.route.Repeatable() {
-		if read.rest != nil {
-			_ = read.rest.Close()
-		}
+		read.drop(x)
 		return &platform.OutcomeUnknownError{Cause: reason}
 	}
-	return f.writeResponse(x, read)
+	return f.writeResponse(ctx, x, read)
 }
 
 // releaseReservation frees an unused reservation at the engine. A decode call that did not run does not free it.
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -19,8 +19,8 @@
 // that is interrupted can still be retried.
 const maxBuffered = 256 << 10
 
-// response is a backend server's response. body holds at most its first maxBuffered bytes. rest is the unread
-// remainder, or nil if body is complete.
+// response is a backend server's response. body holds at most its first maxBuffered bytes, which the request's account
+// counts. rest is the unread remainder, or nil if body is complete.
 type response struct {
 	*platform.Response
 	body []byte
@@ -36,7 +36,7 @@
 		a, key, err := f.sendPlain(ctx, x, excluded)
 		ended := ctx.Err() != nil
 		if err == nil && (a.Status < http.StatusInternalServerError || ended) {
-			return f.writeResponse(x, a)
+			return f.writeResponse(ctx, x, a)
 		}
 		if key == "" || ended {
 			return err
@@ -46,12 +46,12 @@
 		}
 		if reason := f.retryRefused(x, err, runs); reason != "" {
 			if err == nil {
-				return f.writeResponse(x, a)
+				return f.writeResponse(ctx, x, a)
 			}
 			return &RetriesExhaustedError{Reason: reason, Cause: err}
 		}
-		if a != nil && a.rest != nil {
-			_ = a.rest.Close()
+		if a != nil {
+			a.drop(x)
 		}
 		excluded[key] = true
 		f.metrics.Inc("repeats", metrics.L("service", x.group.service), metrics.L("reason", retryReason(err)))
@@ -125,7 +125,7 @@
 	if o := x.route.LatencyObjective; o > 0 {
 		latest = x.request.Arrived.Add(max(o, (x.deadline.Sub(x.request.Arrived))/2))
 	}
-	grant, err := x.group.plain.Acquire(ctx, dispatch.Job{ID: x.request.ID, StartBy: latest, Exclude: excluded})
+	grant, err := x.group.plain.Acquire(ctx, f.withinServerBytes(x, dispatch.Job{ID: x.request.ID, StartBy: latest, Exclude: excluded}))
 	if err != nil {
 		return nil, "", err
 	}
@@ -143,7 +143,7 @@
 		f.recordFailure(ctx, x, grant.Key, err)
 		return nil, grant.Key, err
 	}
-	read, err := readResponse(a)
+	read, err := readResponse(x, a)
 	if err != nil {
 		f.recordFailure(ctx, x, grant.Key, err)
 		return nil, grant.Key, err
@@ -213,7 +213,7 @@
 		result = outlier.Unreachable
 	case errors.As(err, &notRun):
 		result = outlier.Rejected
-	case errors.Is(context.Cause(ctx), context.Canceled), platform.IsDroppedConnection(err):
+	case errors.Is(context.Cause(ctx), context.Canceled), isUndelivered(context.Cause(ctx)), platform.IsDroppedConnection(err):
 		return
 	}
 	if x.group.observe(key, result) {
@@ -221,16 +221,22 @@
 	}
 }
 
-// readResponse buffers up to maxBuffered bytes of a response, and closes its body if the response is shorter. Errors
-// are *platform.OutcomeUnknownError.
-func readResponse(a *platform.Response) (*response, error) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxBuffered))
+// readResponse buffers up to maxBuffered bytes of a response, or as many as the request's account allows, and closes its
+// body if the response is shorter. Errors are *platform.OutcomeUnknownError.
+func readResponse(x *call, a *platform.Response) (*response, error) {
+	limit := maxBuffered
+	in := &heldReader{in: io.LimitReader(a.Body, maxBuffered), hold: x.account.Hold}
+	body, err := io.ReadAll(in)
+	if in.refused {
+		limit, err = len(body), nil
+	}
 	if err != nil {
 		_ = a.Body.Close()
+		x.account.Release(int64(len(body)))
 		return nil, &platform.OutcomeUnknownError{Cause: err}
 	}
 	read := &response{Response: a, body: body}
-	if len(body) == maxBuffered {
+	if len(body) == limit {
 		read.rest = a.Body
 		return read, nil
 	}
@@ -240,7 +246,7 @@
 
 // writeResponse relays a backend server's response to the caller. Errors are *DeliveryError, *BrokenStreamError, and
 // *DrainEndedError for a response that is not complete when this host ends.
-func (f *Front) writeResponse(x *call, a *response) error {
+func (f *Front) writeResponse(ctx context.Context, x *call, a *response) error {
 	if a.rest != nil {
 		defer func() { _ = a.rest.Close() }()
 	}
@@ -259,6 +265,9 @@
 	x.trace.first = f.now().Sub(x.request.Arrived)
 	f.observeLatency(x, x.trace.first)
 	x.w.WriteHeader(a.Status)
+	if a.rest != nil && x.account != nil {
+		return f.relayBuffered(ctx, x, a)
+	}
 	if _, err := x.w.Write(a.body); err != nil {
 		return &DeliveryError{Cause: err}
 	}
@@ -271,6 +280,30 @@
 	return nil
 }
 
+// relayBuffered relays the body of a response that was not read whole, and reads the rest at the backend server's pace as far
+// as the request's account allows.
+func (f *Front) relayBuffered(ctx context.Context, x *call, a *response) error {
+	d := f.startDelivery(x)
+	if err := d.enqueue(a.body); err != nil {
+		return err
+	}
+	buffer := make([]byte, maxWrite)
+	for {
+		n, err := a.rest.Read(buffer)
+		if n > 0 {
+			if err := d.push(ctx, buffer[:n], func() {}); err != nil {
+				return err
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return &BrokenStreamError{Cause: err}
+		}
+	}
+}
+
 // observeLatency records a request's time to first byte.
 func (f *Front) observeLatency(x *call, d time.Duration) {
 	f.metrics.Observe("first_byte", d, metrics.L("service", x.group.service))
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -9,6 +9,7 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/boragecourse/boragecourse/internal/bytebudget"
 	"github.com/boragecourse/boragecourse/internal/dispatch"
 	"github.com/boragecourse/boragecourse/internal/fleet"
 	"github.com/boragecourse/boragecourse/internal/keepalive"
@@ -53,6 +54,15 @@
 	// relayed any more.
 	started bool
 	begin   func() error
+	// caller is the context of the caller's request. cancel ends the context that is derived from it with a cause.
+	caller context.Context //nolint:containedctx // A call is the state of one request.
+	cancel context.CancelCauseFunc
+
+	// account counts the bytes that the host holds for the request, delivery buffers its response; both are nil where they
+	// are not bounded. size is the size of the request with its head, in bytes.
+	account  *bytebudget.Account
+	delivery *delivery
+	size     int64
 
 	trace trace
 }
@@ -108,10 +118,11 @@
 	defer f.open.Add(-1)
 	x := &call{w: w}
 	defer f.answerPanic(x, f.now())
+	defer x.releaseBytes()
 	ctx, cancel, err := f.admit(r, x)
 	if err == nil {
 		defer cancel()
-		err = f.forward(ctx, x)
+		err = x.deliver(f.forward(ctx, x))
 		cancel()
 	}
 	f.finish(r, x, err)
@@ -162,7 +173,7 @@
 			return nil, nil, err
 		}
 	}
-	if err := readBody(r, x); err != nil {
+	if err := f.readBody(r, x); err != nil {
 		return nil, nil, err
 	}
 	f.setDeadline(x, arrived)
@@ -188,6 +199,7 @@
 // begun.
 func (f *Front) requestContext(parent context.Context, x *call) (context.Context, context.CancelFunc) {
 	ctx, end := context.WithCancelCause(parent)
+	x.caller, x.cancel = parent, end
 	stop := context.AfterFunc(f.ending, func() { end(context.Cause(f.ending)) })
 	x.begin = func() error {
 		if !stop() && f.ending.Err() != nil {
@@ -229,14 +241,23 @@
 	return target
 }
 
-func readBody(r *http.Request, x *call) error {
+func (f *Front) readBody(r *http.Request, x *call) error {
 	limit := x.config.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
+	if r.ContentLength <= limit {
+		if err := f.openAccount(r, x); err != nil {
+			return err
+		}
+		x.holdBody(r)
+	}
 	body, err := platform.ReadBody(r, limit)
 	var fault *platform.BodyError
+	var noMemory *HostMemoryError
 	switch {
+	case errors.As(err, &noMemory):
+		return f.refuseMemory()
 	case errors.As(err, &fault) && fault.TooLarge:
 		return &outcome.Error{
 			Outcome: outcome.NotRun, Code: outcome.CodeBodyTooLarge, Status: http.StatusRequestEntityTooLarge, Message: "request body too large", Cause: err,
@@ -247,6 +268,7 @@
 		}
 	}
 	x.request.Body = body
+	x.size += int64(len(body))
 	return nil
 }
 
--- a/internal/front/stall.go
+++ b/internal/front/stall.go
@@ -50,6 +50,8 @@
 	timer *time.Timer
 	// expired is set between the end of the limit and that of stallConfirmation.
 	expired bool
+	// paused is set while the host reads nothing.
+	paused bool
 }
 
 // watchStall returns a context that is canceled with *StalledError when received has not been called for the limit and
@@ -77,7 +79,7 @@
 func (w *stallWatch) confirmed(ctx context.Context) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || w.paused {
 		return false
 	}
 	if !w.expired {
@@ -107,11 +109,19 @@
 	}
 }
 
+// pause stops the watch until the next call of received.
+func (w *stallWatch) pause() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.expired, w.paused = false, true
+	w.timer.Stop()
+}
+
 // received restarts the stall timer.
 func (w *stallWatch) received() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.expired = false
+	w.expired, w.paused = false, false
 	w.timer.Reset(w.limit)
 }
 
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -84,6 +84,7 @@
 	continued := s.x.accepted
 	s.x.accepted = true
 	events := newEventReader(a.Body)
+	defer s.buffer(ctx, events)()
 	before := s.events
 	s.resuming = s.x.route.Repeatable() && s.lastEvent != ""
 	for {
@@ -97,7 +98,7 @@
 			}
 			return &BrokenStreamError{Events: s.events, Cause: err}
 		}
-		if err := s.relayEvent(a, event); err != nil {
+		if err := s.relayEvent(ctx, a, event); err != nil {
 			return err
 		}
 	}
@@ -177,8 +178,54 @@
 	return true
 }
 
-// relayEvent sends one complete event of a run to the caller and updates the request's counters.
-func (s *stream) relayEvent(a *platform.Response, event []byte) error {
+// buffer starts the delivery of the response if it is to be buffered, and makes the reader of a run's events use its account.
+// The returned function frees what the reader holds.
+func (s *stream) buffer(ctx context.Context, events *eventReader) (free func()) {
+	d := s.front.startDelivery(s.x)
+	if d == nil {
+		return func() {}
+	}
+	events.hold = func(n int64) error { return s.awaitRoom(func(waits func()) error { return d.hold(ctx, n, waits) }) }
+	events.release = d.account.Release
+	return events.free
+}
+
+// awaitRoom calls a function that may wait for the caller, during which the run is not expected to send anything.
+func (s *stream) awaitRoom(call func(waits func()) error) error {
+	waited := false
+	err := call(func() {
+		waited = true
+		s.watch.pause()
+	})
+	if waited {
+		s.watch.received()
+	}
+	return err
+}
+
+// send passes an event to the caller, or buffers it for a caller that reads slowly.
+func (s *stream) send(ctx context.Context, event []byte) error {
+	if d := s.x.delivery; d != nil {
+		err := s.awaitRoom(func(waits func()) error { return d.push(ctx, event, waits) })
+		var undelivered *DeliveryError
+		if err != nil && !errors.As(err, &undelivered) {
+			return &BrokenStreamError{Events: s.events, Cause: err}
+		}
+		return err
+	}
+	if _, err := s.x.w.Write(event); err != nil {
+		return &DeliveryError{Cause: err}
+	}
+	if err := http.NewResponseController(s.x.w).Flush(); err != nil {
+		return &DeliveryError{Cause: err}
+	}
+	return nil
+}
+
+// relayEvent sends one complete event of a run to the caller and updates the request's counters, which count the events that
+// were written or buffered. Another run continues after the last of these.
+func (s *stream) relayEvent(ctx context.Context, a *platform.Response, event []byte) error {
+	lastEvent, unnumbered := s.lastEvent, s.unnumbered
 	relayed, err := s.follow(event)
 	if err != nil {
 		return err
@@ -195,16 +242,14 @@
 		s.front.observeLatency(s.x, s.x.trace.first)
 	}
 	s.recordProgress()
-	s.events++
 	s.watch.received()
-	s.x.trace.events = s.events
-	s.front.runTable.progress(s.run, int64(s.events)*s.front.tokensPerEvent(s.x))
-	if _, err := s.x.w.Write(event); err != nil {
-		return &DeliveryError{Cause: err}
-	}
-	if err := http.NewResponseController(s.x.w).Flush(); err != nil {
-		return &DeliveryError{Cause: err}
+	s.front.runTable.progress(s.run, int64(s.events+1)*s.front.tokensPerEvent(s.x))
+	if err := s.send(ctx, event); err != nil {
+		s.lastEvent, s.unnumbered = lastEvent, unnumbered
+		return err
 	}
+	s.events++
+	s.x.trace.events = s.events
 	return nil
 }
 
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -36,6 +36,8 @@
 	stopping atomic.Bool
 	// closing is set when responses announce the end of their connections.
 	closing atomic.Bool
+	// socketBuffer is the size of the connections' socket buffers, 0 for that of the system.
+	socketBuffer int
 	// refused counts the requests whose heads were cut.
 	refused atomic.Int64
 
@@ -59,6 +61,9 @@
 	return s
 }
 
+// SetSocketBuffers sets the size of the send and receive buffers of connections, in bytes. It must be called before Serve.
+func (s *Server) SetSocketBuffers(bytes int) { s.socketBuffer = bytes }
+
 // Serve accepts connections until the server is shut down or closed. It returns the error that ended it.
 func (s *Server) Serve() error {
 	defer s.servedOnce.Do(func() { close(s.served) })
@@ -204,6 +209,16 @@
 	return fmt.Sprintf("End(%d)", int32(e))
 }
 
+// DropUnsent makes the end of the connection on which a request was received drop what it has not sent, which the kernel
+// would otherwise keep for a caller that does not read.
+func DropUnsent(request context.Context) {
+	if c, ok := request.Value(connKey{}).(*conn); ok {
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	}
+}
+
 // EndOf returns what ended the connection on which a request was received.
 func EndOf(request context.Context) End {
 	if c, ok := request.Value(connKey{}).(*conn); ok {
--- a/internal/keepalive/listener.go
+++ b/internal/keepalive/listener.go
@@ -21,6 +21,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if tcp, ok := accepted.(*net.TCPConn); ok && l.socketBuffer > 0 {
+		_ = tcp.SetReadBuffer(l.socketBuffer)
+		_ = tcp.SetWriteBuffer(l.socketBuffer)
+	}
 	c := &conn{Conn: accepted, server: (*Server)(l)}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -24,6 +24,7 @@
 // Codes of refusals and failures, in the order in which they can occur while a request is processed.
 const (
 	CodeDraining          Code = "draining"
+	CodeHostMemory        Code = "host_memory"
 	CodeTooManyOpen       Code = "too_many_open_requests"
 	CodeNoConfiguration   Code = "no_configuration"
 	CodeMalformedRequest  Code = "malformed_request"
--- a/test/standin/users/host.go
+++ b/test/standin/users/host.go
@@ -16,18 +16,17 @@
 	Seeds []string
 	// Bootstrap is set on the first start of the fleet.
 	Bootstrap bool
+	// Contracts lists the conditions under which the fleet serves.
+	Contracts []string
 }
 
 // Write writes the host's settings file.
 func (h HostSpec) Write(path string) error {
-	seeds := make([]string, len(h.Seeds))
-	for i, s := range h.Seeds {
-		seeds[i] = strconv.Quote(s)
-	}
 	text := fmt.Sprintf(`nodeName = %q
 ip = %q
 zone = %q
 seeds = [%s]
+contracts = [%s]
 heartbeatMs = 1200
 bootstrap = %t
 unknownField = "ignored"
@@ -51,13 +50,22 @@
 leaseMs = 3000
 [platform]
 address = %q
-`, h.Name, h.IP, h.Zone, strings.Join(seeds, ","), h.Bootstrap, h.Front, h.Ready, h.Control, h.Store)
+`, h.Name, h.IP, h.Zone, quoted(h.Seeds), quoted(h.Contracts), h.Bootstrap, h.Front, h.Ready, h.Control, h.Store)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("write settings: %w", err)
 	}
 	return nil
 }
 
+// quoted returns the elements of a list of strings in TOML.
+func quoted(list []string) string {
+	out := make([]string, len(list))
+	for i, s := range list {
+		out[i] = strconv.Quote(s)
+	}
+	return strings.Join(out, ",")
+}
+
 // Route returns a route of a configuration with the path prefix /name/. Entries of extra override the defaults.
 func Route(name, host, kind, service string, attempts int, extra map[string]any) map[string]any {
 	r := map[string]any{
--- a/test/users/fleet_test.go
+++ b/test/users/fleet_test.go
@@ -61,12 +61,15 @@
 	version int
 	client  *http.Client
 	next    atomic.Int64
+	// contracts are those of the hosts' settings.
+	contracts []string
 }
 
-func newFleet(t *testing.T, hosts int) *fleet {
+func newFleet(t *testing.T, hosts int, contracts ...string) *fleet {
 	t.Helper()
 	f := &fleet{
-		t: t, g: NewWithT(t), store: users.NewStore(), procs: &loopback.Processes{Bin: bin, Logs: t.TempDir()},
+		contracts: contracts,
+		t:         t, g: NewWithT(t), store: users.NewStore(), procs: &loopback.Processes{Bin: bin, Logs: t.TempDir()},
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
 	}
 	t.Cleanup(f.procs.StopAll)
@@ -110,7 +113,7 @@
 func (f *fleet) start(h *host) {
 	spec := users.HostSpec{
 		Name: filepath.Base(h.settings), Zone: "piran-a", IP: h.ip, Front: h.front, Ready: h.ready, Control: h.control, Store: h.storeEndpoint.Addr,
-		Bootstrap: true,
+		Bootstrap: true, Contracts: f.contracts,
 	}
 	for _, other := range f.hosts {
 		spec.Seeds = append(spec.Seeds, other.control)
