--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -210,3 +210,27 @@
 	g.Expect(p.HasOther(map[string]bool{"1": true})).To(BeTrue())
 	g.Expect(p.HasOther(map[string]bool{"1": true, "2": true})).To(BeFalse())
 }
+
+// Guards against a reservation that outlives its slot: after a release, a rejection, and a grant that arrives as its request ends.
+func TestReservationsEndWithTheirSlots(t *testing.T) {
+	g := NewWithT(t)
+	pool := newPool(1, "a")
+	reserved := 0
+	job := dispatch.Job{
+		StartBy: time.Now().Add(time.Minute), Reserve: func(string) bool { reserved++; return true }, Unreserve: func(string) { reserved-- },
+	}
+	for range 100 {
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		if grant, err := pool.Acquire(ctx, job); err == nil {
+			g.Expect(reserved).To(Equal(1))
+			grant.Release()
+			grant.Release()
+		}
+		g.Expect(reserved).To(BeZero())
+	}
+	grant, err := pool.Acquire(t.Context(), job)
+	g.Expect(err).NotTo(HaveOccurred())
+	grant.ReleaseRejected()
+	g.Expect(reserved).To(BeZero())
+}
--- a/internal/front/buffered.go
+++ b/internal/front/buffered.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/boragecourse/boragecourse/internal/bytebudget"
@@ -13,6 +14,7 @@
 	"github.com/boragecourse/boragecourse/internal/keepalive"
 	"github.com/boragecourse/boragecourse/internal/metrics"
 	"github.com/boragecourse/boragecourse/internal/outcome"
+	"github.com/boragecourse/boragecourse/platform"
 )
 
 const (
@@ -43,14 +45,16 @@
 	account, ok := f.budget.Open(size)
 	if !ok || !account.FitsRequest(r.ContentLength) {
 		account.Close()
-		return f.refuseMemory()
+		return f.refuseMemory(x)
 	}
 	x.account, x.size = account, size
 	return nil
 }
 
-// refuseMemory returns the refusal of a request for which the budget has no room.
-func (f *Front) refuseMemory() error {
+// refuseMemory returns the refusal of a request for which the budget has no room. The connection ends with it, since net/http
+// would otherwise read the body before it sends the refusal.
+func (f *Front) refuseMemory(x *call) error {
+	x.w.Header().Set("Connection", "close")
 	f.metrics.Inc("held_bytes_refused")
 	refusal := outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeHostMemory, "host has no memory for the request")
 	refusal.RetryAfter = memoryRetryAfter + time.Duration(rand.Int64N(int64(memoryRetryAfter)))
@@ -83,11 +87,17 @@
 	io.Closer
 }
 
-// holdBody makes the account of a request count its body as it is read.
-func (x *call) holdBody(r *http.Request) {
-	if x.account != nil && r.Body != nil {
-		r.Body = &heldBody{heldReader{in: r.Body, hold: x.account.HoldRequest}, r.Body}
+// holdBody makes the account of a request count its body as it is read, and bounds the time for that by the request's
+// deadline, so that callers that stop sending do not use up the budget. The returned function lifts the bound once the body is
+// received. After a failure it stays, so that net/http does not wait for the rest.
+func (x *call) holdBody(r *http.Request) (received func()) {
+	if x.account == nil || r.Body == nil || r.ContentLength == 0 {
+		return func() {}
 	}
+	r.Body = &heldBody{heldReader{in: r.Body, hold: x.account.HoldRequest}, r.Body}
+	connection := http.NewResponseController(x.w)
+	_ = connection.SetReadDeadline(x.deadline)
+	return func() { _ = connection.SetReadDeadline(time.Time{}) }
 }
 
 // startDelivery returns the delivery of a response, which it starts at the first call, or nil if responses are not to be
@@ -135,6 +145,14 @@
 	return errors.As(err, &undelivered)
 }
 
+// callerTimedOut reports whether a request has ended because its caller did not read or send in time. net/http ends the
+// context of such a request, and closes its connection, as it does for a caller that has left.
+func callerTimedOut(err error) bool {
+	var slow *SlowCallerError
+	var body *platform.BodyError
+	return errors.As(err, &slow) || (errors.As(err, &body) || isUndelivered(err)) && errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // drop frees a response that is not relayed.
 func (a *response) drop(x *call) {
 	if a.rest != nil {
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"time"
 
@@ -122,7 +123,7 @@
 	ctx, cancel, err := f.admit(r, x)
 	if err == nil {
 		defer cancel()
-		err = x.deliver(f.forward(ctx, x))
+		err = f.forward(ctx, x)
 		cancel()
 	}
 	f.finish(r, x, err)
@@ -173,10 +174,10 @@
 			return nil, nil, err
 		}
 	}
+	f.setDeadline(x, arrived)
 	if err := f.readBody(r, x); err != nil {
 		return nil, nil, err
 	}
-	f.setDeadline(x, arrived)
 	if err := f.refuseLate(x); err != nil {
 		return nil, nil, err
 	}
@@ -246,18 +247,23 @@
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
+	received := func() {}
 	if r.ContentLength <= limit {
 		if err := f.openAccount(r, x); err != nil {
 			return err
 		}
-		x.holdBody(r)
+		received = x.holdBody(r)
 	}
 	body, err := platform.ReadBody(r, limit)
 	var fault *platform.BodyError
 	var noMemory *HostMemoryError
 	switch {
 	case errors.As(err, &noMemory):
-		return f.refuseMemory()
+		return f.refuseMemory(x)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &outcome.Error{
+			Outcome: outcome.NotRun, Code: outcome.CodeMalformedRequest, Status: http.StatusRequestTimeout, Message: "request body not received in time", Cause: err,
+		}
 	case errors.As(err, &fault) && fault.TooLarge:
 		return &outcome.Error{
 			Outcome: outcome.NotRun, Code: outcome.CodeBodyTooLarge, Status: http.StatusRequestEntityTooLarge, Message: "request body too large", Cause: err,
@@ -267,6 +273,7 @@
 			Outcome: outcome.NotRun, Code: outcome.CodeMalformedRequest, Status: http.StatusBadRequest, Message: "request body not fully received", Cause: err,
 		}
 	}
+	received()
 	x.request.Body = body
 	x.size += int64(len(body))
 	return nil
@@ -349,9 +356,9 @@
 	if x.route.Kind == fleet.Generation {
 		f.openStreams.Add(1)
 		defer f.openStreams.Add(-1)
-		return f.forwardGeneration(ctx, x)
+		return x.deliver(f.forwardGeneration(ctx, x))
 	}
-	return f.forwardPlain(ctx, x)
+	return x.deliver(f.forwardPlain(ctx, x))
 }
 
 // finish logs every request, counts failures, and sends the error response. It aborts the connection instead when part of the
@@ -367,7 +374,7 @@
 		return
 	}
 	end := keepalive.EndOf(r.Context())
-	canceled := r.Context().Err() != nil
+	canceled := r.Context().Err() != nil && !callerTimedOut(err)
 	if canceled && end == keepalive.ByHost {
 		f.metrics.Inc("requests_cut")
 		f.logRequest(x, "request cut: its connection was closed by this host", err, elapsed)
--- a/internal/front/stall_test.go
+++ b/internal/front/stall_test.go
@@ -88,3 +88,19 @@
 	close(gate)
 	g.Consistently(ctx.Err).WithTimeout(100 * time.Millisecond).Should(Succeed())
 }
+
+// Guards against an engine that is taken for silent while the host itself does not read, because its caller is slow.
+func TestStallWatchPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, watch := watchStall(t.Context(), time.Second, func() bool { return true })
+		defer watch.stop()
+		time.Sleep(time.Second + stallConfirmation/2)
+		watch.pause()
+		time.Sleep(time.Minute)
+		g.Expect(ctx.Err()).NotTo(HaveOccurred())
+		watch.received()
+		time.Sleep(time.Second + 2*stallConfirmation)
+		g.Expect(ctx.Err()).To(HaveOccurred())
+	})
+}
--- a/test/users/slowcallers_test.go
+++ b/test/users/slowcallers_test.go
@@ -37,8 +37,8 @@
 
 // pressedEngine sends events as fast as they are read, and cuts responses that stay unread for unreadLimit.
 type pressedEngine struct {
-	// cuts counts the cut responses, open those that are being sent. progressAt is the time of the last write in Unix nanoseconds.
-	cuts, open, progressAt atomic.Int64
+	// cuts counts the cut responses, whole those that were sent completely, open those that are being sent. progressAt is the time of the last write in Unix nanoseconds.
+	cuts, whole, open, progressAt atomic.Int64
 }
 
 func pressedEvent(i int) string {
@@ -77,6 +77,7 @@
 		}
 		e.progressAt.Store(time.Now().UnixNano())
 	}
+	e.whole.Add(1)
 }
 
 // blocked reports whether the engine has waited for its response to be read for a while.
@@ -138,12 +139,13 @@
 func TestCallersThatReadSlowlyGetWholeStreams(t *testing.T) {
 	f, engine := newPressedFleet(t)
 	for _, path := range []string{"/ask/", "/note/"} {
+		before := engine.whole.Load()
 		conn := f.openStream(path + fmt.Sprint(wholeEvents))
-		f.g.Eventually(engine.open.Load).WithTimeout(waitTimeout).Should(BeEquivalentTo(1))
-		f.g.Eventually(engine.open.Load).WithTimeout(unreadLimit).Should(BeZero(), "the host has to read at the engine's pace")
+		f.g.Eventually(engine.whole.Load).WithTimeout(unreadLimit).Should(Equal(before+1), "the host has to read at the engine's pace")
 		time.Sleep(unreadLimit + time.Second)
 		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		f.g.Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
 		body, err := io.ReadAll(resp.Body)
 		f.g.Expect(err).NotTo(HaveOccurred())
 		f.g.Expect(events(string(body))).To(Equal(sequence(wholeEvents)))
@@ -166,6 +168,7 @@
 	f.g.Expect(f.metric("slow_callers_given_up_total")).To(Equal("1"))
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err == nil {
+		defer resp.Body.Close()
 		_, err = io.Copy(io.Discard, resp.Body)
 	}
 	f.g.Expect(err).To(HaveOccurred(), "the response must not look complete")
@@ -185,6 +188,24 @@
 	f.g.Expect(f.metric("slow_callers_given_up_total")).To(BeEmpty())
 }
 
+// Guards against a caller that stops sending in the middle of its body and holds a part of the budget without end.
+func TestCallersThatStopSendingAreRefused(t *testing.T) {
+	f, _ := newPressedFleet(t)
+	f.worker(users.WorkerOptions{ID: "app-1", Service: "app"})
+	conn, err := net.Dial("tcp", f.hosts[0].front)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /view/1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: stops\r\nAuthorization: Bearer %s\r\nDeadline-Ms: 1000\r\n"+
+		"Content-Length: 1000000\r\n\r\n%s", hostName, key, strings.Repeat("b", 500000))
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.g.Expect(conn.SetReadDeadline(time.Now().Add(2 * time.Second))).To(Succeed())
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	f.g.Expect(resp.StatusCode).To(Equal(http.StatusRequestTimeout))
+	f.g.Eventually(func() string { return f.metric("held_bytes") }).WithTimeout(waitTimeout).Should(Equal("0"))
+}
+
 const (
 	// bodyBytes is the size of a request body. The host's budget, a quarter of 134 MB, holds fewer than 80 of them; the bound on
 	// one server, serverBytes, less than half of these.
@@ -224,13 +245,14 @@
 			})
 			mu.Lock()
 			defer mu.Unlock()
-			kind := fmt.Sprint(a.status)
+			statuses[fmt.Sprint(a.status)]++
 			if strings.Contains(a.body, "host_memory") {
-				kind = "host_memory"
+				statuses["host_memory"]++
+			}
+			if a.status == http.StatusServiceUnavailable {
 				f.g.Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
 				f.g.Expect(w.Runs()[a.id]).To(BeZero())
 			}
-			statuses[kind]++
 		})
 	}
 	group.Wait()
@@ -239,7 +261,7 @@
 	f.g.Expect(most.Load()).To(BeNumerically(">", serverBytes/2))
 	f.g.Expect(statuses["200"]).To(BeNumerically(">=", 50))
 	f.g.Expect(statuses["host_memory"]).To(BeNumerically(">", 0))
-	f.g.Expect(statuses["200"] + statuses["host_memory"]).To(Equal(manyBodies))
+	f.g.Expect(statuses["200"] + statuses["503"]).To(Equal(manyBodies))
 	f.g.Expect(f.metric("held_bytes_refused_total")).To(Equal(fmt.Sprint(statuses["host_memory"])))
 	f.g.Expect(f.peakMemory(h)).To(BeNumerically("<", endlessMemory))
 }
