--- a/internal/bytebudget/budget.go
+++ b/internal/bytebudget/budget.go
@@ -8,9 +8,12 @@
 	// Floor is the part of a connection's account that is set aside when the account is opened, in bytes. It holds a usual
 	// event, so that a caller that reads is served however much others leave unread.
 	Floor = 4 << 10
-	// responseShare is the divisor of the free bytes that gives the share of one connection. n connections that leave
-	// everything unread hold n/(n+responseShare) of the budget together, and what is left goes to the next one. Eight lets a
-	// single caller leave a ninth of the budget unread, which exceeds a whole response of usual size.
+	// responsePart is the part of the budget that responses may fill, in quarters. The rest is for requests, so that they are
+	// served however much is left unread.
+	responsePart = 3
+	// responseShare is the divisor of the free bytes of that part which gives the share of one connection. n connections that
+	// leave everything unread hold n/(n+responseShare) of the part together, and what is left goes to the next one. Eight lets a
+	// single caller leave a twelfth of the budget unread, which exceeds a whole response of usual size.
 	responseShare = 8
 	// requestShare is the divisor of the free bytes that gives the largest request body. It exceeds the share of responses,
 	// since a body is held whole or not at all.
@@ -94,7 +97,7 @@
 	defer a.budget.mu.Unlock()
 	above := aboveFloor(a.response + n)
 	added := above - aboveFloor(a.response)
-	if added > 0 && above > (a.budget.limit-a.budget.held)/responseShare {
+	if added > 0 && above > (a.budget.limit*responsePart/4-a.budget.held)/responseShare {
 		return false
 	}
 	a.response += n
--- a/internal/front/delivery.go
+++ b/internal/front/delivery.go
@@ -18,7 +18,7 @@
 	slowCallerLimit = 1500 * time.Millisecond
 	// roomPoll is the interval at which a response that waits for room looks for bytes that other connections have released.
 	// Bytes that its own caller has read end the wait at once.
-	roomPoll = 25 * time.Millisecond
+	roomPoll = 50 * time.Millisecond
 	// maxWrite is the number of bytes that are written at a time, so that a caller's progress within a long event is seen.
 	maxWrite = 16 << 10
 	// partOverhead is the memory of a queued part beside its bytes.
@@ -62,6 +62,10 @@
 	// accepted counts the writes that the connection has accepted.
 	accepted int64
 
+	// polls counts the polls during waits for room since accepted had the value seen. Only hold uses them.
+	polls int
+	seen  int64
+
 	// wake and room have a capacity of one. wake tells the writer that mu's fields have changed, room tells push.
 	wake, room chan struct{}
 	// done is closed when the writer has ended.
@@ -115,47 +119,45 @@
 // hold adds n bytes to the account. While there is no room it waits, and calls waits once when the wait begins. Errors are
 // *DeliveryError, which ends the delivery, and the cause of ctx.
 func (d *delivery) hold(ctx context.Context, n int64, waits func()) error {
-	accepted, held, err := d.tryHold(n)
-	if held || err != nil {
+	if held, err := d.tryHold(n); held || err != nil {
 		return err
 	}
 	waits()
 	poll := time.NewTicker(roomPoll)
 	defer poll.Stop()
-	// Polls are counted, rather than time: a process that was suspended must first give its caller a chance to read.
-	polls := 0
 	for {
 		select {
 		case <-d.room:
 		case <-poll.C:
-			polls++
+			d.polls++
 		case <-ctx.Done():
 			return context.Cause(ctx)
 		}
-		before := accepted
-		accepted, held, err = d.tryHold(n)
-		switch {
-		case held || err != nil:
+		if held, err := d.tryHold(n); held || err != nil {
 			return err
-		case accepted != before:
-			polls = 0
-		case polls >= int(slowCallerLimit/roomPoll):
+		}
+		// Polls are counted, rather than time: a process that was suspended must first give its caller a chance to read. They add
+		// up over several waits, since other connections may release a few bytes at a time, which the engine hardly notices.
+		if d.polls >= int(slowCallerLimit/roomPoll) {
 			d.fail(d.waitError())
 		}
 	}
 }
 
-// tryHold adds n bytes to the account if there is room, and returns the number of accepted writes.
-func (d *delivery) tryHold(n int64) (accepted int64, held bool, err error) {
+// tryHold adds n bytes to the account if there is room. It restarts the count of polls if the caller has read anything.
+func (d *delivery) tryHold(n int64) (held bool, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.accepted != d.seen {
+		d.seen, d.polls = d.accepted, 0
+	}
 	if d.err != nil {
-		return d.accepted, false, &DeliveryError{Cause: d.err}
+		return false, &DeliveryError{Cause: d.err}
 	}
-	return d.accepted, d.account.Hold(n), nil
+	return d.account.Hold(n), nil
 }
 
-// waitError returns// waitError returns why a wait for room has ended: because of the caller, or of the other connections.
+// waitError returns why a wait for room has ended: because of the caller, or of the other connections.
 func (d *delivery) waitError() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
