Use a stream of 16 MB in the test of slow callers

The kernel's buffers take 2.5 MB of a stream on loopback, so the test passed without the contract as well.

--- a/test/standin/users/host.go
+++ b/test/standin/users/host.go
@@ -1,6 +1,7 @@
 package users
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"strconv"
@@ -18,6 +19,8 @@
 	Bootstrap bool
 	// Contracts lists the conditions under which the fleet serves.
 	Contracts []string
+	// MemoryMB is the host's memory, 134 if it is 0.
+	MemoryMB int
 }
 
 // Write writes the host's settings file.
@@ -35,7 +38,7 @@
 ready = %q
 control = %q
 [limits]
-memoryMb = 134
+memoryMb = %d
 [bounds]
 reuseAfterS = 2
 drainMs = 2000
@@ -50,7 +53,7 @@
 leaseMs = 3000
 [platform]
 address = %q
-`, h.Name, h.IP, h.Zone, quoted(h.Seeds), quoted(h.Contracts), h.Bootstrap, h.Front, h.Ready, h.Control, h.Store)
+`, h.Name, h.IP, h.Zone, quoted(h.Seeds), quoted(h.Contracts), h.Bootstrap, h.Front, h.Ready, h.Control, cmp.Or(h.MemoryMB, 134), h.Store)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("write settings: %w", err)
 	}
--- a/test/users/fleet_test.go
+++ b/test/users/fleet_test.go
@@ -61,15 +61,20 @@
 	version int
 	client  *http.Client
 	next    atomic.Int64
-	// contracts are those of the hosts' settings.
-	contracts []string
+	// adjust changes the settings of the hosts.
+	adjust func(*users.HostSpec)
 }
 
-func newFleet(t *testing.T, hosts int, contracts ...string) *fleet {
+func newFleet(t *testing.T, hosts int) *fleet {
+	t.Helper()
+	return newFleetWith(t, hosts, func(*users.HostSpec) {})
+}
+
+func newFleetWith(t *testing.T, hosts int, adjust func(*users.HostSpec)) *fleet {
 	t.Helper()
 	f := &fleet{
-		contracts: contracts,
-		t:         t, g: NewWithT(t), store: users.NewStore(), procs: &loopback.Processes{Bin: bin, Logs: t.TempDir()},
+		adjust: adjust,
+		t:      t, g: NewWithT(t), store: users.NewStore(), procs: &loopback.Processes{Bin: bin, Logs: t.TempDir()},
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
 	}
 	t.Cleanup(f.procs.StopAll)
@@ -113,8 +118,9 @@
 func (f *fleet) start(h *host) {
 	spec := users.HostSpec{
 		Name: filepath.Base(h.settings), Zone: "piran-a", IP: h.ip, Front: h.front, Ready: h.ready, Control: h.control, Store: h.storeEndpoint.Addr,
-		Bootstrap: true, Contracts: f.contracts,
+		Bootstrap: true,
 	}
+	f.adjust(&spec)
 	for _, other := range f.hosts {
 		spec.Seeds = append(spec.Seeds, other.control)
 	}
--- a/test/users/slowcallers_test.go
+++ b/test/users/slowcallers_test.go
@@ -28,10 +28,11 @@
 	unreadLimit = 2 * time.Second
 	// freeTime is the time within which an engine must be freed when its caller has left.
 	freeTime = 500 * time.Millisecond
-	// eventBytes is the length of an event of the stand-in engine, wholeEvents the number of events of a stream of 1 MB, which
-	// exceeds what the sockets hold. socketBytes is the size of the buffers of the engine's and the caller's sockets.
+	// eventBytes is the length of an event of the stand-in engine, wholeEvents the number of events of a stream of 16 MB, which
+	// exceeds what sockets hold and is less than the share of one response on a host with largeMemory, in MB. socketBytes is the size of the buffers of the engine's and the caller's sockets.
 	eventBytes  = 4 << 10
-	wholeEvents = 256
+	wholeEvents = 4000
+	largeMemory = 1024
 	socketBytes = 32 << 10
 )
 
@@ -86,8 +87,8 @@
 }
 
 // newPressedFleet returns a host that bounds its buffered bytes, with engines and a configuration that allows long requests.
-func newPressedFleet(t *testing.T) (*fleet, *pressedEngine) {
-	f := newFleet(t, 1, "quiet", "pressure")
+func newPressedFleet(t *testing.T, memoryMB int) (*fleet, *pressedEngine) {
+	f := newFleetWith(t, 1, func(s *users.HostSpec) { s.Contracts, s.MemoryMB = []string{"quiet", "pressure"}, memoryMB })
 	engine := &pressedEngine{}
 	server, err := rawserver.Start(engine.serve)
 	f.g.Expect(err).NotTo(HaveOccurred())
@@ -137,12 +138,14 @@
 // Guards against an engine that cuts a stream because its caller pauses: the host has to read and keep what the caller has not
 // read, and pass it on whole and in order.
 func TestCallersThatReadSlowlyGetWholeStreams(t *testing.T) {
-	f, engine := newPressedFleet(t)
+	f, engine := newPressedFleet(t, largeMemory)
 	for _, path := range []string{"/ask/", "/note/"} {
 		before := engine.whole.Load()
 		conn := f.openStream(path + fmt.Sprint(wholeEvents))
-		f.g.Eventually(engine.whole.Load).WithTimeout(unreadLimit).Should(Equal(before+1), "the host has to read at the engine's pace")
+		f.g.Eventually(engine.whole.Load).WithTimeout(waitTimeout).Should(Equal(before+1), "the host has to read at the engine's pace")
 		time.Sleep(unreadLimit + time.Second)
+		// The rest is read faster.
+		f.g.Expect(conn.SetReadBuffer(1 << 20)).To(Succeed())
 		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		f.g.Expect(err).NotTo(HaveOccurred())
 		defer resp.Body.Close()
@@ -159,7 +162,7 @@
 // Guards against a caller that reads nothing and so blocks an engine until that cuts the response, and makes the host's memory
 // grow meanwhile.
 func TestCallersThatReadNothingAreGivenUp(t *testing.T) {
-	f, engine := newPressedFleet(t)
+	f, engine := newPressedFleet(t, 0)
 	conn := f.openStream("/ask/1000000")
 	f.g.Eventually(engine.blocked).WithTimeout(waitTimeout).Should(BeTrue())
 	f.g.Expect(f.stream(f.hosts[0], "ask").body).To(Equal(pressedEvent(1)), "others must be served meanwhile")
@@ -178,7 +181,7 @@
 // Guards against an engine that goes on with a stream because the host waits for room in a buffer and does not notice that the
 // caller has left.
 func TestCallersThatLeaveFreeTheirEngineWhileTheHostWaits(t *testing.T) {
-	f, engine := newPressedFleet(t)
+	f, engine := newPressedFleet(t, 0)
 	for range 3 {
 		conn := f.openStream("/ask/1000000")
 		f.g.Eventually(engine.blocked).WithTimeout(waitTimeout).Should(BeTrue())
@@ -190,7 +193,7 @@
 
 // Guards against a caller that stops sending in the middle of its body and holds a part of the budget without end.
 func TestCallersThatStopSendingAreRefused(t *testing.T) {
-	f, _ := newPressedFleet(t)
+	f, _ := newPressedFleet(t, 0)
 	f.worker(users.WorkerOptions{ID: "app-1", Service: "app"})
 	conn, err := net.Dial("tcp", f.hosts[0].front)
 	f.g.Expect(err).NotTo(HaveOccurred())
@@ -217,7 +220,7 @@
 // Guards against a backend server that crashes because the host sends it more than the bound at a time while it reads slowly,
 // and against a host that reads more request bodies than its budget has room for.
 func TestServersThatReadSlowlyAreNotSentMoreThanTheBound(t *testing.T) {
-	f, _ := newPressedFleet(t)
+	f, _ := newPressedFleet(t, 0)
 	w := f.worker(users.WorkerOptions{ID: "app-1", Service: "app", Slots: 100})
 	var held, most atomic.Int64
 	w.Before(func(r *http.Request) {
