Bound the bytes of queued log lines

A log line contains the id of its request, which may have the size of a head, 64 KB. 4,096 such lines wait while the log is slow: 256 MB. The queue now holds 4 MB; lines beyond that are dropped and counted, as those beyond 4,096 are.

--- a/internal/logging/buffered.go
+++ b/internal/logging/buffered.go
@@ -11,9 +11,14 @@
 type Buffered struct {
 	out     io.Writer
 	lines   chan []byte
+	queued  atomic.Int64
 	dropped atomic.Int64
 }
 
+// maxQueuedBytes bounds the queued lines, in bytes. A line contains text from remote hosts, such as the id of a request, which may
+// have the size of a whole head.
+const maxQueuedBytes = 4 << 20
+
 // NewBuffered returns a writer to out that queues up to capacity lines. Nothing is written before Run.
 func NewBuffered(out io.Writer, capacity int) *Buffered {
 	return &Buffered{out: out, lines: make(chan []byte, capacity)}
@@ -21,9 +26,16 @@
 
 // Write implements io.Writer. The argument must be one complete line. Write never returns an error.
 func (b *Buffered) Write(line []byte) (int, error) {
+	size := int64(len(line))
+	if b.queued.Add(size) > maxQueuedBytes {
+		b.queued.Add(-size)
+		b.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case b.lines <- append([]byte(nil), line...):
 	default:
+		b.queued.Add(-size)
 		b.dropped.Add(1)
 	}
 	return len(line), nil
@@ -41,6 +53,7 @@
 	for {
 		select {
 		case line := <-b.lines:
+			b.queued.Add(-int64(len(line)))
 			buf = b.fill(append(buf[:0], line...))
 			_, _ = b.out.Write(buf)
 		case <-ctx.Done():
@@ -57,6 +70,7 @@
 	for len(buf) < batchBytes {
 		select {
 		case line := <-b.lines:
+			b.queued.Add(-int64(len(line)))
 			buf = append(buf, line...)
 		default:
 			return buf
--- a/internal/logging/buffered_test.go
+++ b/internal/logging/buffered_test.go
@@ -49,3 +49,26 @@
 	g.Expect(int64(len(lines)) + b.Dropped()).To(Equal(int64(100)))
 	g.Expect(lines[0]).To(Equal("line 0"))
 }
+
+// Guards against long lines that use up the memory of the process while the log is slow, and against a queue that stays full.
+func TestBufferedLogBoundsItsBytes(t *testing.T) {
+	g := NewWithT(t)
+	w := &blockedWriter{open: make(chan struct{})}
+	b := logging.NewBuffered(w, 4096)
+	line := []byte(strings.Repeat("x", 64<<10-1) + "\n")
+	for range 200 {
+		_, _ = b.Write(line)
+	}
+	g.Expect(b.Dropped()).To(BeEquivalentTo(200 - 64))
+	close(w.open)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = b.Run(ctx) }()
+	g.Eventually(func() int64 {
+		before := b.Dropped()
+		_, _ = b.Write(line)
+		return b.Dropped() - before
+	}).Should(BeZero())
+	cancel()
+	<-done
+}
