--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -6,9 +6,11 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"time"
 
+	"github.com/boragecourse/boragecourse/internal/bytebudget"
 	"github.com/boragecourse/boragecourse/internal/dispatch"
 	"github.com/boragecourse/boragecourse/internal/fleet"
 	"github.com/boragecourse/boragecourse/internal/keepalive"
@@ -53,6 +55,15 @@
 	// relayed any more.
 	started bool
 	begin   func() error
+	// caller is the context of the caller's request. cancel ends the context that is derived from it with a cause.
+	caller context.Context //nolint:containedctx // A call is the state of one request.
+	cancel context.CancelCauseFunc
+
+	// account counts the bytes that the host holds for the request, delivery buffers its response; both are nil where they
+	// are not bounded. size is the size of the request with its head, in bytes.
+	account  *bytebudget.Account
+	delivery *delivery
+	size     int64
 
 	trace trace
 }
@@ -108,6 +119,7 @@
 	defer f.open.Add(-1)
 	x := &call{w: w}
 	defer f.answerPanic(x, f.now())
+	defer x.releaseBytes()
 	ctx, cancel, err := f.admit(r, x)
 	if err == nil {
 		defer cancel()
@@ -162,10 +174,10 @@
 			return nil, nil, err
 		}
 	}
-	if err := readBody(r, x); err != nil {
+	f.setDeadline(x, arrived)
+	if err := f.readBody(r, x); err != nil {
 		return nil, nil, err
 	}
-	f.setDeadline(x, arrived)
 	if err := f.refuseLate(x); err != nil {
 		return nil, nil, err
 	}
@@ -188,6 +200,7 @@
 // begun.
 func (f *Front) requestContext(parent context.Context, x *call) (context.Context, context.CancelFunc) {
 	ctx, end := context.WithCancelCause(parent)
+	x.caller, x.cancel = parent, end
 	stop := context.AfterFunc(f.ending, func() { end(context.Cause(f.ending)) })
 	x.begin = func() error {
 		if !stop() && f.ending.Err() != nil {
@@ -229,14 +242,28 @@
 	return target
 }
 
-func readBody(r *http.Request, x *call) error {
+func (f *Front) readBody(r *http.Request, x *call) error {
 	limit := x.config.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
+	received := func() {}
+	if r.ContentLength <= limit {
+		if err := f.openAccount(r, x); err != nil {
+			return err
+		}
+		received = x.holdBody(r)
+	}
 	body, err := platform.ReadBody(r, limit)
 	var fault *platform.BodyError
+	var noMemory *HostMemoryError
 	switch {
+	case errors.As(err, &noMemory):
+		return f.refuseMemory(x)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &outcome.Error{
+			Outcome: outcome.NotRun, Code: outcome.CodeMalformedRequest, Status: http.StatusRequestTimeout, Message: "request body not received in time", Cause: err,
+		}
 	case errors.As(err, &fault) && fault.TooLarge:
 		return &outcome.Error{
 			Outcome: outcome.NotRun, Code: outcome.CodeBodyTooLarge, Status: http.StatusRequestEntityTooLarge, Message: "request body too large", Cause: err,
@@ -246,7 +273,9 @@
 			Outcome: outcome.NotRun, Code: outcome.CodeMalformedRequest, Status: http.StatusBadRequest, Message: "request body not fully received", Cause: err,
 		}
 	}
+	received()
 	x.request.Body = body
+	x.size += int64(len(body))
 	return nil
 }
 
@@ -327,9 +356,9 @@
 	if x.route.Kind == fleet.Generation {
 		f.openStreams.Add(1)
 		defer f.openStreams.Add(-1)
-		return f.forwardGeneration(ctx, x)
+		return x.deliver(f.forwardGeneration(ctx, x))
 	}
-	return f.forwardPlain(ctx, x)
+	return x.deliver(f.forwardPlain(ctx, x))
 }
 
 // finish logs every request, counts failures, and sends the error response. It aborts the connection instead when part of the
@@ -345,7 +374,7 @@
 		return
 	}
 	end := keepalive.EndOf(r.Context())
-	canceled := r.Context().Err() != nil
+	canceled := r.Context().Err() != nil && !callerTimedOut(err)
 	if canceled && end == keepalive.ByHost {
 		f.metrics.Inc("requests_cut")
 		f.logRequest(x, "request cut: its connection was closed by this host", err, elapsed)
--- a/test/standin/users/host.go
+++ b/test/standin/users/host.go
@@ -1,6 +1,7 @@
 package users
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"strconv"
@@ -16,18 +17,19 @@
 	Seeds []string
 	// Bootstrap is set on the first start of the fleet.
 	Bootstrap bool
+	// Contracts lists the conditions under which the fleet serves.
+	Contracts []string
+	// MemoryMB is the host's memory, 134 if it is 0.
+	MemoryMB int
 }
 
 // Write writes the host's settings file.
 func (h HostSpec) Write(path string) error {
-	seeds := make([]string, len(h.Seeds))
-	for i, s := range h.Seeds {
-		seeds[i] = strconv.Quote(s)
-	}
 	text := fmt.Sprintf(`nodeName = %q
 ip = %q
 zone = %q
 seeds = [%s]
+contracts = [%s]
 heartbeatMs = 1200
 bootstrap = %t
 unknownField = "ignored"
@@ -36,7 +38,7 @@
 ready = %q
 control = %q
 [limits]
-memoryMb = 134
+memoryMb = %d
 [bounds]
 reuseAfterS = 2
 drainMs = 2000
@@ -54,13 +56,22 @@
 leaseMs = 3000
 [platform]
 address = %q
-`, h.Name, h.IP, h.Zone, strings.Join(seeds, ","), h.Bootstrap, h.Front, h.Ready, h.Control, h.Store)
+`, h.Name, h.IP, h.Zone, quoted(h.Seeds), quoted(h.Contracts), h.Bootstrap, h.Front, h.Ready, h.Control, cmp.Or(h.MemoryMB, 134), h.Store)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("write settings: %w", err)
 	}
 	return nil
 }
 
+// quoted returns the elements of a list of strings in TOML.
+func quoted(list []string) string {
+	out := make([]string, len(list))
+	for i, s := range list {
+		out[i] = strconv.Quote(s)
+	}
+	return strings.Join(out, ",")
+}
+
 // Route returns a route of a configuration with the path prefix /name/. Entries of extra override the defaults.
 func Route(name, host, kind, service string, attempts int, extra map[string]any) map[string]any {
 	r := map[string]any{
--- a/test/users/fleet_test.go
+++ b/test/users/fleet_test.go
@@ -61,12 +61,20 @@
 	version int
 	client  *http.Client
 	next    atomic.Int64
+	// adjust changes the settings of the hosts.
+	adjust func(*users.HostSpec)
 }
 
 func newFleet(t *testing.T, hosts int) *fleet {
+	t.Helper()
+	return newFleetWith(t, hosts, func(*users.HostSpec) {})
+}
+
+func newFleetWith(t *testing.T, hosts int, adjust func(*users.HostSpec)) *fleet {
 	t.Helper()
 	f := &fleet{
-		t: t, g: NewWithT(t), store: users.NewStore(), procs: &loopback.Processes{Bin: bin, Logs: t.TempDir()},
+		adjust: adjust,
+		t:      t, g: NewWithT(t), store: users.NewStore(), procs: &loopback.Processes{Bin: bin, Logs: t.TempDir()},
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
 	}
 	t.Cleanup(f.procs.StopAll)
@@ -112,6 +120,7 @@
 		Name: filepath.Base(h.settings), Zone: "piran-a", IP: h.ip, Front: h.front, Ready: h.ready, Control: h.control, Store: h.storeEndpoint.Addr,
 		Bootstrap: true,
 	}
+	f.adjust(&spec)
 	for _, other := range f.hosts {
 		spec.Seeds = append(spec.Seeds, other.control)
 	}
