Refuse plain requests by the queueing delay that servers state

Servers with a Load-Report queued 100 to 200 ms under twice their capacity and refused as full, because each host sent by reports older than the work takes. A proportional-integral controller on each host now refuses a share on arrival.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -19,8 +19,13 @@
 // Job is one request that needs a slot.
 type Job struct {
 	ID string
-	// Value orders waiting jobs, highest first: the utility of the response to the caller per unit of slot time.
+	// Rank orders waiting jobs before Value does: 0 is the most urgent. Less urgent ranks keep a bounded share.
+	Rank int
+	// Value orders waiting jobs of one rank, highest first: the utility of the response to the caller per unit of slot time.
 	Value float64
+	// DueBy is the latest start with which the response is in time; zero if that is not known. Among jobs of the same rank
+	// and value, those that can be in time go before those that cannot, the earliest first.
+	DueBy time.Time
 	// StartBy is the deadline for getting a slot; a response started later is of no use to the caller.
 	StartBy time.Time
 	// Exclude holds the keys of backend servers that already failed this job.
@@ -40,6 +45,7 @@
 	Waited time.Duration
 
 	pool *Pool
+	rank int
 	once sync.Once
 }
 
@@ -51,7 +57,7 @@
 // ReleaseRejected frees a slot that the backend server refused because it had none free. The backend server gets no new
 // jobs for fullBackoff, or until one of its other slots is released.
 func (g *Grant) ReleaseRejected() {
-	g.once.Do(func() { g.pool.rejected(g.Key) })
+	g.once.Do(func() { g.pool.rejected(g.Key, g.rank) })
 }
 
 const (
@@ -82,8 +88,9 @@
 	order   []string
 	queue   queue
 	grants  rate
-	// arrivals holds the values of the jobs that arrived within rateWindow.
+	// arrivals holds the ranks and values of the jobs that arrived within rateWindow.
 	arrivals valueWindow
+	ranks    rankShares
 	// limits holds this host's share of the rate limits of backend servers, by key. Other servers have no limit.
 	limits map[string]*rateLimit
 	timer  *time.Timer
@@ -91,8 +98,13 @@
 
 type server struct {
 	Candidate
-	// localSlots are in use by this host, remoteSlots by the other hosts according to their last reports.
+	// localSlots are in use by this host, remoteSlots by the other hosts according to their last reports, or according to
+	// the server itself.
 	localSlots, remoteSlots int
+	// configured is the number of slots of the candidate, and reportedSlots the use that the other hosts reported. Slots
+	// and remoteSlots differ from them while stated is set.
+	configured, reportedSlots int
+	stated                    *statedLoad
 	// fullUntil is when a backend server that refused a job as full becomes eligible again.
 	fullUntil time.Time
 }
@@ -117,7 +129,7 @@
 		if s == nil {
 			s = &server{}
 		}
-		s.Candidate = c
+		s.Candidate, s.configured = c, c.Slots
 		p.servers[c.Key] = s
 		p.order = append(p.order, c.Key)
 	}
@@ -134,7 +146,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for key, s := range p.servers {
-		s.remoteSlots = used[key]
+		s.reportedSlots = used[key]
 	}
 	p.dispatch()
 }
@@ -214,10 +226,12 @@
 func (p *Pool) Acquire(ctx context.Context, job Job) (*Grant, error) {
 	w := &waiter{job: job, since: p.now(), done: make(chan result, 1)}
 	p.mu.Lock()
-	p.arrivals.add(w.since, job.Value)
+	p.arrivals.add(w.since, job)
+	p.ranks.arrived(job.Rank, w.since)
 	p.queue.add(w)
 	p.dispatch()
 	p.refuseOutranked(w)
+	p.refuseHopeless(w)
 	p.mu.Unlock()
 	select {
 	case r := <-w.done:
@@ -240,6 +254,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
+	p.applyStatedLoads(now)
 	return slices.ContainsFunc(p.order, func(key string) bool {
 		s := p.servers[key]
 		return s.localSlots+s.remoteSlots < s.Slots && !now.Before(s.fullUntil) && !excluded[key]
@@ -263,23 +278,25 @@
 	p.dispatch()
 }
 
-func (p *Pool) rejected(key string) {
+func (p *Pool) rejected(key string, rank int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s := p.servers[key]; s != nil {
 		s.localSlots = max(s.localSlots-1, 0)
 		s.fullUntil = p.now().Add(fullBackoff)
 		p.grants.undo()
+		p.ranks.undo(rank, p.now())
 		p.limits[key].refund()
 	}
 	p.dispatch()
 }
 
-// dispatch grants free slots to waiting jobs in order of value, then refuses those that cannot get one before their
-// deadline.
+// dispatch grants free slots to waiting jobs in order of rank and value, then refuses those that cannot get one before
+// their deadline.
 func (p *Pool) dispatch() {
 	now := p.now()
-	for _, w := range p.queue.ordered() {
+	p.applyStatedLoads(now)
+	for _, w := range p.ordered(now) {
 		s := p.choose(w.job, now)
 		if s == nil {
 			continue
@@ -288,8 +305,9 @@
 		s.localSlots++
 		p.limits[s.Key].take()
 		p.grants.add(now)
+		p.ranks.granted(w.job.Rank, now)
 		w.done <- result{grant: &Grant{
-			Candidate: s.Candidate, Occupied: s.localSlots + s.remoteSlots, Waited: now.Sub(w.since), pool: p,
+			Candidate: s.Candidate, Occupied: s.localSlots + s.remoteSlots, Waited: now.Sub(w.since), pool: p, rank: w.job.Rank,
 		}}
 	}
 	p.refuseLate(now)
@@ -299,7 +317,7 @@
 // refuseLate refuses the waiting jobs that will not get a slot before their deadline at the recent rate of grants.
 func (p *Pool) refuseLate(now time.Time) {
 	perSecond := p.grants.perSecond(now)
-	for ahead, w := range p.queue.ordered() {
+	for ahead, w := range p.ordered(now) {
 		remaining := w.job.StartBy.Sub(now)
 		attainable := perSecond*remaining.Seconds() + 1
 		retryAfter, inTime := p.rateAllows(ahead+1, remaining, now)
@@ -311,13 +329,19 @@
 	}
 }
 
-// refuseOutranked refuses a job on arrival when higher-valued jobs arrive faster than slots are granted. The job would
-// otherwise wait until its deadline and then be refused.
+// ordered returns a copy of the waiting jobs in the order in which they get slots, so that entries may be removed during
+// iteration.
+func (p *Pool) ordered(now time.Time) []*waiter {
+	return p.queue.ordered(now, func(rank int) bool { return p.ranks.owed(rank, now) })
+}
+
+// refuseOutranked refuses a job on arrival when jobs of higher rank or value arrive faster than slots are granted. The job
+// would otherwise wait until its deadline and then be refused. A rank that has got less than its share is not refused.
 func (p *Pool) refuseOutranked(w *waiter) {
 	now := p.now()
-	ahead := p.arrivals.countAbove(now, w.job.Value)
+	ahead := p.arrivals.countAbove(now, w.job)
 	granted := p.grants.perSecond(now) * rateWindow.Seconds()
-	if float64(ahead) <= granted*outrankedMargin+1 || !p.queue.remove(w) {
+	if float64(ahead) <= granted*outrankedMargin+1 || p.ranks.owed(w.job.Rank, now) || !p.queue.remove(w) {
 		return
 	}
 	w.done <- result{err: &RefusedError{Stats: p.stats(), Ahead: ahead}}
@@ -335,6 +359,9 @@
 	}
 	next := now.Add(fullBackoff)
 	for _, s := range p.servers {
+		if s.stated != nil && now.Add(statedRecheck).Before(next) {
+			next = now.Add(statedRecheck)
+		}
 		if s.fullUntil.After(now) && s.fullUntil.Before(next) {
 			next = s.fullUntil
 		}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -18,6 +18,8 @@
 	// RateAllowsAfter is when the rate limits of the backend servers allow the job, from now on; 0 when they are not the
 	// reason.
 	RateAllowsAfter time.Duration
+	// TooLate is set when the response could not have been in time while those of other waiting jobs can.
+	TooLate bool
 }
 
 // Error implements error.
@@ -41,7 +43,12 @@
 	done  chan result
 }
 
-// queue holds waiting jobs in descending order of value, those of equal value in order of arrival.
+// before reports whether a job goes before another one whatever the time: its rank is more urgent, or its value higher.
+func (j *Job) before(o *Job) bool {
+	return j.Rank < o.Rank || j.Rank == o.Rank && j.Value > o.Value
+}
+
+// queue holds waiting jobs in order of rank and in descending order of value, equal ones in order of arrival.
 type queue struct {
 	waiters []*waiter
 }
@@ -50,10 +57,10 @@
 
 func (q *queue) add(w *waiter) {
 	i, _ := slices.BinarySearchFunc(q.waiters, w, func(a, b *waiter) int {
-		if a.job.Value >= b.job.Value {
-			return -1
+		if b.job.before(&a.job) {
+			return 1
 		}
-		return 1
+		return -1
 	})
 	q.waiters = slices.Insert(q.waiters, i, w)
 }
@@ -67,8 +74,46 @@
 	return true
 }
 
-// ordered returns a copy, so that entries may be removed during iteration.
-func (q *queue) ordered() []*waiter { return slices.Clone(q.waiters) }
+// ordered returns a copy in the order in which jobs get slots: ranks that are owed a share first, then by rank and value.
+// Among equal jobs, those that can still be in time come first, the earliest deadline first.
+func (q *queue) ordered(now time.Time, owed func(rank int) bool) []*waiter {
+	out := slices.Clone(q.waiters)
+	if len(out) < 2 {
+		return out
+	}
+	first := map[int]bool{}
+	for _, w := range out {
+		if _, known := first[w.job.Rank]; !known {
+			first[w.job.Rank] = owed(w.job.Rank)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b *waiter) int {
+		switch {
+		case first[a.job.Rank] != first[b.job.Rank]:
+			return trueFirst(first[a.job.Rank])
+		case a.job.before(&b.job):
+			return -1
+		case b.job.before(&a.job):
+			return 1
+		case a.job.inTime(now) != b.job.inTime(now):
+			return trueFirst(a.job.inTime(now))
+		case a.job.inTime(now):
+			return a.job.DueBy.Compare(b.job.DueBy)
+		}
+		return 0
+	})
+	return out
+}
+
+func trueFirst(a bool) int {
+	if a {
+		return -1
+	}
+	return 1
+}
+
+// inTime reports whether the response can be in time if the job starts now. It is true for jobs without DueBy.
+func (j *Job) inTime(now time.Time) bool { return j.DueBy.IsZero() || now.Before(j.DueBy) }
 
 // rate counts events over a sliding window.
 type rate struct {
@@ -101,7 +146,7 @@
 	r.times = slices.Delete(r.times, 0, i)
 }
 
-// valueWindow holds the values of the jobs that arrived within a sliding window.
+// valueWindow holds the ranks and values of the jobs that arrived within a sliding window.
 type valueWindow struct {
 	window  time.Duration
 	entries []arrival
@@ -109,20 +154,21 @@
 
 type arrival struct {
 	at    time.Time
+	rank  int
 	value float64
 }
 
-func (v *valueWindow) add(now time.Time, value float64) {
+func (v *valueWindow) add(now time.Time, job Job) {
 	v.prune(now)
-	v.entries = append(v.entries, arrival{now, value})
+	v.entries = append(v.entries, arrival{now, job.Rank, job.Value})
 }
 
-// countAbove returns the number of jobs with a higher value.
-func (v *valueWindow) countAbove(now time.Time, value float64) int {
+// countAbove returns the number of jobs with a more urgent rank, or with the same rank and a higher value.
+func (v *valueWindow) countAbove(now time.Time, job Job) int {
 	v.prune(now)
 	n := 0
 	for _, e := range v.entries {
-		if e.value > value {
+		if e.rank < job.Rank || e.rank == job.Rank && e.value > job.Value {
 			n++
 		}
 	}
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -111,6 +111,7 @@
 
 	routes map[string][]*Route
 	keys   map[string]*Workspace
+	uses   map[string]*serviceUse
 }
 
 // NewConfiguration returns a configuration with indexes of its routes, services and keys. Routes of a host name are
@@ -119,6 +120,7 @@
 	c := &Configuration{
 		Version: version, Limits: limits, Workspaces: workspaces,
 		Services: map[string]*Service{}, routes: map[string][]*Route{}, keys: map[string]*Workspace{},
+		uses: serviceUses(routes, workspaces),
 	}
 	for _, s := range services {
 		c.Services[s.Name] = s
--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/boragecourse/boragecourse/internal/fleet"
+	"github.com/boragecourse/boragecourse/internal/overload"
 )
 
 // TimeoutError is the cause of a request context that reached the caller's deadline or the route's time-out.
@@ -48,6 +50,15 @@
 	return fmt.Sprintf("cost %d exceeds level %.0f (rate %.0f/s, burst %.0f)", e.Cost, e.Level, e.Rate, e.Burst)
 }
 
+// OverloadedError reports a request that was refused on arrival because the backend servers of its service queue more
+// requests than they can serve in time.
+type OverloadedError struct{ Refusal overload.Refusal }
+
+// Error implements error.
+func (e *OverloadedError) Error() string {
+	return fmt.Sprintf("service overloaded: queueing delay %v, refusing %.2f of the requests", e.Refusal.Delay.Round(time.Millisecond), e.Refusal.Probability)
+}
+
 // RetriesExhaustedError reports that a request failed and may not be retried. Reason says which rule forbids the retry.
 type RetriesExhaustedError struct {
 	Reason string
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -114,6 +114,7 @@
 	f.quarantine.changed = f.exchange.Notify
 	f.backends.OnLeaving = f.state.MarkLeaving
 	f.backends.OnRefusal = f.holdOff
+	f.backends.OnLoad = f.observeLoad
 	f.state.onServers = f.setServers
 	f.state.onQuarantine = f.quarantine.adopt
 	f.state.onConfig = f.configure
--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -9,6 +9,7 @@
 	"github.com/boragecourse/boragecourse/internal/dispatch"
 	"github.com/boragecourse/boragecourse/internal/fleet"
 	"github.com/boragecourse/boragecourse/internal/outlier"
+	"github.com/boragecourse/boragecourse/internal/overload"
 	"github.com/boragecourse/boragecourse/internal/registry"
 	"github.com/boragecourse/boragecourse/internal/retrybudget"
 	"github.com/boragecourse/boragecourse/internal/stagesplit"
@@ -37,6 +38,8 @@
 	// heldOff holds the servers that have refused a request and named a time for which they want no others.
 	heldOff map[string]time.Time
 	totals  stagesplit.Totals
+	// overload has its own lock, which is taken after mu if both are.
+	overload groupOverload
 	budget  *retrybudget.Budget
 	// refusing holds the prefill engines that have refused the last prompt that they answered.
 	refusing   map[string]bool
@@ -49,7 +52,7 @@
 func newGroup(service, zone string, limits fleet.RetryLimits, started time.Time, now func() time.Time) *group {
 	return &group{
 		service: service, now: now, servers: map[string]fleet.Server{}, heldOff: map[string]time.Time{}, refusing: map[string]bool{}, retryRatio: limits.Ratio,
-		outliers: outlier.New(),
+		outliers: outlier.New(), overload: groupOverload{controller: overload.New()},
 		plain:    dispatch.NewPool(zone, now), prefill: dispatch.NewPool(zone, now), decode: dispatch.NewPool(zone, now),
 		budget: retrybudget.New(limits, started, now()),
 	}
@@ -66,6 +69,9 @@
 		g.servers[serverKey(s.Server)] = s.Server
 	}
 	g.outliers.Retain(func(key string) bool { _, known := g.servers[key]; return known })
+	g.overload.mu.Lock()
+	g.overload.controller.Retain(func(key string) bool { _, known := g.servers[key]; return known })
+	g.overload.mu.Unlock()
 	maps.DeleteFunc(g.refusing, func(key string, _ bool) bool { _, known := g.servers[key]; return !known })
 	maps.DeleteFunc(g.heldOff, func(_ string, until time.Time) bool { return !g.now().Before(until) })
 	g.mu.Unlock()
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -30,6 +30,9 @@
 // forwardPlain sends a request to a backend server of a plain service, and retries after a failure if the kind of
 // request, the route's attempts and the retry budget allow it.
 func (f *Front) forwardPlain(ctx context.Context, x *call) error {
+	if err := f.refuseOverloaded(x); err != nil {
+		return err
+	}
 	excluded := map[string]bool{}
 	runs := 0
 	for {
@@ -125,8 +128,12 @@
 	if o := x.route.LatencyObjective; o > 0 {
 		latest = x.request.Arrived.Add(max(o, (x.deadline.Sub(x.request.Arrived))/2))
 	}
-	grant, err := x.group.plain.Acquire(ctx, dispatch.Job{ID: x.request.ID, StartBy: latest, Exclude: excluded})
+	rank, _ := f.rank(x)
+	grant, err := x.group.plain.Acquire(ctx, dispatch.Job{
+		ID: x.request.ID, Rank: rank, StartBy: latest, DueBy: f.dueBy(x), Exclude: excluded,
+	})
 	if err != nil {
+		f.countPlainRefusal(x, err)
 		return nil, "", err
 	}
 	defer grant.Release()
@@ -135,9 +142,10 @@
 		return nil, grant.Key, &platform.NotRunError{Cause: &StaleServerError{Key: grant.Key}}
 	}
 	x.trace.server, x.trace.waited = server.ID, grant.Waited
+	sentAt := f.now()
 	a, err := f.run(ctx, x, platform.BackendCall{
 		Request: x.request, Server: server, TimeLeft: x.deadline.Sub(f.now()), Workspace: x.workspaceName(),
-		LastEventID: x.request.LastEventID, Repeatable: x.route.Repeatable(),
+		LastEventID: x.request.LastEventID, Repeatable: x.route.Repeatable(), Urgency: f.urgency(x),
 	})
 	if err != nil {
 		f.recordFailure(ctx, x, grant.Key, err)
@@ -148,10 +156,38 @@
 		f.recordFailure(ctx, x, grant.Key, err)
 		return nil, grant.Key, err
 	}
+	x.group.completed(grant, server.Slots, f.now().Sub(sentAt))
 	f.recordResponse(x, grant.Key, a.Status)
 	return read, grant.Key, nil
 }
 
+// dueBy returns the latest time at which a server may get a plain request so that its response is in time; zero if the
+// route has no objective. The time that the caller has spent on earlier requests counts.
+func (f *Front) dueBy(x *call) time.Time {
+	objective := x.route.LatencyObjective
+	if objective <= 0 {
+		return time.Time{}
+	}
+	due := x.request.Arrived.Add(objective - x.group.workTime())
+	if f.isLate(x) {
+		due = due.Add(x.request.CallerTimeout - x.route.Timeout)
+	}
+	return due
+}
+
+// countPlainRefusal counts a plain request that the pool refused.
+func (f *Front) countPlainRefusal(x *call, err error) {
+	var refused *dispatch.RefusedError
+	if !errors.As(err, &refused) {
+		return
+	}
+	reason := "no_slot"
+	if refused.TooLate {
+		reason = "too_late"
+	}
+	f.metrics.Inc("overload_refusals", metrics.L("service", x.group.service), metrics.L("reason", reason))
+}
+
 // run sends a request to a backend server, unless that has become unusable since it was selected. If the server had dropped
 // the reused connection, a request that may be repeated is sent to it once more on a new connection, which is charged to the
 // retry budget.
@@ -212,6 +248,11 @@
 	case errors.As(err, &notRun) && notRun.Status == 0:
 		result = outlier.Unreachable
 	case errors.As(err, &notRun):
+		// A server that is full serves as many requests as it can; a pause would move its load to the others.
+		if x.route.Kind != fleet.Generation && x.group.refusedAsFull(key) {
+			f.metrics.Inc("servers_full", metrics.L("service", x.group.service))
+			return
+		}
 		result = outlier.Rejected
 	case errors.Is(context.Cause(ctx), context.Canceled), platform.IsDroppedConnection(err):
 		return
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -379,6 +379,7 @@
 	}
 	var timeout *TimeoutError
 	late := errors.As(err, &timeout) || errors.Is(err, context.DeadlineExceeded)
+	var overloaded *OverloadedError
 	var drainEnded *DrainEndedError
 	var inputEnded *InputEndedError
 	switch {
@@ -386,6 +387,11 @@
 		return x.interrupted(outcome.CodeDraining, "no response before the host ended", drainRetry, err)
 	case errors.As(err, &inputEnded):
 		return x.interrupted(outcome.CodeCanceled, "input ended before the response", plainRetryAfter, err)
+	case errors.As(err, &overloaded) && !x.mayHaveRun:
+		return &outcome.Error{
+			Outcome: outcome.NotRun, Code: outcome.CodeOverloaded, Status: http.StatusServiceUnavailable,
+			Message: "service overloaded", RetryAfter: f.retryAfter(x, err), Cause: err,
+		}
 	case !x.mayHaveRun:
 		return &outcome.Error{
 			Outcome: outcome.NotRun, Code: outcome.CodeNoServer, Status: http.StatusServiceUnavailable,
@@ -438,8 +444,12 @@
 			return after + time.Duration(rand.Int64N(int64(after)))
 		}
 	}
+	var overloaded *OverloadedError
+	if errors.As(err, &overloaded) {
+		return spread(overloaded.Refusal.RetryAfter)
+	}
 	if x.route == nil || x.route.Kind != fleet.Generation {
-		return plainRetryAfter
+		return spread(plainRetryAfter)
 	}
 	return streamRetryAfter + time.Duration(rand.Int64N(int64(streamRetrySpread)))
 }
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -45,6 +45,7 @@
 	CodeQuotaUnavailable  Code = "quota_unavailable"
 	CodeChargesFull       Code = "charges_full"
 	CodeNoServer          Code = "no_backend_server"
+	CodeOverloaded        Code = "overloaded"
 	CodeDeadline          Code = "deadline_unreachable"
 	CodeQueueFull         Code = "queue_full"
 	CodeServerRefused     Code = "backend_server_refused"
