Tune the overload controller for 60 hosts and test it with odd servers

With 60 hosts a host sees few responses of each server. The gains follow the age of the reports now, a report counts for 300 ms, and the stated load replaces the reports of other hosts for 1 s.

--- a/internal/dispatch/stated.go
+++ b/internal/dispatch/stated.go
@@ -3,8 +3,9 @@
 import "time"
 
 const (
-	// statedTTL is how long the load that a server has stated replaces what other hosts have reported.
-	statedTTL = 500 * time.Millisecond
+	// statedTTL is how long the load that a server has stated replaces what other hosts have reported. A host of a fleet of
+	// 60 sees 5 responses a second of each server.
+	statedTTL = time.Second
 	// statedRecheck is how often waiting jobs are matched with the estimated use of servers that state their load.
 	statedRecheck = 10 * time.Millisecond
 	// drainShare is the share of a server's completions by which its estimated use falls after its report. The other hosts
--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -40,7 +40,7 @@
 	totals  stagesplit.Totals
 	// overload has its own lock, which is taken after mu if both are.
 	overload groupOverload
-	budget  *retrybudget.Budget
+	budget   *retrybudget.Budget
 	// refusing holds the prefill engines that have refused the last prompt that they answered.
 	refusing   map[string]bool
 	retryRatio float64
@@ -53,7 +53,7 @@
 	return &group{
 		service: service, now: now, servers: map[string]fleet.Server{}, heldOff: map[string]time.Time{}, refusing: map[string]bool{}, retryRatio: limits.Ratio,
 		outliers: outlier.New(), overload: groupOverload{controller: overload.New()},
-		plain:    dispatch.NewPool(zone, now), prefill: dispatch.NewPool(zone, now), decode: dispatch.NewPool(zone, now),
+		plain: dispatch.NewPool(zone, now), prefill: dispatch.NewPool(zone, now), decode: dispatch.NewPool(zone, now),
 		budget: retrybudget.New(limits, started, now()),
 	}
 }
--- a/internal/front/overload_test.go
+++ b/internal/front/overload_test.go
@@ -36,7 +36,7 @@
 	turn             chan struct{}
 	// slowdown is added to the time of the work, as a share of it, when all slots are in use.
 	slowdown float64
-	// silent servers state no load, lying ones a queue that does not exist.
+	// A silent server states no load, a lying one a queue that does not exist.
 	silent, lying bool
 }
 
@@ -261,17 +261,70 @@
 // waves rises from the capacity to twice of it and falls again, every 6 s.
 func waves(at time.Duration) float64 { return 1.5 - 0.5*math.Cos(2*math.Pi*at.Seconds()/6) }
 
+func constant(load float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return load }
+}
+
+// play runs a simulation on a fake clock and returns the responses in time as a share of the capacity.
+func play(t *testing.T, hosts int, controlled bool, load func(time.Duration) float64, servers ...*simServer) (s *sim, inTime float64) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s = newSim(hosts, controlled, servers...)
+		s.load, s.length = load, 18*time.Second
+		s.run()
+		t.Logf("%d hosts, controlled %t: %v", hosts, controlled, s)
+	})
+	return s, float64(s.inTime) / (float64(len(servers)*simSlots) / simWork.Seconds() * s.length.Seconds())
+}
+
+func threeServers() []*simServer { return []*simServer{{}, {}, {}} }
+
+// Load: 28 and 60 hosts send one to two times the capacity of 3 servers, in waves. Guards against queues that make all
+// responses late, against hosts that refuse all or nothing together, and against servers that refuse as full until the retry
+// budget is used up. The requirement is 0.9 of the capacity in time. With 60 hosts, single runs were between 0.92 and 0.95.
 func TestOverloadedServiceServesItsCapacityInTime(t *testing.T) {
-	for _, hosts := range []int{28, 60} {
-		for _, controlled := range []bool{false, true} {
-			synctest.Test(t, func(t *testing.T) {
-				g := NewWithT(t)
-				_ = g
-				s := newSim(hosts, controlled, &simServer{}, &simServer{}, &simServer{})
-				s.load, s.length = waves, 18*time.Second
-				s.run()
-				t.Logf("%d hosts, controlled %t: %v", hosts, controlled, s)
-			})
+	for hosts, least := range map[int]float64{28: 0.93, 60: 0.9} {
+		g := NewWithT(t)
+		before, inTimeBefore := play(t, hosts, false, waves, threeServers()...)
+		after, inTime := play(t, hosts, true, waves, threeServers()...)
+		g.Expect(inTime).To(BeNumerically(">", least))
+		g.Expect(inTime).To(BeNumerically(">", 1.7*inTimeBefore))
+		g.Expect(after.took[len(after.took)/2]).To(BeNumerically("<", simObjective))
+		g.Expect(after.lost).To(BeNumerically("<", 9*before.lost/10), "lost callers")
+		g.Expect(after.full).To(BeNumerically("<", before.full/10), "refusals of full servers")
+		// No second may be without work while hosts refuse, or full of late responses. The last one is not whole.
+		for second, n := range after.perSecond[:18] {
+			g.Expect(n).To(BeNumerically(">", 300), "second %d", second)
 		}
 	}
 }
+
+// Guards against refusals while there is no queue to speak of. In a fleet of 60 hosts the servers queue for moments at
+// three quarters of the load already, because hosts know little of each other.
+func TestNothingIsRefusedBelowCapacity(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := play(t, 28, true, constant(0.7), threeServers()...)
+	g.Expect(s.refused).To(BeZero())
+	s, _ = play(t, 60, true, constant(0.7), threeServers()...)
+	g.Expect(s.refused).To(BeNumerically("<", s.callers/500))
+	g.Expect(s.lost).To(BeZero())
+}
+
+// Guards against a controller that relies on correct reports: one server states none, one states a queue that does not
+// exist, one slows down by half when it is full.
+func TestServersWithoutOrWithWrongReports(t *testing.T) {
+	for name, odd := range map[string]func() *simServer{
+		"silent":         func() *simServer { return &simServer{silent: true} },
+		"lying":          func() *simServer { return &simServer{lying: true} },
+		"slow when full": func() *simServer { return &simServer{slowdown: 0.5} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, before := play(t, 28, false, waves, &simServer{}, &simServer{}, &simServer{slowdown: odd().slowdown})
+			_, after := play(t, 28, true, waves, &simServer{}, &simServer{}, odd())
+			g.Expect(after).To(BeNumerically(">", 1.5*before))
+			below, _ := play(t, 28, true, constant(0.6), &simServer{}, &simServer{}, odd())
+			g.Expect(below.lost).To(BeNumerically("<", below.callers/200))
+		})
+	}
+}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -10,26 +10,29 @@
 )
 
 const (
-	// freshness is how long a report or a response describes its server. A host sees 5 to 20 responses a second of each
-	// server in a large fleet, so a longer gap means that it does not use the server.
-	freshness = 500 * time.Millisecond
+	// freshness is how long a report or a response describes its server. A host of a large fleet sees 5 to 20 responses a
+	// second of each server, and the queue of a server is served within 100 to 200 ms.
+	freshness = 300 * time.Millisecond
 	// tick is the least time between two steps of the controller. It is shorter than the time between two responses.
 	tick = 20 * time.Millisecond
 	// maxStep bounds the time that one step integrates over, since the delay is not known between sparse reports.
 	maxStep = 100 * time.Millisecond
 	// targetShare is the queueing delay that the controller aims for, as a share of the time that the objective leaves
-	// beside the work. The delay swings around the target by about its own size, because hosts act on reports that are
-	// as old as the responses take, so half of the time left would make one response in some late.
-	targetShare = 0.35
+	// beside the work. The delay of single requests reaches several times the target, because hosts act on reports that are
+	// as old as the responses take and the work varies. With 0.4, a tenth of the responses were late in the simulation.
+	targetShare = 0.2
+	// idleShare is the share of the target up to which a delay counts as none. Random arrivals below the capacity cause
+	// short queues.
+	idleShare = 0.9
+	// deadBand is the probability below which nothing is refused. A single report of a short queue raises it by less.
+	deadBand = 0.1
 	// limitShare is the queueing delay up to which requests are sent to a server, as a share of the same time.
 	limitShare = 0.75
-	// observationLag is the usual age of a report when it is used.
-	observationLag = 60 * time.Millisecond
-	// proportional is the product of gain, dead time and load at which the loop is stable with a margin of three:
-	// an integrator with dead time oscillates from pi/2 on.
-	proportional = 0.5
+	// proportional is the product of gain, dead time and load under twice the capacity. An integrator with dead time, as the
+	// queue is one, oscillates if it reaches pi/2.
+	proportional = 1.2
 	// integralTime is the time constant of the integral part, in dead times.
-	integralTime = 3.0
+	integralTime = 4
 	// release is the time constant with which the probability falls when nothing queues or nothing is known.
 	release = 100 * time.Millisecond
 	// maxProbability keeps a few requests in flight, whose responses carry the next reports.
@@ -214,15 +217,17 @@
 // of the work alone. known is false if no server has made a recent report.
 func (c *Controller) Delay(now time.Time) (delay, work time.Duration, known bool) {
 	var sum, workSum, weight float64
+	count := 0
 	for _, s := range c.servers {
 		d, ok := s.delay(now)
 		if !ok {
 			continue
 		}
+		count++
 		w := float64(max(s.load.Slots, 1))
 		sum, workSum, weight = sum+w*float64(d), workSum+w*float64(s.work), weight+w
 	}
-	if weight == 0 {
+	if count == 0 {
 		return 0, 0, false
 	}
 	return time.Duration(sum / weight), time.Duration(workSum / weight), true
@@ -244,16 +249,17 @@
 	elapsed = min(elapsed, maxStep)
 	c.updated = now
 	delay, work, known := c.Delay(now)
-	if !known || c.objective <= 0 || delay == 0 {
+	target := c.target(work)
+	floor := time.Duration(idleShare * float64(target))
+	if !known || c.objective <= 0 || delay <= floor {
 		c.p *= math.Exp(-elapsed.Seconds() / release.Seconds())
 		if c.p < 0.01 {
 			c.p = 0
 		}
-		c.lastDelay = 0
+		c.lastDelay = floor
 		return
 	}
-	target := c.target(work)
-	deadTime := (target + work + observationLag).Seconds()
+	deadTime := (target + work + c.age(now)).Seconds()
 	gain := proportional / (2 * deadTime)
 	c.p += gain * (delay - c.lastDelay).Seconds()
 	c.p += gain / (integralTime * deadTime) * (delay - target).Seconds() * elapsed.Seconds()
@@ -261,8 +267,19 @@
 	c.lastDelay = delay
 }
 
+// age returns the mean age of the reports and responses that are still used.
+func (c *Controller) age(now time.Time) time.Duration {
+	sum, n := time.Duration(0), 0
+	for _, s := range c.servers {
+		if age := min(now.Sub(s.loadAt), now.Sub(s.excessAt)); age <= freshness {
+			sum, n = sum+age, n+1
+		}
+	}
+	return sum / time.Duration(max(n, 1))
+}
+
 // Probability returns the share of all arrivals that is refused now.
 func (c *Controller) Probability(now time.Time) float64 {
 	c.step(now)
-	return c.p
+	return max(c.p-deadBand, 0) / (1 - deadBand)
 }
