Order waiting requests by rank before value, with a bounded share for lower ranks

The priorities of routes and workspaces were decoded and not used. Runs and prefills carry Request-Urgency where a service has more than one rank.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -19,6 +19,8 @@
 // Job is one request that needs a slot.
 type Job struct {
 	ID string
+	// Begun is set when the caller has got part of the response. Such jobs go before all others.
+	Begun bool
 	// Rank orders waiting jobs before Value does: 0 is the most urgent. Less urgent ranks keep a bounded share.
 	Rank int
 	// Value orders waiting jobs of one rank, highest first: the utility of the response to the caller per unit of slot time.
@@ -190,6 +192,7 @@
 func (p *Pool) TotalUse() map[string]int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.applyStatedLoads(p.now())
 	used := map[string]int{}
 	for key, s := range p.servers {
 		used[key] = s.localSlots + s.remoteSlots
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -43,8 +43,12 @@
 	done  chan result
 }
 
-// before reports whether a job goes before another one whatever the time: its rank is more urgent, or its value higher.
+// before reports whether a job goes before another one whatever the time and the shares of the ranks: its response has
+// begun, its rank is more urgent, or its value higher.
 func (j *Job) before(o *Job) bool {
+	if j.Begun != o.Begun {
+		return j.Begun
+	}
 	return j.Rank < o.Rank || j.Rank == o.Rank && j.Value > o.Value
 }
 
@@ -74,8 +78,8 @@
 	return true
 }
 
-// ordered returns a copy in the order in which jobs get slots: ranks that are owed a share first, then by rank and value.
-// Among equal jobs, those that can still be in time come first, the earliest deadline first.
+// ordered returns a copy in the order in which jobs get slots: those that have begun first, then ranks that are owed a
+// share, then by rank and value. Among equal jobs, those that can still be in time come first, the earliest deadline first.
 func (q *queue) ordered(now time.Time, owed func(rank int) bool) []*waiter {
 	out := slices.Clone(q.waiters)
 	if len(out) < 2 {
@@ -89,6 +93,8 @@
 	}
 	slices.SortStableFunc(out, func(a, b *waiter) int {
 		switch {
+		case a.job.Begun != b.job.Begun:
+			return trueFirst(a.job.Begun)
 		case first[a.job.Rank] != first[b.job.Rank]:
 			return trueFirst(first[a.job.Rank])
 		case a.job.before(&b.job):
@@ -153,22 +159,21 @@
 }
 
 type arrival struct {
-	at    time.Time
-	rank  int
-	value float64
+	at  time.Time
+	job Job
 }
 
 func (v *valueWindow) add(now time.Time, job Job) {
 	v.prune(now)
-	v.entries = append(v.entries, arrival{now, job.Rank, job.Value})
+	v.entries = append(v.entries, arrival{now, Job{Begun: job.Begun, Rank: job.Rank, Value: job.Value}})
 }
 
-// countAbove returns the number of jobs with a more urgent rank, or with the same rank and a higher value.
+// countAbove returns the number of jobs that go before a job.
 func (v *valueWindow) countAbove(now time.Time, job Job) int {
 	v.prune(now)
 	n := 0
-	for _, e := range v.entries {
-		if e.rank < job.Rank || e.rank == job.Rank && e.value > job.Value {
+	for i := range v.entries {
+		if v.entries[i].job.before(&job) {
 			n++
 		}
 	}
--- a/internal/dispatch/rankshare.go
+++ b/internal/dispatch/rankshare.go
@@ -10,8 +10,8 @@
 	// ranks together. It exceeds the quarter that each kind of request must get, so that the quarter holds in spite of the
 	// variation over a few seconds.
 	minRankShare = 0.4
-	// rankWindow is the time constant with which arrivals and grants are forgotten. It covers several times a stream's
-	// time in its slot, about 3 s, would hide that a rank gets nothing now.
+	// rankWindow is the time constant with which arrivals and grants are forgotten. It is about the time that a stream
+	// keeps its slot; a longer one would hide that a rank gets nothing now.
 	rankWindow = 3 * time.Second
 	// minRankArrivals is the number of recent arrivals below which a rank has no share of its own.
 	minRankArrivals = 2
--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -117,7 +117,7 @@
 	s.firstEventAt = time.Time{}
 	response, err := f.run(ctx, x, platform.BackendCall{
 		Request: x.request, Server: p.server, TimeLeft: x.deadline.Sub(f.now()), Workspace: x.workspaceName(),
-		LastEventID: s.lastEvent, ReservationID: p.reservationID, Result: result, Repeatable: x.route.Repeatable(),
+		LastEventID: s.lastEvent, ReservationID: p.reservationID, Result: result, Repeatable: x.route.Repeatable(), Urgency: f.urgency(x),
 	})
 	if err != nil {
 		f.recordFailure(ctx, x, p.grant.Key, err)
@@ -228,8 +228,9 @@
 	if e := f.engineOf(x); e != nil {
 		capacity = e.KVCapacity
 	}
+	rank, _ := f.rank(x)
 	job := dispatch.Job{
-		ID: x.request.ID, Value: f.value(x, r.Output), StartBy: startBy, Exclude: excluded,
+		ID: x.request.ID, Begun: x.accepted, Rank: rank, Value: f.value(x, r.Output), StartBy: startBy, Exclude: excluded,
 		Reserve: func(key string) bool { return f.runTable.add(r, key, capacity) },
 	}
 	for {
@@ -339,8 +340,9 @@
 	excluded := map[string]bool{}
 	ledger := &prefillLedger{group: x.group, hosts: f.hosts(), repeated: x.prefilled}
 	defer ledger.refund()
+	rank, _ := f.rank(x)
 	for {
-		grant, err := x.group.prefill.Acquire(ctx, dispatch.Job{ID: x.request.ID, StartBy: f.latestPrefill(x), Exclude: excluded})
+		grant, err := x.group.prefill.Acquire(ctx, dispatch.Job{ID: x.request.ID, Begun: x.accepted, Rank: rank, StartBy: f.latestPrefill(x), Exclude: excluded})
 		if err != nil {
 			return f.prefillSkipped(x, "no-engine", err)
 		}
@@ -401,7 +403,7 @@
 	defer watch.stop()
 	call := platform.BackendCall{
 		Request: x.request, Server: server, TimeLeft: x.deadline.Sub(f.now()), Workspace: x.workspaceName(), LastEventID: lastEvent,
-		Repeatable: true, NewConnection: x.sentBefore(server),
+		Repeatable: true, NewConnection: x.sentBefore(server), Urgency: f.urgency(x),
 	}
 	result, err := f.backends.Prefill(ctx, call)
 	if platform.IsDroppedConnection(err) && ctx.Err() == nil && x.group.usable(server) && f.mayRetry(x) {
