--- a/internal/dispatch/rank_test.go
+++ b/internal/dispatch/rank_test.go
@@ -15,7 +15,7 @@
 
 // rankResult counts the jobs of one rank by their outcome.
 type rankResult struct {
-	arrived, served, inTime int
+	arrived, served int
 }
 
 func (r rankResult) fraction() float64 { return float64(r.served) / float64(max(r.arrived, 1)) }
--- a/internal/front/drain_test.go
+++ b/internal/front/drain_test.go
@@ -31,6 +31,7 @@
 	plain, engine *users.Worker
 	signals       chan os.Signal
 	stopped       chan error
+	store         *users.Store
 }
 
 // newDrainFixture runs a host. prepare is called before it starts.
@@ -38,6 +39,7 @@
 	t.Helper()
 	d := &drainFixture{g: NewWithT(t), signals: make(chan os.Signal, 1), stopped: make(chan error, 1)}
 	store := users.NewStore()
+	d.store = store
 	endpoint, err := store.StartEndpoint()
 	d.g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(endpoint.Close)
--- a/internal/front/overload_test.go
+++ b/internal/front/overload_test.go
@@ -82,18 +82,20 @@
 	servers    map[string]*simServer
 	registered []fleet.Server
 	groups     []*group
-	reporting  bool
+	// urgent is the share of the callers with rank 0; the others have rank 1.
+	urgent float64
 
 	mu                                                sync.Mutex
 	callers, inTime, inTimeOfCaller, late, lost, full int
 	refused, noBudget                                 int
+	ofRank, servedOfRank                              [2]int
 	took                                              []time.Duration
 	// perSecond holds the responses in time by the second of their arrival.
 	perSecond []int
 }
 
 func newSim(hosts int, controlled bool, servers ...*simServer) *sim {
-	s := &sim{controlled: controlled, servers: map[string]*simServer{}, reporting: true}
+	s := &sim{controlled: controlled, servers: map[string]*simServer{}, urgent: 1}
 	var usable []registry.State
 	for i, server := range servers {
 		server.turn = make(chan struct{}, simSlots)
@@ -152,7 +154,11 @@
 		again := rng.IntN(len(s.groups))
 		work := simWork/2 + time.Duration(rng.ExpFloat64()*float64(simWork/2))
 		second := int(at.Seconds())
-		group.Go(func() { s.caller(host, again, work, second) })
+		rank := 0
+		if rng.Float64() >= s.urgent {
+			rank = 1
+		}
+		group.Go(func() { s.caller(rank, host, again, work, second) })
 	}
 	group.Wait()
 	cancel()
@@ -161,16 +167,20 @@
 }
 
 // caller sends a request, and once more after a refusal.
-func (s *sim) caller(host, again int, work time.Duration, second int) {
+func (s *sim) caller(rank, host, again int, work time.Duration, second int) {
 	began := time.Now()
-	retryAfter, err := s.request(s.groups[host], work, began, false, second)
+	retryAfter, err := s.request(s.groups[host], rank, work, began, false, second)
 	if left := simCallerLimit - time.Since(began); err != nil && retryAfter <= left/3 {
 		time.Sleep(retryAfter)
-		_, err = s.request(s.groups[again], work, began, true, second)
+		_, err = s.request(s.groups[again], rank, work, began, true, second)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.callers++
+	s.ofRank[rank]++
+	if err == nil {
+		s.servedOfRank[rank]++
+	}
 	switch took := time.Since(began); {
 	case err != nil:
 		s.lost++
@@ -184,16 +194,16 @@
 var errSimRefused = errors.New("refused")
 
 // request does what forwardPlain does.
-func (s *sim) request(g *group, work time.Duration, began time.Time, returned bool, second int) (time.Duration, error) {
+func (s *sim) request(g *group, rank int, work time.Duration, began time.Time, returned bool, second int) (time.Duration, error) {
 	arrived := time.Now()
 	g.countRequest()
 	if s.controlled {
-		if r := g.admitPlain(overload.Arrival{Returned: returned, Random: rand.Float64(), TimeLeft: simCallerLimit - time.Since(began)}, simObjective); r != nil {
+		if r := g.admitPlain(overload.Arrival{Rank: rank, Returned: returned, Random: rand.Float64(), TimeLeft: simCallerLimit - time.Since(began)}, simObjective); r != nil {
 			s.count(&s.refused)
 			return spread(r.RetryAfter), errSimRefused
 		}
 	}
-	job := dispatch.Job{StartBy: arrived.Add(max(simObjective, (simCallerLimit-time.Since(began))/2)), Exclude: map[string]bool{}}
+	job := dispatch.Job{Rank: rank, StartBy: arrived.Add(max(simObjective, (simCallerLimit-time.Since(began))/2)), Exclude: map[string]bool{}}
 	if s.controlled {
 		job.DueBy = began.Add(simObjective - g.workTime())
 	}
@@ -328,3 +338,20 @@
 		})
 	}
 }
+
+// Guards against urgent callers that are refused while others are served, and against others that get nothing.
+func TestUrgentPlainRequestsAreRefusedLast(t *testing.T) {
+	for _, urgent := range []float64{0.3, 0.8} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newSim(28, true, threeServers()...)
+			s.load, s.length, s.urgent = waves, 18*time.Second, urgent
+			s.run()
+			fraction := func(rank int) float64 { return float64(s.servedOfRank[rank]) / float64(s.ofRank[rank]) }
+			all := float64(s.servedOfRank[0]+s.servedOfRank[1]) / float64(s.callers)
+			t.Logf("%.1f urgent: urgent %.3f, other %.3f, all %.3f", urgent, fraction(0), fraction(1), all)
+			g.Expect(fraction(0)).To(BeNumerically(">", fraction(1)))
+			g.Expect(fraction(1)).To(BeNumerically(">", all/4))
+		})
+	}
+}
