--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -26,6 +26,12 @@
 	idleShare = 0.9
 	// deadBand is the probability below which nothing is refused. A single report of a short queue raises it by less.
 	deadBand = 0.1
+	// minObserved is the number of reports that must agree on a queue before a request is refused. A host that sees few
+	// responses would refuse because of a moment at one server otherwise.
+	minObserved = 4
+	// confirmedFor is how long after that fewer reports suffice, so that a host that sees few responses reacts in time
+	// while the load goes up and down.
+	confirmedFor = 2 * time.Second
 	// limitShare is the queueing delay up to which requests are sent to a server, as a share of the same time.
 	limitShare = 0.75
 	// proportional is the product of gain, dead time and load under twice the capacity. An integrator with dead time, as the
@@ -98,7 +104,10 @@
 	updated   time.Time
 	lastDelay time.Duration
 	p         float64
-	arrivals  shares
+	// observed counts the reports since the last step without a queue. confirmed is when it last reached minObserved.
+	observed  int
+	confirmed time.Time
+	arrivals shares
 }
 
 // New returns a controller that refuses nothing until servers queue.
@@ -132,6 +141,7 @@
 	}
 	s := c.server(key)
 	s.load, s.loadAt = l, now
+	c.observed++
 	c.step(now)
 }
 
@@ -159,6 +169,7 @@
 	}
 	s.excess += time.Duration(2 * learnRate * float64(excess-s.excess))
 	s.excessAt = now
+	c.observed++
 	c.step(now)
 }
 
@@ -257,6 +268,7 @@
 			c.p = 0
 		}
 		c.lastDelay = floor
+		c.observed = 0
 		return
 	}
 	deadTime := (target + work + c.age(now)).Seconds()
@@ -281,5 +293,11 @@
 // Probability returns the share of all arrivals that is refused now.
 func (c *Controller) Probability(now time.Time) float64 {
 	c.step(now)
+	if c.observed >= minObserved {
+		c.confirmed = now
+	}
+	if now.Sub(c.confirmed) > confirmedFor {
+		return 0
+	}
 	return max(c.p-deadBand, 0) / (1 - deadBand)
 }
