--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -156,7 +156,9 @@
 		f.recordFailure(ctx, x, grant.Key, err)
 		return nil, grant.Key, err
 	}
-	x.group.completed(grant, server.Slots, f.now().Sub(sentAt))
+	if a.Status < http.StatusInternalServerError {
+		x.group.completed(grant, server.Slots, f.now().Sub(sentAt))
+	}
 	f.recordResponse(x, grant.Key, a.Status)
 	return read, grant.Key, nil
 }
