--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -28,7 +28,7 @@
 	deadBand = 0.1
 	// minObserved is the number of reports that must agree on a queue before a request is refused. A host that sees few
 	// responses would refuse because of a moment at one server otherwise.
-	minObserved = 4
+	minObserved = 8
 	// confirmedFor is how long after that fewer reports suffice, so that a host that sees few responses reacts in time
 	// while the load goes up and down.
 	confirmedFor = 2 * time.Second
