--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -47,6 +47,7 @@
 	CodeChargesFull       Code = "charges_full"
 	CodeZoneEvacuated     Code = "zone_evacuated"
 	CodeNoServer          Code = "no_backend_server"
+	CodeOverloaded        Code = "overloaded"
 	CodeDeadline          Code = "deadline_unreachable"
 	CodeQueueFull         Code = "queue_full"
 	CodeServerRefused     Code = "backend_server_refused"
