--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -107,7 +107,7 @@
 	// observed counts the reports since the last step without a queue. confirmed is when it last reached minObserved.
 	observed  int
 	confirmed time.Time
-	arrivals shares
+	arrivals  shares
 }
 
 // New returns a controller that refuses nothing until servers queue.
