--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -107,7 +107,7 @@
 	// observed counts the reports since the last step without a queue. confirmed is when it last reached minObserved.
 	observed  int
 	confirmed time.Time
-	arrivals shares
+	arrivals  shares
 }
 
 // New returns a controller that refuses nothing until servers queue.
@@ -257,7 +257,6 @@
 	if elapsed < tick {
 		return
 	}
-	elapsed = min(elapsed, maxStep)
 	c.updated = now
 	delay, work, known := c.Delay(now)
 	target := c.target(work)
@@ -274,7 +273,7 @@
 	deadTime := (target + work + c.age(now)).Seconds()
 	gain := proportional / (2 * deadTime)
 	c.p += gain * (delay - c.lastDelay).Seconds()
-	c.p += gain / (integralTime * deadTime) * (delay - target).Seconds() * elapsed.Seconds()
+	c.p += gain / (integralTime * deadTime) * (delay - target).Seconds() * min(elapsed, maxStep).Seconds()
 	c.p = min(max(c.p, 0), maxProbability)
 	c.lastDelay = delay
 }
