Bound the connections that have no request

A process had a resident size of 56 MB with 1,500 idle connections, and of 135 MB with 1,000 unfinished heads of 60 KB beside them (trial; host with 134 MB).

--- a/internal/front/buffered.go
+++ b/internal/front/buffered.go
@@ -22,6 +22,11 @@
 	// the open requests together. The Go runtime's limit is 0.6 of the memory, and the rest of the process needs 10 to 24 MB.
 	budgetShare   = 0.25
 	requestsShare = 0.4
+	// waitingShare is the share of the host's memory that connections without a request may take, with waitingMemory bytes each: a
+	// process had a resident size of 56 MB with 1,500 idle connections. Callers may send a request on a connection just as it is
+	// ended, so many are kept.
+	waitingShare  = 0.2
+	waitingMemory = 24 << 10
 	// maxServerBytes bounds the bytes of the requests of all hosts together at one backend server. Servers do not state their
 	// memory. 64 prompts of 5,000 tokens, as many as an engine runs at a time, have 1 to 2 MB.
 	maxServerBytes = 16 << 20
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -183,18 +183,19 @@
 func (f *Front) serve() []*keepalive.Server {
 	ready := chi.NewRouter()
 	ready.Get(platform.ReadyPath, f.readyPage)
+	var servers []*keepalive.Server
 	metricsRouter := chi.NewRouter()
 	metricsRouter.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		f.metrics.Set("log_lines_dropped", f.LogLinesDropped())
 		f.metrics.Set("held_bytes", f.budget.Held())
 		f.metrics.Set("server_bytes_most", f.outstanding.Most())
+		f.metrics.Set("waiting_connections_ended", servers[0].Ended())
 		if _, err := f.metrics.WriteTo(w); err != nil {
 			f.log.Error(err, "failed to send metrics page")
 		}
 	})
 	// A router would refuse the methods that it does not know.
 	callers := http.HandlerFunc(f.handle)
-	var servers []*keepalive.Server
 	for _, s := range []struct {
 		listener net.Listener
 		handler  http.Handler
@@ -208,6 +209,7 @@
 		}, s.listener)
 		if f.budget != nil {
 			server.SetSocketBuffers(socketBuffer)
+			server.SetMaxWaiting(max(int(waitingShare*float64(f.settings.MemoryBytes))/waitingMemory, 1))
 		}
 		servers = append(servers, server)
 		go func() { _ = server.Serve() }()
--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -37,6 +37,8 @@
 
 	mu    sync.Mutex
 	phase phase
+	// since is when the connection was accepted, or became idle or serving.
+	since time.Time
 	// idleDeadlines counts the read deadlines that were set since the connection became idle.
 	idleDeadlines int
 	// endIdle and endUnread are those of the server.
@@ -226,10 +228,17 @@
 func (c *conn) setPhase(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.idleDeadlines = p, 0
+	c.phase, c.idleDeadlines, c.since = p, 0, time.Now()
 	c.interruptIfEnding()
 }
 
+// state returns the phase, since when it lasts, and whether the connection has been asked to end in it.
+func (c *conn) state() (p phase, since time.Time, ending bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase, c.since, c.endsNow()
+}
+
 func (c *conn) isServing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -38,6 +38,10 @@
 	closing atomic.Bool
 	// socketBuffer is the size of the connections' socket buffers, 0 for that of the system.
 	socketBuffer int
+	// maxWaiting is the number of connections without a request that the server keeps, 0 for any number. ended counts those that
+	// were ended for it.
+	maxWaiting int
+	ended      atomic.Int64
 	// refused counts the requests whose heads were cut.
 	refused atomic.Int64
 
@@ -64,6 +68,53 @@
 // SetSocketBuffers sets the size of the send and receive buffers of connections, in bytes. It must be called before Serve.
 func (s *Server) SetSocketBuffers(bytes int) { s.socketBuffer = bytes }
 
+// SetMaxWaiting sets the number of connections without a request above which the oldest of them is ended when another one is
+// accepted. It must be called before Serve.
+func (s *Server) SetMaxWaiting(n int) { s.maxWaiting = n }
+
+// Ended returns the number of connections that were ended because of SetMaxWaiting.
+func (s *Server) Ended() int64 { return s.ended.Load() }
+
+// headWeight is the number of connections without a request for which one counts whose request head is arriving. A head may
+// have 64 KB.
+const headWeight = 3
+
+// minWait is how long a new connection may take to send its first request before SetMaxWaiting applies to it.
+const minWait = time.Second
+
+// endOldest ends the oldest connection that waits for another request if too many connections have no request, or else the oldest
+// one whose request head has been arriving for minWait. s.mu must be held.
+func (s *Server) endOldest() {
+	waiting := 0
+	var oldestIdle, oldestUnread *conn
+	var idleSince, unreadSince time.Time
+	for c := range s.conns {
+		p, since, ending := c.state()
+		if p == serving || ending {
+			continue
+		}
+		waiting++
+		if p == receiving {
+			waiting += headWeight - 1
+		}
+		switch {
+		case p == idle && (oldestIdle == nil || since.Before(idleSince)):
+			oldestIdle, idleSince = c, since
+		case (p == fresh || p == receiving) && (oldestUnread == nil || since.Before(unreadSince)):
+			oldestUnread, unreadSince = c, since
+		}
+	}
+	switch {
+	case waiting <= s.maxWaiting:
+	case oldestIdle != nil:
+		s.ended.Add(1)
+		oldestIdle.endWhen(true, s.endUnread)
+	case time.Since(unreadSince) >= minWait:
+		s.ended.Add(1)
+		oldestUnread.endWhen(true, true)
+	}
+}
+
 // Serve accepts connections until the server is shut down or closed. It returns the error that ended it.
 func (s *Server) Serve() error {
 	defer s.servedOnce.Do(func() { close(s.served) })
--- a/internal/keepalive/keepalive_test.go
+++ b/internal/keepalive/keepalive_test.go
@@ -545,3 +545,59 @@
 	close(gate)
 	g.Eventually(done).WithTimeout(2 * time.Second).Should(Receive(Succeed()))
 }
+
+// Guards against idle connections and slow heads whose number has no bound, and against requests that are cut to keep one.
+func TestMaxWaitingEndsTheOldestConnections(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	release := make(chan struct{})
+	server := keepalive.New(&http.Server{ReadHeaderTimeout: 10 * time.Second, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-release
+		}
+	})}, l)
+	server.SetMaxWaiting(4)
+	go func() { _ = server.Serve() }()
+	defer server.Close()
+	open := func(head string) net.Conn {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(func() { _ = conn.Close() })
+		g.Expect(conn.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		_, err = io.WriteString(conn, head)
+		g.Expect(err).NotTo(HaveOccurred())
+		return conn
+	}
+	status := func(conn net.Conn) int {
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	const request = " HTTP/1.1\r\nHost: a\r\n\r\n"
+	served := open("GET /wait" + request)
+	slowHead := open("GET / HTTP/1.1\r\nHost")
+	var idle []net.Conn
+	for range 4 {
+		idle = append(idle, open("GET /"+request))
+		g.Expect(status(idle[len(idle)-1])).To(Equal(http.StatusOK))
+		// The response arrives shortly before the connection is idle.
+		time.Sleep(100 * time.Millisecond)
+	}
+	_, err = idle[0].Read(make([]byte, 1))
+	g.Expect(err).To(MatchError(io.EOF))
+	_, err = io.WriteString(idle[3], "GET /"+request)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status(idle[3])).To(Equal(http.StatusOK))
+	for _, c := range idle {
+		_ = c.Close()
+	}
+	time.Sleep(1100 * time.Millisecond)
+	for range 4 {
+		open("")
+	}
+	g.Expect(status(slowHead)).To(Equal(http.StatusServiceUnavailable))
+	close(release)
+	g.Expect(status(served)).To(Equal(http.StatusOK))
+}
--- a/internal/keepalive/listener.go
+++ b/internal/keepalive/listener.go
@@ -25,11 +25,14 @@
 		_ = tcp.SetReadBuffer(l.socketBuffer)
 		_ = tcp.SetWriteBuffer(l.socketBuffer)
 	}
-	c := &conn{Conn: accepted, server: (*Server)(l)}
+	c := &conn{Conn: accepted, server: (*Server)(l), since: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = true
 	c.endWhen(l.endIdle, l.endUnread)
+	if l.maxWaiting > 0 {
+		(*Server)(l).endOldest()
+	}
 	return c, nil
 }
 
