Move engines only if that relieves the busier stage

The target now shifts with the engines that come and go, and a move that does not lower the load of the busier stage is not made.

--- a/internal/stagesplit/split.go
+++ b/internal/stagesplit/split.go
@@ -141,6 +141,11 @@
 	default:
 		return Move{}, false
 	}
+	if m.After >= m.Before {
+		// The load, or the number of engines, has changed since the target was set.
+		s.target = prefill
+		return Move{}, false
+	}
 	key, movable := choose(engines, m.To)
 	m.Key = key
 	return m, movable
@@ -155,6 +160,9 @@
 	change := abs(prefill-s.prefill) + abs((engines-prefill)-(s.total-s.prefill))
 	if float64(change) > smallChange*float64(s.settled) {
 		s.target, s.lastTo, s.agreed, s.changedAt, s.settled = prefill, fleet.NoStage, 0, now, engines
+	} else {
+		// The moves that are left to do stay the same.
+		s.target += prefill - s.prefill
 	}
 	s.prefill, s.total = prefill, engines
 }
--- a/internal/stagesplit/split_test.go
+++ b/internal/stagesplit/split_test.go
@@ -261,3 +261,31 @@
 	g.Expect(moved).To(BeFalse())
 	g.Expect(stagesplit.MaxMoves(12)).To(Equal(1))
 }
+
+// Guards against moves that make the busier stage busier: toward a target that was set for a load, or for engines, that are gone.
+func TestMovesAlwaysRelieveTheBusierStage(t *testing.T) {
+	g := NewWithT(t)
+	rng := rand.New(rand.NewPCG(3, 4))
+	for range 50 {
+		s := &stagesplit.Splitter{}
+		es := engines(20, 40)
+		now := start
+		for range 40 {
+			load := longResponses(20 + 100*rng.Float64())
+			load.Prefill = time.Duration(50+rng.IntN(400)) * time.Millisecond
+			if i := rng.IntN(len(es)); rng.IntN(3) == 0 && len(es) > 50 {
+				es = append(es[:i:i], es[i+1:]...)
+			}
+			for range stagesplit.MaxMoves(len(es)) {
+				m, ok := s.Next(es, load, now)
+				if !ok {
+					break
+				}
+				g.Expect(m.After).To(BeNumerically("<", m.Before))
+				apply(es, m)
+				s.RecordMove(m, now)
+			}
+			now = now.Add(time.Second)
+		}
+	}
+}
