--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -42,9 +42,9 @@
 	sample := sampleSize(len(free), int(p.hosts.Load()))
 	switch {
 	case job.Affinity != 0:
-		orderByAffinity(free, job.Affinity, p.zone)
-		if job.Repeated && len(free) > 0 {
-			free[0].score -= affinityBonus
+		orderByAffinity(free, job.Affinity)
+		if job.Repeated && sample > 0 {
+			preferred(free[:sample], p.zone).score -= affinityBonus
 		}
 	case sample < len(free):
 		rand.Shuffle(len(free), func(i, j int) { free[i], free[j] = free[j], free[i] })
@@ -60,17 +60,22 @@
 	return nil
 }
 
-// orderByAffinity sorts servers in the order of preference of the jobs with an affinity (rendezvous hashing), those of a zone
-// first.
-func orderByAffinity(free []scoredServer, affinity uint64, zone string) {
-	rank := func(s *server) uint64 {
-		r := mix(s.hash^affinity) >> 1
-		if s.Zone != zone {
-			r |= 1 << 63
+// orderByAffinity sorts servers in the order of preference of the jobs with an affinity (rendezvous hashing).
+func orderByAffinity(free []scoredServer, affinity uint64) {
+	slices.SortFunc(free, func(a, b scoredServer) int {
+		return cmp.Compare(mix(a.server.hash^affinity), mix(b.server.hash^affinity))
+	})
+}
+
+// preferred returns the server of an ordered sample that a job gets if all are idle: the first one of the zone, or else the
+// first one.
+func preferred(sample []scoredServer, zone string) *scoredServer {
+	for i := range sample {
+		if sample[i].server.Zone == zone {
+			return &sample[i]
 		}
-		return r
 	}
-	slices.SortFunc(free, func(a, b scoredServer) int { return cmp.Compare(rank(a.server), rank(b.server)) })
+	return &sample[0]
 }
 
 func hashKey(key string) uint64 {
