Take the occupancy of plain servers from what they state

Reports of other hosts are 0.1 to 0.8 s old and the work takes 30 ms. Hosts that compare servers by such reports send their requests to the same ones.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -91,9 +91,11 @@
 		}
 		c := scoredServer{server: s, occupancy: used / float64(s.Slots), relative: 1}
 		if p.model != nil {
-			if used >= float64(p.model.Limit(key, s.Slots, now)) {
+			limit := float64(p.model.Limit(key, s.Slots, now))
+			if used >= limit {
 				continue
 			}
+			c.occupancy = used / limit
 			c.relative, c.doubtful = p.model.Expected(key, int(used), now), p.model.Doubtful(key, now)
 		}
 		free = append(free, c)
--- a/internal/serverload/limit.go
+++ b/internal/serverload/limit.go
@@ -18,7 +18,7 @@
 	levelMemory = 5 * time.Second
 	// Throughput at a level counts as lower if it is below lossShare of the best one. Without a slowdown it rises with the
 	// occupancy, so measurement errors do not reach this.
-	lossShare = 0.9
+	lossShare = 0.85
 	// A server has changed its speed when changeSamples in a row differ from the time at their levels by changeFactor, as a
 	// logarithm (1.8 times), in the same direction. What was learned at the other speed is then discarded.
 	changeSamples = 3
--- a/internal/serverload/shared.go
+++ b/internal/serverload/shared.go
@@ -149,10 +149,16 @@
 			out = append(out, o)
 		}
 	}
-	slices.SortFunc(out, func(a, b Observation) int {
+	return MostImportant(out)
+}
+
+// MostImportant sorts observations, doubts first and then the largest departures from the usual time, and returns as many as
+// a host may report.
+func MostImportant(observations []Observation) []Observation {
+	slices.SortFunc(observations, func(a, b Observation) int {
 		return cmp.Or(-cmp.Compare(a.importance(), b.importance()), cmp.Compare(a.Server, b.Server))
 	})
-	return out[:min(len(out), maxObservations)]
+	return observations[:min(len(observations), maxObservations)]
 }
 
 // observation returns what this host's own requests say about a server.
@@ -208,3 +214,62 @@
 func ratioAbove(a, b int) bool {
 	return 4*max(a, b) > 5*min(a, b)
 }
+
+// Cause is the source that decides what is known of the speed of a server.
+type Cause int
+
+// Causes, by decreasing precedence.
+const (
+	// Unknown means that nothing is known.
+	Unknown Cause = iota
+	// Stated is the server's own statement.
+	Stated
+	// Measured are this host's recent requests.
+	Measured
+	// Shared is what other hosts have reported.
+	Shared
+	// Lasting is the speed of the last seconds.
+	Lasting
+)
+
+// Summary is what is known of one server, for metrics and logs.
+type Summary struct {
+	Server             string
+	TimePercent, Limit int
+	Slots              int
+	Age                time.Duration
+	Cause              Cause
+}
+
+// Summaries returns what is known of the servers of which something is known. Limit is 0 where none is known.
+func (m *Model) Summaries(now time.Time) []Summary {
+	var out []Summary
+	for key, r := range m.servers {
+		s := Summary{Server: key, TimePercent: percent(r.departure(now)), Limit: r.limit.limit, Slots: r.limit.slots}
+		s.Cause, s.Age = r.cause(now)
+		if !r.steady.at.IsZero() || len(r.shared) > 0 {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// cause returns the newest usable source and its age.
+func (r *record) cause(now time.Time) (Cause, time.Duration) {
+	var newest time.Time
+	for _, o := range r.shared {
+		if o.TimePercent > 0 && o.At.After(newest) {
+			newest = o.At
+		}
+	}
+	for _, c := range []struct {
+		cause  Cause
+		at     time.Time
+		memory time.Duration
+	}{{Stated, r.stated.at, statedMemory}, {Measured, r.recent.at, recentMemory}, {Shared, newest, sharedMemory}, {Lasting, r.steady.at, steadyMemory}} {
+		if age := now.Sub(c.at); !c.at.IsZero() && age <= 2*c.memory {
+			return c.cause, age
+		}
+	}
+	return Unknown, 0
+}
