Use the learned speeds in the front, the memory forecast and reports

Durations of plain requests, prefills and parts of streams, and Load-Report, now reach the model. A prompt goes to the prefill engine with the least queued tokens for its speed, preferably in the zone of its decode engine. The memory forecast uses the rate of the individual engine. Doubts about unreachable servers and lost prefill results are shared with the other hosts.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -461,7 +461,7 @@
 // carriesChanges reports whether any of the reports is more than a sign of life.
 func carriesChanges(reports []*peerv1.FrontReport) bool {
 	for _, r := range reports {
-		if !r.Partial || !r.KeepsUses || r.Evidence != nil || r.Limits != nil || len(r.Admitted) > 0 || len(r.Generations) > 0 {
+		if !r.Partial || !r.KeepsUses || r.Evidence != nil || r.Limits != nil || r.Observations != nil || len(r.Admitted) > 0 || len(r.Generations) > 0 {
 			return true
 		}
 	}
--- a/internal/exchange/feed.go
+++ b/internal/exchange/feed.go
@@ -30,6 +30,7 @@
 	// recorded is the position at which this incarnation was first recorded, position that of the last change.
 	recorded, position               uint64
 	uses, evidence, limits, versions uint64
+	observations                     uint64
 	admitted, generations            map[string]uint64
 	leftAt                           time.Time
 }
@@ -52,7 +53,10 @@
 	if proto.Equal(old.report.Limits, r.Limits) {
 		r.Limits = nil
 	}
-	changed := old.report.Leaving != r.Leaving || !r.KeepsUses || r.Evidence != nil || r.Limits != nil || countersChanged(old.report, r) ||
+	if proto.Equal(old.report.Observations, r.Observations) {
+		r.Observations = nil
+	}
+	changed := old.report.Leaving != r.Leaving || !r.KeepsUses || r.Evidence != nil || r.Limits != nil || r.Observations != nil || countersChanged(old.report, r) ||
 		r.ConfigurationVersion > old.report.ConfigurationVersion
 	if changed || bump {
 		r.Sequence = old.report.Sequence + 1
@@ -82,7 +86,7 @@
 		delete(f.addresses, old.report.Incarnation)
 	}
 	f.position++
-	e := &feedEntry{report: r, recorded: f.position, position: f.position, uses: f.position, evidence: f.position, limits: f.position, versions: f.position, admitted: map[string]uint64{}, generations: map[string]uint64{}}
+	e := &feedEntry{report: r, recorded: f.position, position: f.position, uses: f.position, evidence: f.position, limits: f.position, observations: f.position, versions: f.position, admitted: map[string]uint64{}, generations: map[string]uint64{}}
 	if r.Admitted == nil {
 		r.Admitted = map[string]int64{}
 	}
@@ -131,6 +135,9 @@
 	if r.Limits != nil {
 		to.Limits, e.limits = r.Limits, f.position
 	}
+	if r.Observations != nil {
+		to.Observations, e.observations = r.Observations, f.position
+	}
 	for name, v := range r.Admitted {
 		if old, known := to.Admitted[name]; !known || old != v {
 			to.Admitted[name], e.admitted[name] = v, f.position
@@ -187,6 +194,9 @@
 		if e.limits > position {
 			r.Limits = e.report.Limits
 		}
+		if e.observations > position {
+			r.Observations = e.report.Observations
+		}
 		if e.versions > position {
 			r.StateEra, r.ConfigurationVersion = e.report.StateEra, e.report.ConfigurationVersion
 		}
@@ -227,7 +237,7 @@
 	return &peerv1.FrontReport{
 		Name: r.Name, Address: r.Address, Zone: r.Zone, LinkMbps: r.LinkMbps, Incarnation: r.Incarnation, Sequence: r.Sequence, Leaving: r.Leaving,
 		Admitted: maps.Clone(r.Admitted), Uses: r.Uses, StateRevision: r.StateRevision, StateAgeMillis: r.StateAgeMillis,
-		Generations: maps.Clone(r.Generations), ChangingStage: r.ChangingStage, Evidence: r.Evidence, Limits: r.Limits,
+		Generations: maps.Clone(r.Generations), ChangingStage: r.ChangingStage, Evidence: r.Evidence, Limits: r.Limits, Observations: r.Observations,
 		UptimeMillis: r.UptimeMillis, StateEra: r.StateEra, ConfigurationVersion: r.ConfigurationVersion,
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -100,10 +100,11 @@
 	}
 	f.ending, f.endAnswers = context.WithCancelCause(context.Background())
 	f.runTable = newRunTable(f.now)
+	f.runTable.relativeTime = f.steadyTime
 	f.stages = newStages()
 	f.quarantine = newQuarantineLedger(log, reg, f.now)
 	f.limits = newServerLimits()
-	f.backends.OnRateLimit = f.observeLimit
+	f.backends.OnRateLimit, f.backends.OnLoad = f.observeLimit, f.observeLoad
 	f.exchange = exchange.New(exchange.Options{
 		Name: settings.Name, Address: settings.Peers, Zone: settings.Zone, LinkMbps: int32(settings.LinkMbps),
 		Incarnation: f.incarnation, Seeds: settings.Seeds, Local: f, Pool: f.pool,
@@ -156,6 +157,7 @@
 	tree.Add(f.stageService())
 	tree.Add(serviceFunc(f.storeQuarantine))
 	tree.Add(serviceFunc(f.refreshLimits))
+	tree.Add(serviceFunc(f.publishLoad))
 	stopped := tree.ServeBackground(ctx)
 	servers := f.serve()
 	go func() { _ = f.peers.Serve(f.peersListener) }()
--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -122,6 +122,7 @@
 	if err != nil {
 		f.recordFailure(ctx, x, p.grant.Key, err)
 		f.recordBrokenRun(ctx, x, s, p.grant.Key, err)
+		f.recordLostResult(x, p.server, result, err)
 		f.releaseReservation(p)
 		f.dropResult(result)
 		return p.grant.Key, err
@@ -134,7 +135,8 @@
 		f.recordFailure(ctx, x, p.grant.Key, err)
 		return p.grant.Key, f.relayEngineError(x, response, err)
 	}
-	s.run, s.runStartedAt, s.watch = p.run, f.now(), watch
+	f.recordRunStarted(x, p.grant.Key, result)
+	s.run, s.runStartedAt, s.watch, s.sample = p.run, f.now(), watch, decodeSampler{reservation: p}
 	before := s.events
 	err = s.relay(ctx, response)
 	if err != nil {
@@ -154,7 +156,7 @@
 		t.SlotTime += f.now().Sub(p.madeAt)
 		t.SlotTokens += int64(s.events-before) * perEvent
 	})
-	f.runTable.recordFinished(int64(s.events)*perEvent, int64(s.events-before)*perEvent, f.now().Sub(s.runStartedAt))
+	f.runTable.recordFinished(p.grant.Key, int64(s.events)*perEvent, int64(s.events-before)*perEvent, f.now().Sub(s.runStartedAt))
 	return p.grant.Key, nil
 }
 
@@ -165,7 +167,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	result, err := f.prefillUnlessQuarantined(ctx, x, lastEvent)
+	result, err := f.prefillUnlessQuarantined(ctx, x, lastEvent, p.server.Zone)
 	for err == nil && !x.group.usable(p.server) {
 		f.metrics.Inc("reservations_replaced", metrics.L("service", x.group.service))
 		f.log.Info("reservation replaced: engine is not usable any more", "request", x.request.ID, "server", p.server.ID,
@@ -188,11 +190,11 @@
 
 // prefillUnlessQuarantined returns the result of prefill, or an error when ctx has ended or a part of the prompt has been
 // quarantined while the request waited.
-func (f *Front) prefillUnlessQuarantined(ctx context.Context, x *call, lastEvent string) (*platform.PrefillResult, error) {
+func (f *Front) prefillUnlessQuarantined(ctx context.Context, x *call, lastEvent, zone string) (*platform.PrefillResult, error) {
 	if err := f.refuseQuarantined(x); err != nil {
 		return nil, err
 	}
-	result := f.prefill(ctx, x, lastEvent)
+	result := f.prefill(ctx, x, lastEvent, zone)
 	err := context.Cause(ctx)
 	if err == nil {
 		err = f.refuseQuarantined(x)
@@ -332,15 +334,16 @@
 	firstAttemptShare = 0.85
 )
 
-// prefill sends the prompt to a prefill engine and returns the location of the result. It returns nil when no prefill
+// prefill sends the prompt to a prefill engine, preferably in the zone of the decode engine, and returns the location of the
+// result. It returns nil when no prefill
 // engine processes the prompt in time or the retry budget is used up. The decode engine then processes the prompt
 // itself, which is slower.
-func (f *Front) prefill(ctx context.Context, x *call, lastEvent string) *platform.PrefillResult {
+func (f *Front) prefill(ctx context.Context, x *call, lastEvent, zone string) *platform.PrefillResult {
 	excluded := map[string]bool{}
 	ledger := &prefillLedger{group: x.group, hosts: f.hosts(), repeated: x.prefilled}
 	defer ledger.refund()
 	for {
-		grant, err := x.group.prefill.Acquire(ctx, dispatch.Job{ID: x.request.ID, StartBy: f.latestPrefill(x), Exclude: excluded})
+		grant, err := x.group.prefill.Acquire(ctx, dispatch.Job{ID: x.request.ID, StartBy: f.latestPrefill(x), Exclude: excluded, Zone: zone})
 		if err != nil {
 			return f.prefillSkipped(x, "no-engine", err)
 		}
@@ -397,6 +400,7 @@
 	}
 	x.trace.prefill = server.ID
 	requestedAt := f.now()
+	defer f.queuePrompt(x, grant.Key)()
 	ctx, watch := watchStall(ctx, prefillLimit+time.Duration(x.request.Tokens.Prompt)*prefillLimitPerToken, func() bool { return true })
 	defer watch.stop()
 	call := platform.BackendCall{
@@ -413,6 +417,7 @@
 		return nil, err
 	}
 	x.group.observe(grant.Key, outlier.Succeeded)
+	f.observePrefill(x, grant, f.now().Sub(requestedAt))
 	if grant.Occupied == 1 {
 		x.group.count(func(t *stagesplit.Totals) {
 			t.PrefillTime += f.now().Sub(requestedAt)
--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -11,6 +11,7 @@
 	"github.com/boragecourse/boragecourse/internal/outlier"
 	"github.com/boragecourse/boragecourse/internal/registry"
 	"github.com/boragecourse/boragecourse/internal/retrybudget"
+	"github.com/boragecourse/boragecourse/internal/serverload"
 	"github.com/boragecourse/boragecourse/internal/stagesplit"
 )
 
@@ -28,6 +29,8 @@
 	service string
 	// plain holds the servers of plain requests; prefill and decode hold the engines of the two stages of a generation.
 	plain, prefill, decode *dispatch.Pool
+	// load is what is known of the speed of the servers.
+	load *serverLoad
 
 	mu       sync.Mutex
 	servers  map[string]fleet.Server
@@ -47,12 +50,16 @@
 }
 
 func newGroup(service, zone string, limits fleet.RetryLimits, started time.Time, now func() time.Time) *group {
-	return &group{
-		service: service, now: now, servers: map[string]fleet.Server{}, heldOff: map[string]time.Time{}, refusing: map[string]bool{}, retryRatio: limits.Ratio,
+	g := &group{
+		service: service, now: now, load: newServerLoad(), servers: map[string]fleet.Server{}, heldOff: map[string]time.Time{}, refusing: map[string]bool{}, retryRatio: limits.Ratio,
 		outliers: outlier.New(),
 		plain:    dispatch.NewPool(zone, now), prefill: dispatch.NewPool(zone, now), decode: dispatch.NewPool(zone, now),
 		budget: retrybudget.New(limits, started, now()),
 	}
+	for _, p := range g.pools() {
+		p.SetModel(g.load)
+	}
+	return g
 }
 
 // serverKey identifies one incarnation of a backend server.
@@ -62,9 +69,12 @@
 func (g *group) update(usable []registry.State) {
 	g.mu.Lock()
 	g.servers = make(map[string]fleet.Server, len(usable))
+	keys := make(map[string]bool, len(usable))
 	for _, s := range usable {
-		g.servers[serverKey(s.Server)] = s.Server
+		key := serverKey(s.Server)
+		g.servers[key], keys[key] = s.Server, true
 	}
+	g.load.with(func(m *serverload.Model) { m.SetServers(keys) })
 	g.outliers.Retain(func(key string) bool { _, known := g.servers[key]; return known })
 	maps.DeleteFunc(g.refusing, func(key string, _ bool) bool { _, known := g.servers[key]; return !known })
 	maps.DeleteFunc(g.heldOff, func(_ string, until time.Time) bool { return !g.now().Before(until) })
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -41,6 +41,7 @@
 	f.stages.fill(r, f.allGroups())
 	r.Evidence = f.quarantine.evidence()
 	f.limits.fill(r, f.startedAt, f.now())
+	f.fillObservations(r)
 	version, confirmed := f.state.Version()
 	r.StateRevision, r.StateEra = kvstore.WithoutEra(version.Revision), kvstore.Era(version.Revision)
 	r.ConfigurationVersion, r.StateAgeMillis = version.Configuration, f.now().Sub(confirmed).Milliseconds()
@@ -66,6 +67,9 @@
 		if r.Evidence != nil {
 			f.quarantine.receive(processName(r.Incarnation), r.Evidence)
 		}
+		if r.Observations != nil {
+			f.receiveObservations(r, now)
+		}
 		if r.Limits != nil && f.limits.receive(r, now) {
 			f.applyLimits()
 		}
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -12,6 +12,7 @@
 	"github.com/boragecourse/boragecourse/internal/fleet"
 	"github.com/boragecourse/boragecourse/internal/metrics"
 	"github.com/boragecourse/boragecourse/internal/outlier"
+	"github.com/boragecourse/boragecourse/internal/serverload"
 	"github.com/boragecourse/boragecourse/platform"
 )
 
@@ -130,11 +131,13 @@
 		return nil, "", err
 	}
 	defer grant.Release()
+	x.group.load.with(func(m *serverload.Model) { m.RecordSent(grant.Key) })
 	server, known := x.group.server(grant.Key)
 	if !known {
 		return nil, grant.Key, &platform.NotRunError{Cause: &StaleServerError{Key: grant.Key}}
 	}
 	x.trace.server, x.trace.waited = server.ID, grant.Waited
+	sent := f.now()
 	a, err := f.run(ctx, x, platform.BackendCall{
 		Request: x.request, Server: server, TimeLeft: x.deadline.Sub(f.now()), Workspace: x.workspaceName(),
 		LastEventID: x.request.LastEventID, Repeatable: x.route.Repeatable(),
@@ -149,6 +152,7 @@
 		return nil, grant.Key, err
 	}
 	f.recordResponse(x, grant.Key, a.Status)
+	f.observePlain(x, server, grant.Occupied, read, f.now().Sub(sent))
 	return read, grant.Key, nil
 }
 
@@ -216,6 +220,9 @@
 	case errors.Is(context.Cause(ctx), context.Canceled), platform.IsDroppedConnection(err):
 		return
 	}
+	if result == outlier.Unreachable {
+		x.group.recordDoubt(key)
+	}
 	if x.group.observe(key, result) {
 		f.log.Info("backend server paused", "request", x.request.ID, "server", key, "reason", "send failed", "cause", err)
 	}
--- a/internal/front/runtable.go
+++ b/internal/front/runtable.go
@@ -18,6 +18,8 @@
 // those of other hosts is as of their latest reports.
 type runTable struct {
 	now func() time.Time
+	// relativeTime returns the time that an engine takes, relative to an ordinary one.
+	relativeTime func(key string) float64
 
 	mu        sync.Mutex
 	predictor *kvmemory.Predictor
@@ -26,7 +28,7 @@
 }
 
 func newRunTable(now func() time.Time) *runTable {
-	return &runTable{now: now, predictor: kvmemory.NewPredictor(), own: map[string]map[*run]bool{}, others: map[string][]kvmemory.Run{}}
+	return &runTable{now: now, relativeTime: func(string) float64 { return 1 }, predictor: kvmemory.NewPredictor(), own: map[string]map[*run]bool{}, others: map[string][]kvmemory.Run{}}
 }
 
 // forecast returns the predicted output length of a generation. hint is the caller's estimate and declared its maximum,
@@ -56,7 +58,7 @@
 		for o := range t.own[key] {
 			runs = append(runs, o.Run)
 		}
-		decodeRate := t.predictor.DecodeRate()
+		decodeRate := t.predictor.EngineRate(t.relativeTime(key))
 		if len(runs) > 0 && !kvmemory.Fits(kvmemory.Needs(runs, decodeRate, now), r.Run, capacity, kvmemory.SafetyMargin, decodeRate, now) {
 			return false
 		}
@@ -94,11 +96,11 @@
 }
 
 // recordFinished passes a completed generation to the predictor: its total output, and the output and duration of its
-// last run.
-func (t *runTable) recordFinished(output, lastRun int64, took time.Duration) {
+// last run at the engine with the given key.
+func (t *runTable) recordFinished(key string, output, lastRun int64, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.predictor.Record(output, lastRun, took)
+	t.predictor.Record(output, lastRun, kvmemory.OrdinaryTime(took, t.relativeTime(key)))
 }
 
 // report returns this host's runs by engine. The output is extrapolated from the last event to the present.
@@ -106,9 +108,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	decodeRate := t.predictor.DecodeRate()
 	out := make(map[string][]*peerv1.GenerationRun, len(t.own))
 	for key, runs := range t.own {
+		decodeRate := t.predictor.EngineRate(t.relativeTime(key))
 		for r := range runs {
 			generated := r.Generated
 			if generated > 0 {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -33,6 +33,7 @@
 	// survived is set once the current run has gone on for decodeStart.
 	survived bool
 	watch    *stallWatch
+	sample   decodeSampler
 }
 
 // EventTooLargeError reports an event that exceeds the size limit. Bytes is the size received so far.
@@ -196,9 +197,11 @@
 	}
 	s.recordProgress()
 	s.events++
+	s.sample.event(s.front, s.x, s.events)
 	s.watch.received()
 	s.x.trace.events = s.events
 	s.front.runTable.progress(s.run, int64(s.events)*s.front.tokensPerEvent(s.x))
+	defer s.sample.write(s.front)()
 	if _, err := s.x.w.Write(event); err != nil {
 		return &DeliveryError{Cause: err}
 	}
--- a/internal/kvmemory/forecast.go
+++ b/internal/kvmemory/forecast.go
@@ -98,6 +98,31 @@
 // initialDecodeRate.
 func (p *Predictor) DecodeRate() float64 { return p.decodeRate }
 
+// EngineRate returns the decode rate of one generation at an engine whose work takes relative times as long as at an ordinary
+// one.
+func (p *Predictor) EngineRate(relative float64) float64 {
+	return p.decodeRate / boundRelative(relative)
+}
+
+// OrdinaryTime converts the time that work took at an engine to the time at an ordinary one.
+func OrdinaryTime(took time.Duration, relative float64) time.Duration {
+	return time.Duration(float64(took) / boundRelative(relative))
+}
+
+// minRelative and maxRelative bound the speeds that a forecast assumes. With a larger relative time, runs would seem to hold
+// their memory forever and the engine would get no more.
+const (
+	minRelative = 0.25
+	maxRelative = 4.0
+)
+
+func boundRelative(relative float64) float64 {
+	if !(relative > 0) {
+		return 1
+	}
+	return min(max(relative, minRelative), maxRelative)
+}
+
 // Forecast combines the caller's length hint, 0 when there is none, with the recorded generations and the prior.
 // declared is the maximum output of the request. All lengths are in tokens.
 func (p *Predictor) Forecast(hint, declared int64) Output {
