--- a/internal/kvmemory/forecast_test.go
+++ b/internal/kvmemory/forecast_test.go
@@ -160,3 +160,22 @@
 	g.Expect(o.Duration(1_400)).To(Equal(time.Second))
 	g.Expect(o.Duration(0)).To(BeZero())
 }
+
+// Guards against a forecast that takes the runs of a slow engine for finished, so that it gets more than its memory holds, and
+// against a relative time without bounds.
+func TestForecastUsesTheRateOfTheEngine(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	p := kvmemory.NewPredictor()
+	for range 100 {
+		p.Record(2_800, 2_800, kvmemory.OrdinaryTime(4*time.Second, 2))
+	}
+	g.Expect(p.DecodeRate()).To(BeNumerically("~", 1_400, 1), "the time at a slow engine does not change the usual rate")
+	run := kvmemory.Run{Prompt: 5_000, Generated: 500, At: now, Output: kvmemory.Output{LogMean: math.Log(2_800), LogSigma: 0.3, Max: declared}}
+	in3s := func(relative float64) float64 {
+		return kvmemory.Needs([]kvmemory.Run{run}, p.EngineRate(relative), now)[5].Mean
+	}
+	g.Expect(in3s(2)).To(BeNumerically(">", 2*in3s(1)))
+	g.Expect(p.EngineRate(1000)).To(Equal(p.EngineRate(4)))
+	g.Expect(p.EngineRate(0)).To(Equal(p.DecodeRate()))
+}
