Bound the work per received observation

Receiving a report looked at every server of the service, and so did each report that was made. With 3,600 servers and 350 hosts this would take millions of steps a second (by count). The work now grows with the 16 observations, and this host looks for changes at most every 100 ms. Tests of serverload and front pass.

--- a/internal/serverload/model.go
+++ b/internal/serverload/model.go
@@ -75,6 +75,9 @@
 	// reported is what this host has last told the others, at reportedAt.
 	reported   []Observation
 	reportedAt time.Time
+	checkedAt  time.Time
+	// sharers holds the keys of the servers of which another host has reported something.
+	sharers map[uint64][]string
 }
 
 // record is what is known of one server. Times are logarithms of the factor by which work takes longer than usual.
@@ -125,7 +128,7 @@
 
 // New returns a model without servers.
 func New() *Model {
-	return &Model{servers: map[string]*record{}, byHash: map[uint64]string{}, usual: map[string]*usualTime{}}
+	return &Model{servers: map[string]*record{}, byHash: map[uint64]string{}, usual: map[string]*usualTime{}, sharers: map[uint64][]string{}}
 }
 
 // SetServers replaces the set of servers. What was learned of the others is forgotten.
--- a/internal/serverload/shared.go
+++ b/internal/serverload/shared.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -24,6 +25,10 @@
 	notable = 0.223
 	// observedFor is how long a sample is worth reporting.
 	observedFor = time.Second
+	// maxHosts bounds the hosts whose observations are kept.
+	maxHosts = 2048
+	// checkInterval is the least time between two looks for changes, which take time in proportion to the servers.
+	checkInterval = 100 * time.Millisecond
 	// maxLimit bounds the limits that other hosts report.
 	maxLimit = 1 << 16
 	// maxPercent bounds the times that other hosts report, in percent of the usual time.
@@ -97,17 +102,16 @@
 
 // Receive replaces the observations of another host.
 func (m *Model) Receive(host uint64, observations []Observation, now time.Time) {
-	for _, r := range m.servers {
-		delete(r.shared, host)
-		for other, o := range r.shared {
-			if now.Sub(o.At) > limitMemory {
-				delete(r.shared, other)
-			}
-		}
-	}
+	m.withdraw(host)
 	for _, o := range observations[:min(len(observations), maxObservations)] {
 		r := m.servers[m.byHash[o.Server]]
-		if r == nil || now.Sub(o.At) > limitMemory || len(r.shared) >= maxSharers {
+		if r == nil || now.Sub(o.At) > limitMemory {
+			continue
+		}
+		if len(r.shared) >= maxSharers {
+			maps.DeleteFunc(r.shared, func(_ uint64, old Observation) bool { return now.Sub(old.At) > limitMemory })
+		}
+		if len(r.shared) >= maxSharers {
 			continue
 		}
 		if o.At.After(now) {
@@ -115,6 +119,25 @@
 		}
 		o.TimePercent, o.Limit = min(max(o.TimePercent, 0), maxPercent), min(max(o.Limit, 0), maxLimit)
 		r.shared[host] = o
+		m.sharers[host] = append(m.sharers[host], m.byHash[o.Server])
+	}
+}
+
+// withdraw removes the observations of another host. Its work does not grow with the number of servers.
+func (m *Model) withdraw(host uint64) {
+	for _, key := range m.sharers[host] {
+		if r := m.servers[key]; r != nil {
+			delete(r.shared, host)
+		}
+	}
+	delete(m.sharers, host)
+	if len(m.sharers) < maxHosts {
+		return
+	}
+	// Hosts that have left are not withdrawn one by one.
+	clear(m.sharers)
+	for _, r := range m.servers {
+		clear(r.shared)
 	}
 }
 
@@ -122,9 +145,10 @@
 // The result changes at most every reportInterval, and only if a doubt has begun or ended, a time or limit has changed by
 // more than a quarter, or refreshInterval has passed.
 func (m *Model) Observations(now time.Time) []Observation {
-	if now.Sub(m.reportedAt) < reportInterval {
+	if now.Sub(m.reportedAt) < reportInterval || now.Sub(m.checkedAt) < checkInterval {
 		return m.reported
 	}
+	m.checkedAt = now
 	before := map[uint64]Observation{}
 	for _, o := range m.reported {
 		before[o.Server] = o
