--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -12,6 +12,7 @@
 	"github.com/boragecourse/boragecourse/internal/overload"
 	"github.com/boragecourse/boragecourse/internal/registry"
 	"github.com/boragecourse/boragecourse/internal/retrybudget"
+	"github.com/boragecourse/boragecourse/internal/serverload"
 	"github.com/boragecourse/boragecourse/internal/stagesplit"
 )
 
@@ -29,6 +30,8 @@
 	service string
 	// plain holds the servers of plain requests; prefill and decode hold the engines of the two stages of a generation.
 	plain, prefill, decode *dispatch.Pool
+	// load is what is known of the speed of the servers.
+	load *serverLoad
 
 	mu sync.Mutex
 	// evacuated is the number of backend servers that are not usable only because their zone is evacuated, in the order of pools.
@@ -54,12 +57,16 @@
 }
 
 func newGroup(service, zone string, limits fleet.RetryLimits, started time.Time, now func() time.Time) *group {
-	return &group{
-		service: service, now: now, servers: map[string]fleet.Server{}, heldOff: map[string]time.Time{}, refusing: map[string]bool{}, retryRatio: limits.Ratio,
+	g := &group{
+		service: service, now: now, load: newServerLoad(), servers: map[string]fleet.Server{}, heldOff: map[string]time.Time{}, refusing: map[string]bool{}, retryRatio: limits.Ratio,
 		outliers: outlier.New(), overload: groupOverload{controller: overload.New()},
 		plain: dispatch.NewPool(zone, now), prefill: dispatch.NewPool(zone, now), decode: dispatch.NewPool(zone, now),
 		budget: retrybudget.New(limits, started, now()),
 	}
+	for _, p := range g.pools() {
+		p.SetModel(g.load)
+	}
+	return g
 }
 
 // serverKey identifies one incarnation of a backend server.
@@ -76,9 +83,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.servers = make(map[string]fleet.Server, len(usable))
+	keys := make(map[string]bool, len(usable))
 	for _, s := range usable {
-		g.servers[serverKey(s.Server)] = s.Server
+		key := serverKey(s.Server)
+		g.servers[key], keys[key] = s.Server, true
 	}
+	g.load.with(func(m *serverload.Model) { m.SetServers(keys) })
 	g.outliers.Retain(func(key string) bool { _, known := g.servers[key]; return known })
 	g.overload.mu.Lock()
 	g.overload.controller.Retain(func(key string) bool { _, known := g.servers[key]; return known })
--- a/internal/front/overload.go
+++ b/internal/front/overload.go
@@ -109,8 +109,8 @@
 	return share, false, false, 0
 }
 
-// observeLoad is called with each response that states the load of its backend server.
-func (f *Front) observeLoad(server fleet.Server, l platform.LoadReport) {
+// observeQueue records the queue at a plain server that states its load in a response.
+func (f *Front) observeQueue(server fleet.Server, l platform.LoadReport) {
 	if server.Stage != fleet.NoStage {
 		return
 	}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -33,6 +33,7 @@
 	// survived is set once the current run has gone on for decodeStart.
 	survived bool
 	watch    *stallWatch
+	sample   decodeSampler
 }
 
 // EventTooLargeError reports an event that exceeds the size limit. Bytes is the size received so far.
@@ -242,9 +243,13 @@
 		s.front.observeLatency(s.x, s.x.trace.first)
 	}
 	s.recordProgress()
+	s.sample.event(s.front, s.x, s.events+1)
 	s.watch.received()
 	s.front.runTable.progress(s.run, int64(s.events+1)*s.front.tokensPerEvent(s.x))
-	if err := s.send(ctx, event); err != nil {
+	written := s.sample.write(s.front)
+	err = s.send(ctx, event)
+	written()
+	if err != nil {
 		s.lastEvent, s.unnumbered = lastEvent, unnumbered
 		return err
 	}
