Count bytes and messages between hosts by kind

The busiest host of large fleets is a relay, and which part of the reports fills its link was not known. The exchange counts each part of the messages that it sends and receives (peer_bytes, peer_messages).

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -95,6 +95,8 @@
 	metrics     *metrics.Registry
 	now         func() time.Time
 
+	sent, received traffic
+
 	wake chan struct{}
 
 	// refreshMu is held while this host's report is filled and recorded, so that an older one does not replace a newer one. It
@@ -241,6 +243,8 @@
 }
 
 func (e *Exchange) sendRound(ctx context.Context) {
+	e.sent.flush(e.metrics, "sent")
+	e.received.flush(e.metrics, "received")
 	e.refresh()
 	e.mu.Lock()
 	now := e.now()
@@ -344,8 +348,10 @@
 	defer cancel()
 	request, sentUpTo := e.request(r)
 	requestedAt := e.now()
+	e.sent.count(request, request.Reports, nil)
 	reply, err := peerv1.NewFrontsClient(e.pool.Conn(r.Address)).Report(ctx, request)
 	if err == nil {
+		e.received.count(reply, reply.Reports, reply.State)
 		if reply.State != nil {
 			e.local.ApplyState(r.Address, reply.State, requestedAt, true)
 		}
@@ -471,6 +477,13 @@
 // Report receives the reports of another host and returns those that it asks for. The response contains this host's
 // contacts when the caller has fewer, so that hosts discover each other.
 func (e *Exchange) Report(_ context.Context, r *peerv1.ReportRequest) (*peerv1.ReportResponse, error) {
+	reply := e.respond(r)
+	e.sent.count(reply, reply.Reports, reply.State)
+	return reply, nil
+}
+
+func (e *Exchange) respond(r *peerv1.ReportRequest) *peerv1.ReportResponse {
+	e.received.count(r, r.Reports, nil)
 	complete := e.receive(r.Reports)
 	e.refreshVersion()
 	var state *peerv1.FetchStateResponse
@@ -497,7 +510,7 @@
 			reply.Peers = append(reply.Peers, &peerv1.Contact{Address: address, Zone: e.directory.Zone(address)})
 		}
 	}
-	return reply, nil
+	return reply
 }
 
 func scopeFromWire(s peerv1.Scope) Scope {
@@ -511,7 +524,9 @@
 
 // FetchState returns this host's copy of the store.
 func (e *Exchange) FetchState(_ context.Context, r *peerv1.FetchStateRequest) (*peerv1.FetchStateResponse, error) {
-	return e.local.State(StateVersion{kvstore.InEra(r.Era, r.Revision), r.ConfigurationVersion}), nil
+	state := e.local.State(StateVersion{kvstore.InEra(r.Era, r.Revision), r.ConfigurationVersion})
+	e.sent.count(nil, nil, state)
+	return state, nil
 }
 
 // receive records reports of other hosts and passes on those that are newer than the recorded ones. It returns false
@@ -599,6 +614,7 @@
 			e.log.Error(err, "failed to fetch store copy from another host", "from", address)
 			return
 		}
+		e.received.count(nil, nil, state)
 		e.local.ApplyState(address, state, requestedAt, false)
 	}()
 }
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -20,6 +20,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/boragecourse/boragecourse/internal/exchange"
+	"github.com/boragecourse/boragecourse/internal/metrics"
 	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
 )
 
@@ -49,6 +50,9 @@
 	exchange    *exchange.Exchange
 	stop        context.CancelFunc
 	paused      bool
+	metrics     *metrics.Registry
+	// load supplies the use of backend servers in place of uses.
+	load func(r *peerv1.FrontReport)
 
 	admitted map[string]int64
 	uses     map[string]int32
@@ -74,11 +78,11 @@
 func (n *network) start(address, zone string, seeds ...string) *member {
 	incarnations++
 	m := &member{
-		network: n, address: address, zone: zone, incarnation: incarnations, admitted: map[string]int64{}, uses: map[string]int32{}, evidence: &peerv1.CrashEvidence{}, seen: map[uint64]*view{},
+		network: n, address: address, zone: zone, incarnation: incarnations, admitted: map[string]int64{}, uses: map[string]int32{}, evidence: &peerv1.CrashEvidence{}, seen: map[uint64]*view{}, metrics: metrics.New(),
 	}
 	m.exchange = exchange.New(exchange.Options{
 		Name: address, Address: address, Zone: zone, Incarnation: m.incarnation, Seeds: seeds, Local: m, Pool: &caller{n, address, m}, Log: logr.Discard(),
-		Now: time.Now,
+		Metrics: m.metrics, Now: time.Now,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
@@ -163,6 +167,9 @@
 		r.Uses = append(r.Uses, &peerv1.ServerUse{Key: key, Slots: slots})
 	}
 	r.Evidence = m.evidence
+	if m.load != nil {
+		m.load(r)
+	}
 }
 
 // ReportsReceived implements exchange.Local. It overlays reports as a host does.
