Report uses of backend servers as changes

Each report contained all uses of its host with the keys of the servers and the progress of all runs, and each receiver rebuilt the slots and runs of all hosts. Hosts that announce it now get only the uses that changed (merges_uses), with the hash of the server in place of its key; a run is reported at its start, first output and end, and again only when its output differs from what receivers extrapolate. Load counters are reported once a second in fleets with relays, and changed counters are found without a pass over all workspaces. A receiver updates the servers that a report changes.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -80,8 +81,10 @@
 	// candidates.
 	servers map[string]*server
 	order   []string
-	queue   queue
-	grants  rate
+	// remote holds the slots that other hosts use, by key, also of servers that are no candidates at the moment.
+	remote map[string]int
+	queue  queue
+	grants rate
 	// arrivals holds the values of the jobs that arrived within rateWindow.
 	arrivals valueWindow
 	// limits holds this host's share of the rate limits of backend servers, by key. Other servers have no limit.
@@ -115,7 +118,7 @@
 	for _, c := range candidates {
 		s := old[c.Key]
 		if s == nil {
-			s = &server{}
+			s = &server{remoteSlots: p.remote[c.Key]}
 		}
 		s.Candidate = c
 		p.servers[c.Key] = s
@@ -133,12 +136,31 @@
 func (p *Pool) SetRemoteUse(used map[string]int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.remote = maps.Clone(used)
 	for key, s := range p.servers {
 		s.remoteSlots = used[key]
 	}
 	p.dispatch()
 }
 
+// UpdateRemoteUse sets the slots that other hosts reported as in use at the backend servers for which they have changed.
+func (p *Pool) UpdateRemoteUse(changed map[string]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.remote == nil {
+		p.remote = map[string]int{}
+	}
+	for key, n := range changed {
+		if p.remote[key] = n; n == 0 {
+			delete(p.remote, key)
+		}
+		if s := p.servers[key]; s != nil {
+			s.remoteSlots = n
+		}
+	}
+	p.dispatch()
+}
+
 // SetRateLimits replaces the rates at which this host may send to backend servers, in jobs per second by key. Servers that
 // are not listed have no limit; those with rate 0 get no jobs from this host.
 func (p *Pool) SetRateLimits(perSecond map[string]float64) {
--- a/internal/exchange/connections_test.go
+++ b/internal/exchange/connections_test.go
@@ -109,6 +109,10 @@
 // The other methods implement exchange.Local: each copy that a report offers is needed.
 func (c *connected) Fill(*peerv1.FrontReport) {}
 
+func (c *connected) DecodeRate() float64 { return 0 }
+
+func (c *connected) ServerKey(uint64) string { return "" }
+
 func (c *connected) ReportsReceived([]*peerv1.FrontReport) {}
 
 func (c *connected) Changed(exchange.Transition) {}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -58,6 +58,10 @@
 type Local interface {
 	// Fill sets the resource usage and the state version in a report.
 	Fill(r *peerv1.FrontReport)
+	// DecodeRate returns the rate in tokens a second at which hosts extrapolate the output of each other's runs.
+	DecodeRate() float64
+	// ServerKey returns the key of the backend server with a hash (see ServerHash), empty if it is not known.
+	ServerKey(hash uint64) string
 	// ReportsReceived is called with the reports of other hosts that one message contained, as far as they are newer than
 	// the previous ones. The first report of an incarnation is complete; later ones may be partial.
 	ReportsReceived(reports []*peerv1.FrontReport)
@@ -152,7 +156,7 @@
 	return &Exchange{
 		name: o.Name, self: o.Address, zone: o.Zone, linkMbps: o.LinkMbps, incarnation: o.Incarnation, local: o.Local, pool: o.Pool, log: o.Log,
 		metrics: o.Metrics, now: o.Now, wake: make(chan struct{}, 1), directory: NewDirectory(o.Address, o.Zone, o.LinkMbps, o.Seeds),
-		feed: newFeed(), links: map[string]*link{},
+		feed: newFeed(o.Address, o.Local.ServerKey), links: map[string]*link{},
 	}
 }
 
@@ -334,11 +338,12 @@
 	}
 	e.mu.Unlock()
 	e.local.Fill(r)
+	rate := e.local.DecodeRate()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
 	bump := !e.directory.relayed() || now.Sub(e.bumpedAt) >= livenessInterval
-	if e.feed.update(r, bump) || bump {
+	if e.feed.update(r, bump, e.directory.relayed(), rate, now) || bump {
 		e.bumpedAt = now
 	}
 }
@@ -388,7 +393,7 @@
 		l.pull, l.received = r.Pull, 0
 	}
 	request := &peerv1.ReportRequest{
-		Reports: e.feed.since(l.acknowledged, e.scopeFilter(r.Send, r.Address)), Caller: e.self, Incarnation: e.incarnation,
+		Reports: e.feed.since(l.acknowledged, e.compact(r.Address, l.incarnation), e.scopeFilter(r.Send, r.Address)), Caller: e.self, Incarnation: e.incarnation,
 		Pull: scopeToWire[r.Pull], Since: l.received, SinceIncarnation: l.incarnation,
 	}
 	now := e.now()
@@ -403,6 +408,12 @@
 	return request, e.feed.position
 }
 
+// compact reports whether a process gets uses as changes. In a small fleet and to hosts of earlier versions, uses are sent
+// as a whole. e.mu must be held.
+func (e *Exchange) compact(address string, incarnation uint64) bool {
+	return e.directory.relayed() && e.feed.merges(address, incarnation)
+}
+
 var scopeToWire = map[Scope]peerv1.Scope{
 	NoReports: peerv1.Scope_SCOPE_NONE, OwnReport: peerv1.Scope_SCOPE_OWN, ZoneReports: peerv1.Scope_SCOPE_ZONE, AllReports: peerv1.Scope_SCOPE_ALL,
 }
@@ -502,7 +513,7 @@
 		since = 0
 	}
 	reply := &peerv1.ReportResponse{
-		Reports: e.feed.since(since, e.scopeFilter(scopeFromWire(r.Pull), r.Caller)), Position: e.feed.position, Incarnation: e.incarnation,
+		Reports: e.feed.since(since, e.compact(r.Caller, r.Incarnation), e.scopeFilter(scopeFromWire(r.Pull), r.Caller)), Position: e.feed.position, Incarnation: e.incarnation,
 		NeedsFull: !complete, State: state,
 	}
 	if r.Contacts > 0 && e.directory.HostCount() > int(r.Contacts) {
--- a/internal/exchange/feed.go
+++ b/internal/exchange/feed.go
@@ -13,6 +13,9 @@
 // tombstoneTime is how long the last report of a host that has left is passed on.
 const tombstoneTime = 5 * time.Second
 
+// totalsInterval is the time between two reports of load counters in fleets with relays. They are evaluated once a second.
+const totalsInterval = time.Second
+
 // feed holds the newest report of each host, this one included, and the position at which each part of it last changed.
 // Positions count the changes of this feed. A receiver that has everything up to a position needs only what changed
 // after it, so that reports grow with the changes and not with the number of workspaces and hosts. feed is not safe for
@@ -22,30 +25,54 @@
 	// entries are kept by the host's address; addresses finds the address of an incarnation.
 	entries   map[string]*feedEntry
 	addresses map[uint64]string
+	// self is the address of this host.
+	self string
+	// rate is the rate at which the output of runs is extrapolated, in tokens a second; now is the time of the last update.
+	rate float64
+	now  time.Time
+	// keyOf returns the key of the backend server with a hash, empty if it is not known.
+	keyOf func(hash uint64) string
 }
 
 type feedEntry struct {
-	// report is the complete newest report. Its maps change; what they and its slices refer to does not.
-	report *peerv1.FrontReport
+	// report is the complete newest report, except that its uses are in serverUses. Its maps change; what they and its
+	// slices refer to does not.
+	report     *peerv1.FrontReport
+	serverUses serverUses
 	// recorded is the position at which this incarnation was first recorded, position that of the last change.
 	recorded, position               uint64
 	uses, evidence, limits, versions uint64
-	admitted, generations            map[string]uint64
+	admitted, generations            changeLog
 	leftAt                           time.Time
+	// totalsAt is when this host last reported its load counters.
+	totalsAt time.Time
 }
 
-func newFeed() *feed { return &feed{entries: map[string]*feedEntry{}, addresses: map[uint64]string{}} }
+func newFeed(self string, keyOf func(hash uint64) string) *feed {
+	return &feed{self: self, entries: map[string]*feedEntry{}, addresses: map[uint64]string{}, keyOf: keyOf}
+}
 
 // update records this host's own report, which is complete, and reports whether its contents have changed. The recorded
-// sequence rises when they have, or when bump is set.
-func (f *feed) update(r *peerv1.FrontReport, bump bool) bool {
+// sequence rises when they have, or when bump is set. decodeRate is the rate at which receivers extrapolate the output
+// of runs. thin is set in fleets with relays, where the load counters are reported at intervals.
+func (f *feed) update(r *peerv1.FrontReport, bump, thin bool, decodeRate float64, now time.Time) bool {
 	old := f.entries[r.Address]
 	if old == nil || old.report.Incarnation != r.Incarnation {
-		r.Sequence = 1
-		f.record(r)
+		r.Sequence, r.MergesUses = 1, true
+		f.record(r, now)
 		return true
 	}
-	r.KeepsUses = sameUses(old.report, r)
+	f.rate, f.now = decodeRate, now
+	changes := old.serverUses.changes(r.Uses, thin, decodeRate, now)
+	r.KeepsUses = len(changes) == 0 && sameStageChanges(old.report, r)
+	if thin {
+		r.Uses, r.Partial, r.MergesUses = changes, true, true
+	}
+	if thin && now.Sub(old.totalsAt) < totalsInterval {
+		r.Generations = nil
+	} else {
+		old.totalsAt = now
+	}
 	if proto.Equal(old.report.Evidence, r.Evidence) {
 		r.Evidence = nil
 	}
@@ -56,7 +83,7 @@
 		r.ConfigurationVersion > old.report.ConfigurationVersion
 	if changed || bump {
 		r.Sequence = old.report.Sequence + 1
-		f.overlay(old, r)
+		f.overlay(old, r, now)
 	}
 	return changed
 }
@@ -77,12 +104,14 @@
 }
 
 // record replaces the entry of a host by a complete report.
-func (f *feed) record(r *peerv1.FrontReport) {
+func (f *feed) record(r *peerv1.FrontReport, now time.Time) {
 	if old := f.entries[r.Address]; old != nil {
 		delete(f.addresses, old.report.Incarnation)
 	}
 	f.position++
-	e := &feedEntry{report: r, recorded: f.position, position: f.position, uses: f.position, evidence: f.position, limits: f.position, versions: f.position, admitted: map[string]uint64{}, generations: map[string]uint64{}}
+	e := &feedEntry{report: r, recorded: f.position, position: f.position, uses: f.position, evidence: f.position, limits: f.position, versions: f.position}
+	e.serverUses.apply(r, f.position, now)
+	r.Uses = nil
 	if r.Admitted == nil {
 		r.Admitted = map[string]int64{}
 	}
@@ -100,10 +129,10 @@
 		if r.Partial {
 			return
 		}
-		f.record(cloneReport(r))
+		f.record(cloneReport(r), now)
 		e = f.entries[r.Address]
 	} else {
-		f.overlay(e, r)
+		f.overlay(e, r, now)
 	}
 	if r.Leaving && e.leftAt.IsZero() {
 		e.leftAt = now
@@ -112,7 +141,7 @@
 
 // overlay applies what a report contains to the entry of the same incarnation. A complete report, too, can only add
 // entries to the maps, since counters never disappear.
-func (f *feed) overlay(e *feedEntry, r *peerv1.FrontReport) {
+func (f *feed) overlay(e *feedEntry, r *peerv1.FrontReport, now time.Time) {
 	f.position++
 	e.position = f.position
 	to := e.report
@@ -122,8 +151,10 @@
 		to.StateEra, to.ConfigurationVersion = max(r.StateEra, to.StateEra), max(r.ConfigurationVersion, to.ConfigurationVersion)
 		e.versions = f.position
 	}
+	to.MergesUses = to.MergesUses || announcesMerging(r)
 	if !r.KeepsUses {
-		to.Uses, to.ChangingStage, e.uses = r.Uses, r.ChangingStage, f.position
+		e.serverUses.apply(r, f.position, now)
+		to.ChangingStage, e.uses = r.ChangingStage, f.position
 	}
 	if r.Evidence != nil {
 		to.Evidence, e.evidence = r.Evidence, f.position
@@ -133,12 +164,14 @@
 	}
 	for name, v := range r.Admitted {
 		if old, known := to.Admitted[name]; !known || old != v {
-			to.Admitted[name], e.admitted[name] = v, f.position
+			to.Admitted[name] = v
+			e.admitted.add(name, f.position)
 		}
 	}
 	for name, v := range r.Generations {
 		if old, known := to.Generations[name]; !known || !sameTotals(old, v) {
-			to.Generations[name], e.generations[name] = v, f.position
+			to.Generations[name] = v
+			e.generations.add(name, f.position)
 		}
 	}
 }
@@ -161,15 +194,24 @@
 	return v
 }
 
-// since returns what has changed after a position, for the hosts that include selects.
-func (f *feed) since(position uint64, include func(r *peerv1.FrontReport) bool) []*peerv1.FrontReport {
+// merges reports whether the process at an address is known to merge uses.
+func (f *feed) merges(address string, incarnation uint64) bool {
+	e := f.entries[address]
+	return e != nil && e.report.Incarnation == incarnation && e.report.MergesUses
+}
+
+// since returns what has changed after a position, for the hosts that include selects. Uses are sent as changes if
+// compact is set, which the receiver must support.
+func (f *feed) since(position uint64, compact bool, include func(r *peerv1.FrontReport) bool) []*peerv1.FrontReport {
 	var out []*peerv1.FrontReport
 	for _, e := range f.entries {
 		if e.position <= position || !include(e.report) {
 			continue
 		}
 		if e.recorded > position {
-			out = append(out, cloneReport(e.report))
+			r := cloneReport(e.report)
+			r.Uses = e.serverUses.all(compact, f)
+			out = append(out, r)
 			continue
 		}
 		r := &peerv1.FrontReport{
@@ -178,8 +220,12 @@
 			KeepsUses: e.uses <= position,
 			Admitted:  map[string]int64{}, Generations: map[string]*peerv1.GenerationTotals{},
 		}
-		if !r.KeepsUses {
-			r.Uses, r.ChangingStage = e.report.Uses, e.report.ChangingStage
+		if r.KeepsUses {
+			// Only a host itself knows for sure what its process supports.
+			r.MergesUses = e.report.MergesUses && e.report.Address == f.self
+		} else {
+			r.Uses, r.MergesUses = e.serverUses.since(position, compact, f)
+			r.ChangingStage = e.report.ChangingStage
 		}
 		if e.evidence > position {
 			r.Evidence = e.report.Evidence
@@ -190,15 +236,11 @@
 		if e.versions > position {
 			r.StateEra, r.ConfigurationVersion = e.report.StateEra, e.report.ConfigurationVersion
 		}
-		for name, at := range e.admitted {
-			if at > position {
-				r.Admitted[name] = e.report.Admitted[name]
-			}
+		for name := range e.admitted.since(position) {
+			r.Admitted[name] = e.report.Admitted[name]
 		}
-		for name, at := range e.generations {
-			if at > position {
-				r.Generations[name] = e.report.Generations[name]
-			}
+		for name := range e.generations.since(position) {
+			r.Generations[name] = e.report.Generations[name]
 		}
 		out = append(out, r)
 	}
@@ -226,16 +268,15 @@
 func cloneReport(r *peerv1.FrontReport) *peerv1.FrontReport {
 	return &peerv1.FrontReport{
 		Name: r.Name, Address: r.Address, Zone: r.Zone, LinkMbps: r.LinkMbps, Incarnation: r.Incarnation, Sequence: r.Sequence, Leaving: r.Leaving,
-		Admitted: maps.Clone(r.Admitted), Uses: r.Uses, StateRevision: r.StateRevision, StateAgeMillis: r.StateAgeMillis,
+		Admitted: maps.Clone(r.Admitted), Uses: r.Uses, MergesUses: r.MergesUses, StateRevision: r.StateRevision, StateAgeMillis: r.StateAgeMillis,
 		Generations: maps.Clone(r.Generations), ChangingStage: r.ChangingStage, Evidence: r.Evidence, Limits: r.Limits,
 		UptimeMillis: r.UptimeMillis, StateEra: r.StateEra, ConfigurationVersion: r.ConfigurationVersion,
 	}
 }
 
-// sameUses compares what two reports say of backend servers. The progress of a run is left out, because receivers
-// extrapolate it.
-func sameUses(a, b *peerv1.FrontReport) bool {
-	if len(a.Uses) != len(b.Uses) || len(a.ChangingStage) != len(b.ChangingStage) {
+// sameStageChanges compares the backend servers that two reports say change their stage.
+func sameStageChanges(a, b *peerv1.FrontReport) bool {
+	if len(a.ChangingStage) != len(b.ChangingStage) {
 		return false
 	}
 	for key := range a.ChangingStage {
@@ -243,38 +284,6 @@
 			return false
 		}
 	}
-	uses := make(map[string]*peerv1.ServerUse, len(a.Uses))
-	for _, u := range a.Uses {
-		uses[u.Key] = u
-	}
-	for _, u := range b.Uses {
-		old := uses[u.Key]
-		if old == nil || old.Slots != u.Slots || !sameRuns(old.Runs, u.Runs) {
-			return false
-		}
-	}
-	return true
-}
-
-// sameRuns compares runs without regard to their order and progress.
-func sameRuns(a, b []*peerv1.GenerationRun) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	type identity struct {
-		prompt, maxOutput int64
-		logMean, logSigma float32
-	}
-	count := map[identity]int{}
-	for _, r := range a {
-		count[identity{r.Prompt, r.MaxOutput, r.LogMean, r.LogSigma}]++
-	}
-	for _, r := range b {
-		id := identity{r.Prompt, r.MaxOutput, r.LogMean, r.LogSigma}
-		if count[id]--; count[id] < 0 {
-			return false
-		}
-	}
 	return true
 }
 
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/boragecourse/boragecourse/internal/exchange"
 	"github.com/boragecourse/boragecourse/internal/metrics"
+	"github.com/boragecourse/boragecourse/internal/serverlimit"
 	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
 )
 
@@ -65,7 +66,7 @@
 type view struct {
 	address  string
 	admitted map[string]int64
-	uses     map[string]int32
+	uses     map[uint64]int32
 	evidence *peerv1.CrashEvidence
 }
 
@@ -190,14 +191,23 @@
 			v.evidence = r.Evidence
 		}
 		if !r.KeepsUses {
-			v.uses = map[string]int32{}
+			if !r.Partial || !r.MergesUses {
+				v.uses = map[uint64]int32{}
+			}
 			for _, u := range r.Uses {
-				v.uses[u.Key] = u.Slots
+				if v.uses[exchange.ServerHash(u)] = u.Slots; u.Slots == 0 {
+					delete(v.uses, exchange.ServerHash(u))
+				}
 			}
 		}
 	}
 }
 
+// DecodeRate and ServerKey implement exchange.Local.
+func (m *member) DecodeRate() float64 { return 60 }
+
+func (m *member) ServerKey(uint64) string { return "" }
+
 // Changed implements exchange.Local.
 func (m *member) Changed(t exchange.Transition) {
 	m.network.mu.Lock()
@@ -232,12 +242,20 @@
 			v := m.seen[other.incarnation]
 			n.g.Expect(v).NotTo(BeNil(), "%s: %s does not know %s", when, m.address, other.address)
 			n.g.Expect(v.admitted).To(Equal(other.admitted), "%s: tokens of %s as known to %s", when, other.address, m.address)
-			n.g.Expect(v.uses).To(Equal(other.uses), "%s: uses of %s as known to %s", when, other.address, m.address)
+			n.g.Expect(v.uses).To(Equal(hashed(other.uses)), "%s: uses of %s as known to %s", when, other.address, m.address)
 			n.g.Expect(proto.Equal(v.evidence, other.evidence)).To(BeTrue(), "%s: evidence of %s as known to %s", when, other.address, m.address)
 		}
 	}
 }
 
+func hashed(uses map[string]int32) map[uint64]int32 {
+	out := map[uint64]int32{}
+	for key, n := range uses {
+		out[serverlimit.Hash(key)] = n
+	}
+	return out
+}
+
 // work lets random hosts admit tokens and take or free slots for a while.
 func (n *network) work(r *rand.Rand, steps int, pause time.Duration) {
 	for range steps {
--- a/internal/exchange/load_test.go
+++ b/internal/exchange/load_test.go
@@ -34,7 +34,9 @@
 	runs    map[int][]*peerv1.GenerationRun
 	plain   map[int]int32
 	tokens  map[string]int64
-	started map[*peerv1.GenerationRun]time.Time
+	// generations counts those started.
+	generations int64
+	started     map[*peerv1.GenerationRun]time.Time
 }
 
 // play starts work until the end. lock guards the state, which fill reads.
@@ -53,6 +55,7 @@
 		run := &peerv1.GenerationRun{Prompt: 1000 + l.r.Int64N(8000), LogMean: l.r.Float32(), LogSigma: 0.5, MaxOutput: 6500}
 		l.runs[server] = append(l.runs[server], run)
 		l.started[run] = time.Now()
+		l.generations++
 		l.tokens["workspace-"+strconv.Itoa(l.r.IntN(500))] += run.Prompt
 		return func() {
 			l.runs[server] = slices.DeleteFunc(l.runs[server], func(o *peerv1.GenerationRun) bool { return o == run })
@@ -90,7 +93,7 @@
 		}
 		r.Uses = append(r.Uses, u)
 	}
-	r.Generations = map[string]*peerv1.GenerationTotals{"chat": {Arrived: int64(len(l.tokens)), Prompt: 1, Output: 1}}
+	r.Generations = map[string]*peerv1.GenerationTotals{"chat": {Arrived: l.generations, Prompt: 1, Output: 1}}
 }
 
 func serverName(i int) string { return fmt.Sprintf("server-%04d/1790000000000", i) }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -72,6 +72,11 @@
 
 	reportsMu sync.Mutex
 	reports   map[uint64]*peerReport
+	remoteUse *remoteUse
+	// applyMu orders the changes of remote use that are passed on. It is locked before reportsMu.
+	applyMu sync.Mutex
+	// serverKeys holds the keys of the usable backend servers by their hashes.
+	serverKeys atomic.Pointer[map[uint64]string]
 
 	startedAt time.Time
 	open      atomic.Int64
@@ -95,7 +100,7 @@
 func New(settings fleet.HostSettings, store Store, log logr.Logger, reg *metrics.Registry) (*Front, error) {
 	f := &Front{
 		settings: settings, incarnation: rand.Uint64(), store: store, log: log, metrics: reg, now: time.Now, backends: platform.NewBackends(reg),
-		groups: map[string]*group{}, limiter: ratelimit.New(settings.Limits.Quota), reports: map[uint64]*peerReport{},
+		groups: map[string]*group{}, limiter: ratelimit.New(settings.Limits.Quota), reports: map[uint64]*peerReport{}, remoteUse: newRemoteUse(),
 		pool: peer.NewPool("", nil), peers: peer.NewServer("", nil), startedAt: time.Now(), LogLinesDropped: func() int64 { return 0 },
 	}
 	f.ending, f.endAnswers = context.WithCancelCause(context.Background())
@@ -290,6 +295,7 @@
 	for service, servers := range byService {
 		f.group(service).update(servers)
 	}
+	f.recordServerKeys(usable)
 }
 
 const (
--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -143,12 +143,12 @@
 	return used
 }
 
-// setRemoteUse replaces the number of slots that other hosts use, by key of the backend server. hosts is the number of
-// hosts of the fleet.
-func (g *group) setRemoteUse(used map[string]int, hosts int) {
+// updateRemoteUse sets the number of slots that other hosts use at the backend servers for which it has changed, by key.
+// hosts is the number of hosts of the fleet.
+func (g *group) updateRemoteUse(changed map[string]int, hosts int) {
 	for _, p := range g.pools() {
 		p.SetHosts(hosts)
-		p.SetRemoteUse(used)
+		p.UpdateRemoteUse(changed)
 	}
 }
 
@@ -172,8 +172,8 @@
 	g.mu.Lock()
 	changed := false
 	next := map[string]time.Time{}
-	for key := range g.servers {
-		if at, present := until[key]; present {
+	for key, at := range until {
+		if _, present := g.servers[key]; present {
 			next[key] = at
 			_, known := g.changing[key]
 			changed = changed || !known
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -8,7 +8,9 @@
 	"github.com/boragecourse/boragecourse/internal/exchange"
 	"github.com/boragecourse/boragecourse/internal/kvmemory"
 	"github.com/boragecourse/boragecourse/internal/kvstore"
+	"github.com/boragecourse/boragecourse/internal/registry"
 	"github.com/boragecourse/boragecourse/internal/replica"
+	"github.com/boragecourse/boragecourse/internal/serverlimit"
 	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
 )
 
@@ -16,11 +18,10 @@
 // within this time.
 const useTTL = 4 * time.Second
 
-// peerReport is what another host has reported.
+// peerReport is what another host has reported, except for its use of backend servers.
 type peerReport struct {
 	// at is when the last report was received, usesAt when the last one with uses was.
 	at, usesAt time.Time
-	uses       []*peerv1.ServerUse
 	// loadTotals holds the host's load counters by service. changing holds the engines that the host has commanded to
 	// change their stage, with the remaining time in milliseconds as of usesAt.
 	loadTotals map[string]*peerv1.GenerationTotals
@@ -83,8 +84,9 @@
 	p.at = now
 	maps.Copy(p.loadTotals, r.Generations)
 	if !r.KeepsUses {
-		p.usesAt, p.uses, p.changing = now, r.Uses, r.ChangingStage
+		p.usesAt, p.changing = now, r.ChangingStage
 	}
+	f.remoteUse.receive(r, now)
 }
 
 func processName(incarnation uint64) string { return strconv.FormatUint(incarnation, 16) }
@@ -103,17 +105,19 @@
 	if t.State == exchange.Left || t.State == exchange.Restarted || t.State == exchange.Removed {
 		f.reportsMu.Lock()
 		delete(f.reports, t.Incarnation)
+		f.remoteUse.remove(t.Incarnation)
 		f.reportsMu.Unlock()
 		f.quarantine.forget(processName(t.Incarnation))
 		f.applyPeerUse(now)
 	}
 }
 
-// applyPeerUse passes the slots, runs and stage changes reported by the other hosts to the pools and the run table.
+// applyPeerUse passes the slots, runs and stage changes reported by the other hosts to the pools and the run table, as
+// far as they have changed.
 func (f *Front) applyPeerUse(now time.Time) {
-	slots := map[string]int{}
-	runs := map[string][]kvmemory.Run{}
 	changing := f.stages.idleEngines(now)
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
 	f.reportsMu.Lock()
 	for _, report := range f.reports {
 		if now.Sub(report.at) > useTTL {
@@ -122,25 +126,66 @@
 		for key, left := range report.changing {
 			changing[key] = report.usesAt.Add(time.Duration(left) * time.Millisecond)
 		}
-		for _, u := range report.uses {
-			slots[u.Key] += int(u.Slots)
-			for _, r := range u.Runs {
-				runs[u.Key] = append(runs[u.Key], kvmemory.Run{
-					Prompt: r.Prompt, Generated: r.Generated, At: report.usesAt,
-					Output: kvmemory.Output{LogMean: float64(r.LogMean), LogSigma: float64(r.LogSigma), Max: r.MaxOutput},
-				})
-			}
+	}
+	f.remoteUse.expire(now)
+	slots, runs := f.remoteUse.takeChanged(f.ServerKey)
+	f.reportsMu.Unlock()
+	f.passUse(slots, runs)
+	for _, g := range f.allGroups() {
+		g.setChanging(changing)
+	}
+}
+
+// ServerKey implements exchange.Local.
+func (f *Front) ServerKey(hash uint64) string {
+	if keys := f.serverKeys.Load(); keys != nil {
+		return (*keys)[hash]
+	}
+	return ""
+}
+
+// recordServerKeys records the keys of the usable backend servers, and passes on what other hosts use of those that are
+// new. The pools forget what was used of the others.
+func (f *Front) recordServerKeys(usable []registry.State) {
+	keys := make(map[uint64]string, len(usable))
+	for _, s := range usable {
+		key := serverKey(s.Server)
+		keys[serverlimit.Hash(key)] = key
+	}
+	f.applyMu.Lock()
+	f.reportsMu.Lock()
+	for hash := range keys {
+		if f.ServerKey(hash) == "" {
+			f.remoteUse.recheck(hash)
 		}
 	}
 	f.reportsMu.Unlock()
-	f.runTable.setRemoteUse(runs)
+	slots, runs := map[string]int{}, map[string][]kvmemory.Run{}
+	if old := f.serverKeys.Load(); old != nil {
+		for hash, key := range *old {
+			if keys[hash] == "" {
+				slots[key], runs[key] = 0, nil
+			}
+		}
+	}
+	f.serverKeys.Store(&keys)
+	f.passUse(slots, runs)
+	f.applyMu.Unlock()
+	f.applyPeerUse(f.now())
+}
+
+// passUse passes changes of what other hosts use to the run table and the pools. f.applyMu must be held.
+func (f *Front) passUse(slots map[string]int, runs map[string][]kvmemory.Run) {
+	f.runTable.updateRemoteUse(runs)
 	hosts := f.hosts()
 	for _, g := range f.allGroups() {
-		g.setRemoteUse(slots, hosts)
-		g.setChanging(changing)
+		g.updateRemoteUse(slots, hosts)
 	}
 }
 
+// DecodeRate implements exchange.Local.
+func (f *Front) DecodeRate() float64 { return f.runTable.decodeRate() }
+
 // State implements exchange.Local.
 func (f *Front) State(since exchange.StateVersion) *peerv1.FetchStateResponse {
 	t := f.state.Since(since)
--- a/internal/front/runtable.go
+++ b/internal/front/runtable.go
@@ -123,9 +123,20 @@
 	return out
 }
 
-// setRemoteUse replaces the runs that other hosts reported.
-func (t *runTable) setRemoteUse(others map[string][]kvmemory.Run) {
+// updateRemoteUse replaces the runs that other hosts reported at the engines for which they have changed.
+func (t *runTable) updateRemoteUse(changed map[string][]kvmemory.Run) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.others = others
+	for key, runs := range changed {
+		if t.others[key] = runs; len(runs) == 0 {
+			delete(t.others, key)
+		}
+	}
+}
+
+// decodeRate returns the rate at which the output of other hosts' runs is extrapolated, in tokens a second.
+func (t *runTable) decodeRate() float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.predictor.DecodeRate()
 }
