Put branches between the relay and the hosts of large zones

The first relay served all hosts of its zone, so that its traffic grew with the square of the fleet. In a zone of more than 40 hosts, one host in ten (by link, then address) is now a branch: it exchanges the reports of about ten hosts with the first relay. Hosts choose a branch in a rendezvous order and the next one when a call fails. Reports are not sent back to the host that they came from.

--- a/internal/exchange/directory.go
+++ b/internal/exchange/directory.go
@@ -1,7 +1,8 @@
 // Package exchange distributes reports among the entry hosts. A report contains the host's resource usage and the
 // version of its copy of the store. In a small fleet every host sends its reports to every other one. In a larger one
 // two hosts of each zone are relays: a host exchanges reports with the first relay of its zone, and the first relays of
-// the zones exchange those of their zones. Only what has changed is sent. The number of messages that a host sends is
+// the zones exchange those of their zones. In a zone of more than 40 hosts, branches stand between the other hosts and the
+// first relay. Only what has changed is sent. The number of messages that a host sends is
 // constant, and that of a relay grows with the hosts of its zone and with the number of zones. There is no consensus;
 // each host acts on the latest reports that it has received.
 package exchange
@@ -11,6 +12,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/boragecourse/boragecourse/internal/serverlimit"
 )
 
 const (
@@ -33,6 +36,11 @@
 	// relaysPerZone is the number of hosts of a zone that receive reports directly from all others. The second one
 	// replaces the first at once when that fails, since it has the same reports.
 	relaysPerZone = 2
+	// branchLimit is the number of hosts that one relay serves. In larger zones, hosts with the next fastest links are
+	// branches: each exchanges the reports of about branchHosts hosts with the first relay. With 100 hosts in a zone, the
+	// first relay and the branches serve about equally many.
+	branchLimit = 40
+	branchHosts = 10
 	// avoidAfterFailure is how long a relay is not used after a failed call, if another one is left.
 	avoidAfterFailure = 2 * time.Second
 )
@@ -197,6 +205,9 @@
 	OwnReport
 	ZoneReports
 	AllReports
+	// MemberReports are those of this host's zone that were received from their own hosts, and its own. It is used only to
+	// send.
+	MemberReports
 )
 
 // Route is a destination of a round of reports.
@@ -233,6 +244,9 @@
 	if own == 0 {
 		return d.zoneRoutes(now)
 	}
+	if branches := d.branches(); own < 0 && len(branches) > 0 {
+		return d.branchRoutes(branches, relays, now)
+	}
 	send := OwnReport
 	if own > 0 {
 		// What a host could send to the second relay only reaches the first one this way.
@@ -245,6 +259,75 @@
 	return routes
 }
 
+// branchRoutes returns the destinations of a host that is not one of the two relays, in a zone with branches. A host that
+// is no branch passes on, too, what hosts with another view of the zone have sent it.
+func (d *Directory) branchRoutes(branches, relays []string, now time.Time) []Route {
+	if slices.Contains(branches, d.self) {
+		return []Route{
+			{Address: relays[0], Send: MemberReports, Pull: AllReports},
+			{Address: relays[1], Send: MemberReports, Standby: true},
+		}
+	}
+	return []Route{{Address: d.branchOf(branches, relays[0], now), Send: MemberReports, Pull: AllReports}}
+}
+
+// branchOf returns the branch that this host uses: the first one in a rendezvous order, so that the failure of a branch
+// moves only its own hosts and spreads them over the others. If calls to all of them have just failed, it returns the
+// first relay.
+func (d *Directory) branchOf(branches []string, relay string, now time.Time) string {
+	best, bestScore := relay, uint64(0)
+	for _, address := range branches {
+		if p := d.peers[address]; p != nil && now.Before(p.avoidUntil) {
+			continue
+		}
+		if score := mix(serverlimit.Hash(address + " " + d.self)); best == relay || score > bestScore {
+			best, bestScore = address, score
+		}
+	}
+	return best
+}
+
+// mix spreads the bits of a hash. The upper ones of serverlimit.Hash hardly depend on the end of the hashed string.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// branches returns the branches of this host's zone, none if the zone is small. Failed calls have no effect on them, so
+// that hosts agree on them as far as they agree on who is reachable.
+func (d *Directory) branches() []string {
+	if !d.branched() {
+		return nil
+	}
+	all := []ranked{{address: d.self, link: d.linkMbps}}
+	for address, p := range d.peers {
+		if p.zone == d.zone && !p.unreachable {
+			all = append(all, ranked{address: address, link: p.linkMbps})
+		}
+	}
+	slices.SortFunc(all, compareRanks)
+	var out []string
+	for _, r := range all[relaysPerZone : relaysPerZone+(len(all)+branchHosts-1)/branchHosts] {
+		out = append(out, r.address)
+	}
+	return out
+}
+
+// branched reports whether this host's zone has branches.
+func (d *Directory) branched() bool {
+	n := 1
+	for _, p := range d.peers {
+		if p.zone == d.zone && !p.unreachable {
+			n++
+		}
+	}
+	return n > branchLimit
+}
+
+// IsBranch reports whether this host is a branch of its zone.
+func (d *Directory) IsBranch() bool { return slices.Contains(d.branches(), d.self) }
+
 // zoneRoutes returns the first relays of the other zones.
 func (d *Directory) zoneRoutes(now time.Time) []Route {
 	var routes []Route
@@ -316,11 +399,6 @@
 // relaysOf returns the relays of a zone, the first one first: the reachable hosts with the fastest links, and among
 // equal ones those with the lowest addresses. Hosts to which a call has just failed come last.
 func (d *Directory) relaysOf(zone string, now time.Time) []string {
-	type ranked struct {
-		address string
-		avoided bool
-		link    int32
-	}
 	var all []ranked
 	if zone == d.zone {
 		all = append(all, ranked{d.self, false, d.linkMbps})
@@ -330,15 +408,7 @@
 			all = append(all, ranked{address, now.Before(p.avoidUntil), p.linkMbps})
 		}
 	}
-	slices.SortFunc(all, func(a, b ranked) int {
-		if a.avoided != b.avoided {
-			if a.avoided {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(cmp.Compare(b.link, a.link), strings.Compare(a.address, b.address))
-	})
+	slices.SortFunc(all, compareRanks)
 	var relays []string
 	for _, r := range all[:min(len(all), relaysPerZone)] {
 		relays = append(relays, r.address)
@@ -346,6 +416,24 @@
 	return relays
 }
 
+// ranked is a host that may be a relay.
+type ranked struct {
+	address string
+	avoided bool
+	link    int32
+}
+
+// compareRanks orders hosts by their suitability as relays.
+func compareRanks(a, b ranked) int {
+	if a.avoided != b.avoided {
+		if a.avoided {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(b.link, a.link), strings.Compare(a.address, b.address))
+}
+
 // RecordCall records the result of a call to a host.
 func (d *Directory) RecordCall(address string, ok bool, now time.Time) {
 	p := d.peers[address]
@@ -383,6 +471,11 @@
 			}
 		}
 	}
+	if branches := d.branches(); len(branches) > 0 && !slices.Contains(branches, d.self) {
+		out = append(out, d.branchOf(branches, d.relaysOf(d.zone, now)[0], now))
+		slices.Sort(out)
+		out = slices.Compact(slices.DeleteFunc(out, func(address string) bool { return address == d.self }))
+	}
 	return out
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +30,11 @@
 	// spacingHosts is the number of hosts above which the spacing grows in proportion to the fleet. Rounds then carry the
 	// changes of more hosts, but there are fewer of them in a second.
 	spacingHosts = 40
+	// branchedRelayInterval and branchedInterval bound the time between two rounds of relays and of the other hosts in zones
+	// with branches, where a report passes through five hosts instead of three and must still arrive within
+	// unreachableAfterRelayed when a relay fails: 500 + 300 + 3*120 + 300 ms and reportTimeout.
+	branchedRelayInterval = 120 * time.Millisecond
+	branchedInterval      = 300 * time.Millisecond
 	// livenessInterval is the time after which a host without changes sends a new report, so that it counts as reachable.
 	livenessInterval = 500 * time.Millisecond
 	// standbyInterval is the time between two reports to a relay that is not in use.
@@ -228,7 +234,14 @@
 		return interval, spacing
 	}
 	shortest = max(relayedSpacing, relayedSpacing*time.Duration(e.directory.HostCount())/spacingHosts)
-	return max(relayedInterval, shortest), shortest
+	switch {
+	case !e.directory.branched():
+		return max(relayedInterval, shortest), shortest
+	case e.directory.IsBranch() || slices.Contains(e.directory.relaysOf(e.zone, e.now()), e.self):
+		return branchedRelayInterval, min(shortest, branchedRelayInterval)
+	default:
+		return branchedInterval, min(shortest, branchedInterval)
+	}
 }
 
 // Leave tells the other hosts, directly or through the relays, that this one serves no more requests. It returns when
@@ -393,7 +406,7 @@
 		l.pull, l.received = r.Pull, 0
 	}
 	request := &peerv1.ReportRequest{
-		Reports: e.feed.since(l.acknowledged, e.compact(r.Address, l.incarnation), e.scopeFilter(r.Send, r.Address)), Caller: e.self, Incarnation: e.incarnation,
+		Reports: e.feed.since(l.acknowledged, r.Address, e.compact(r.Address, l.incarnation), e.scopeFilter(r.Send, r.Address)), Caller: e.self, Incarnation: e.incarnation,
 		Pull: scopeToWire[r.Pull], Since: l.received, SinceIncarnation: l.incarnation,
 	}
 	now := e.now()
@@ -420,8 +433,9 @@
 
 // scopeFilter selects the reports of a scope, except that of the host which receives them. e.mu must be held while the
 // filter is used.
-func (e *Exchange) scopeFilter(scope Scope, receiver string) func(r *peerv1.FrontReport) bool {
-	return func(r *peerv1.FrontReport) bool {
+func (e *Exchange) scopeFilter(scope Scope, receiver string) func(entry *feedEntry) bool {
+	return func(entry *feedEntry) bool {
+		r := entry.report
 		if r.Address == receiver {
 			return false
 		}
@@ -432,6 +446,8 @@
 			return r.Address == e.self
 		case ZoneReports:
 			return r.Zone == e.zone
+		case MemberReports:
+			return r.Zone == e.zone && entry.direct(e.self)
 		default:
 			return true
 		}
@@ -440,7 +456,7 @@
 
 // replied evaluates the response to a report.
 func (e *Exchange) replied(r Route, reply *peerv1.ReportResponse, request *peerv1.ReportRequest, sentUpTo uint64) {
-	complete := e.receive(reply.Reports)
+	complete := e.receive(reply.Reports, r.Address)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
@@ -495,7 +511,7 @@
 
 func (e *Exchange) respond(r *peerv1.ReportRequest) *peerv1.ReportResponse {
 	e.received.count(r, r.Reports, nil)
-	complete := e.receive(r.Reports)
+	complete := e.receive(r.Reports, r.Caller)
 	e.refreshVersion()
 	var state *peerv1.FetchStateResponse
 	if r.FollowsStore {
@@ -513,7 +529,7 @@
 		since = 0
 	}
 	reply := &peerv1.ReportResponse{
-		Reports: e.feed.since(since, e.compact(r.Caller, r.Incarnation), e.scopeFilter(scopeFromWire(r.Pull), r.Caller)), Position: e.feed.position, Incarnation: e.incarnation,
+		Reports: e.feed.since(since, r.Caller, e.compact(r.Caller, r.Incarnation), e.scopeFilter(scopeFromWire(r.Pull), r.Caller)), Position: e.feed.position, Incarnation: e.incarnation,
 		NeedsFull: !complete, State: state,
 	}
 	if r.Contacts > 0 && e.directory.HostCount() > int(r.Contacts) {
@@ -540,9 +556,9 @@
 	return state, nil
 }
 
-// receive records reports of other hosts and passes on those that are newer than the recorded ones. It returns false
+// receive records reports of other hosts, which the host at the address from has sent, and passes on those that are newer than the recorded ones. It returns false
 // when one of them is partial and its base is missing here.
-func (e *Exchange) receive(reports []*peerv1.FrontReport) bool {
+func (e *Exchange) receive(reports []*peerv1.FrontReport, from string) bool {
 	if len(reports) == 0 {
 		return true
 	}
@@ -571,14 +587,14 @@
 		isNewer, transitions := e.directory.Receive(host, r.Incarnation, r.Sequence, r.Leaving, now)
 		changes = append(changes, transitions...)
 		if isNewer || r.Leaving && len(transitions) > 0 {
-			e.feed.merge(r, now)
+			e.feed.merge(r, from, now)
 		}
 		if isNewer {
 			newer, addresses = append(newer, r), append(addresses, known.Address)
 			versions = append(versions, e.feed.version(r))
 		}
 	}
-	relay := e.directory.IsRelay(now)
+	relay := e.directory.IsRelay(now) || e.directory.IsBranch()
 	e.mu.Unlock()
 	e.applyTransitions(changes)
 	if len(newer) == 0 {
--- a/internal/exchange/feed.go
+++ b/internal/exchange/feed.go
@@ -44,6 +44,9 @@
 	uses, evidence, limits, versions uint64
 	admitted, generations            changeLog
 	leftAt                           time.Time
+	// via is the address of the host that has sent all changes after the position viaSince.
+	via      string
+	viaSince uint64
 	// totalsAt is when this host last reported its load counters.
 	totalsAt time.Time
 }
@@ -122,9 +125,11 @@
 	f.addresses[r.Incarnation] = r.Address
 }
 
-// merge records a report of another host, which must be newer than the recorded one.
-func (f *feed) merge(r *peerv1.FrontReport, now time.Time) {
+// merge records a report of another host, which must be newer than the recorded one. from is the address of the host that
+// sent it.
+func (f *feed) merge(r *peerv1.FrontReport, from string, now time.Time) {
 	e := f.entries[f.addresses[r.Incarnation]]
+	before := f.position
 	if e == nil {
 		if r.Partial {
 			return
@@ -134,6 +139,9 @@
 	} else {
 		f.overlay(e, r, now)
 	}
+	if e.via != from {
+		e.via, e.viaSince = from, before
+	}
 	if r.Leaving && e.leftAt.IsZero() {
 		e.leftAt = now
 	}
@@ -200,12 +208,17 @@
 	return e != nil && e.report.Incarnation == incarnation && e.report.MergesUses
 }
 
-// since returns what has changed after a position, for the hosts that include selects. Uses are sent as changes if
-// compact is set, which the receiver must support.
-func (f *feed) since(position uint64, compact bool, include func(r *peerv1.FrontReport) bool) []*peerv1.FrontReport {
+// direct reports whether the newest report was received from its own host, or is this host's.
+func (e *feedEntry) direct(self string) bool {
+	return e.via == e.report.Address || e.report.Address == self
+}
+
+// since returns what has changed after a position, for the hosts that include selects, except what the receiver has sent
+// itself. Uses are sent as changes if compact is set, which the receiver must support.
+func (f *feed) since(position uint64, receiver string, compact bool, include func(e *feedEntry) bool) []*peerv1.FrontReport {
 	var out []*peerv1.FrontReport
 	for _, e := range f.entries {
-		if e.position <= position || !include(e.report) {
+		if e.position <= position || !include(e) || e.via == receiver && position > 0 && position >= e.viaSince {
 			continue
 		}
 		if e.recorded > position {
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -39,6 +40,8 @@
 	calls int
 	// sent counts the bytes by sending host, for requests and responses.
 	sent map[string]int
+	// missed holds the hosts that became unreachable for others, by the address of the other host.
+	missed map[string][]string
 }
 
 // member is one host. It implements exchange.Local: it admits tokens, and sums what the other hosts report.
@@ -71,7 +74,7 @@
 }
 
 func newNetwork(t *testing.T) *network {
-	return &network{t: t, g: NewWithT(t), hosts: map[string]*member{}, cut: func(string, string) bool { return false }, sent: map[string]int{}}
+	return &network{t: t, g: NewWithT(t), hosts: map[string]*member{}, cut: func(string, string) bool { return false }, sent: map[string]int{}, missed: map[string][]string{}}
 }
 
 var incarnations uint64
@@ -212,6 +215,9 @@
 func (m *member) Changed(t exchange.Transition) {
 	m.network.mu.Lock()
 	defer m.network.mu.Unlock()
+	if t.State == exchange.Unreachable {
+		m.network.missed[m.address] = append(m.network.missed[m.address], t.Address)
+	}
 	if t.State == exchange.Left || t.State == exchange.Restarted || t.State == exchange.Removed {
 		delete(m.seen, t.Incarnation)
 	}
@@ -313,7 +319,7 @@
 
 // Guards against a host whose reports do not reach all others, in fleets of every shape.
 func TestReportsReachEveryHost(t *testing.T) {
-	for _, c := range []struct{ hosts, zones int }{{2, 1}, {5, 4}, {8, 3}, {9, 3}, {10, 9}, {33, 4}, {60, 3}} {
+	for _, c := range []struct{ hosts, zones int }{{2, 1}, {5, 4}, {8, 3}, {9, 3}, {10, 9}, {33, 4}, {60, 3}, {92, 2}} {
 		t.Run(fmt.Sprintf("%d hosts in %d zones", c.hosts, c.zones), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				n := newNetwork(t)
@@ -401,6 +407,84 @@
 	}
 }
 
+// Guards against sums that miss or repeat what a host admitted, and against hosts that stay unknown or count as
+// unreachable, when branches of a large zone fail, are suspended and return with old totals, or are cut off in one
+// direction.
+func TestReportsSurviveFaultsOfBranches(t *testing.T) {
+	const hosts = 48
+	// The relays are the hosts with the lowest addresses, followed by the branches.
+	relay, branch, second := 0, 2, 3
+	for name, fault := range map[string]func(n *network, all []*member) (heal func()){
+		"none": func(*network, []*member) func() { return func() {} },
+		"branch killed": func(n *network, all []*member) func() {
+			n.kill(all[branch])
+			return func() {}
+		},
+		"relay and branches killed": func(n *network, all []*member) func() {
+			for _, i := range []int{relay, branch, second} {
+				n.kill(all[i])
+			}
+			return func() {}
+		},
+		"branch suspended": func(n *network, all []*member) func() {
+			n.lock(func() { all[branch].paused = true })
+			return func() { n.lock(func() { all[branch].paused = false }) }
+		},
+		"relay suspended": func(n *network, all []*member) func() {
+			n.lock(func() { all[relay].paused = true })
+			return func() { n.lock(func() { all[relay].paused = false }) }
+		},
+		"branch cannot be called": func(n *network, all []*member) func() {
+			n.setCut(func(_, to string) bool { return to == all[branch].address })
+			return func() { n.setCut(func(string, string) bool { return false }) }
+		},
+		"branch cannot call": func(n *network, all []*member) func() {
+			n.setCut(func(from, _ string) bool { return from == all[branch].address })
+			return func() { n.setCut(func(string, string) bool { return false }) }
+		},
+		"branches cannot call the relay": func(n *network, all []*member) func() {
+			n.setCut(func(from, to string) bool { return to == all[relay].address && from < all[second+4].address })
+			return func() { n.setCut(func(string, string) bool { return false }) }
+		},
+	} {
+		duration := 3 * time.Second
+		if strings.Contains(name, "suspended") {
+			// Suspended hosts are removed meanwhile.
+			duration = 18 * time.Second
+		}
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(t)
+				all := n.grow(hosts, 1)
+				time.Sleep(settled)
+				n.expectReachable("before the fault")
+				n.lock(func() { clear(n.missed) })
+				heal := fault(n, all)
+				n.work(rand.New(rand.NewPCG(5, 5)), int(duration/(200*time.Millisecond)), 200*time.Millisecond)
+				n.lock(func() {
+					for _, m := range all[20:] {
+						sound := func(address string) bool { return address >= all[20].address }
+						n.g.Expect(n.missed[m.address]).NotTo(ContainElement(Satisfy(sound)), "sound hosts unreachable for %s", m.address)
+					}
+				})
+				heal()
+				time.Sleep(15*time.Second + settled)
+				n.expectConsistent("after the fault")
+				n.expectReachable("after the fault")
+				n.stopAll()
+			})
+		})
+	}
+}
+
+// expectReachable checks that each host counts all others as reachable.
+func (n *network) expectReachable(when string) {
+	n.t.Helper()
+	for _, m := range n.hosts {
+		n.g.Expect(m.exchange.Contacts()).To(HaveLen(len(n.hosts)-1), "%s: hosts reachable for %s", when, m.address)
+	}
+}
+
 // Guards against a number of messages that grows with the square of the number of hosts: a host reports to two relays of
 // its zone, and the relays to each other.
 func TestMessagesPerRoundDoNotGrowQuadratically(t *testing.T) {
--- a/internal/exchange/load_test.go
+++ b/internal/exchange/load_test.go
@@ -19,6 +19,8 @@
 
 var largest = flag.Int("exchange.hosts", 100, "largest fleet of TestTrafficByKind: 30, 100 or 300")
 
+var skipped = flag.Int("exchange.skip", 0, "fleet that TestTrafficByKind leaves out")
+
 const (
 	serversPerHost                 = 10
 	generationTime, generationRate = 3 * time.Second, 1.0
@@ -155,7 +157,7 @@
 	g := NewWithT(t)
 	bySize := map[int]usage{}
 	for _, hosts := range []int{30, 100, 300} {
-		if hosts > *largest {
+		if hosts > *largest || hosts == *skipped {
 			continue
 		}
 		u := playFleet(t, hosts)
