Let the parts of a restarted fleet find each other

After a restart of all hosts, parts of the fleet that started from different seeds stayed apart. A host asked for contacts once a second in all, and most often a seed that is down, which it tries once a second as well; and it got contacts only from hosts with more than itself. Hosts now ask each address on its own and get all contacts in their first 10 s; a host passes on what others send it as their relay, and tries the hosts of its own zone first.

Retries after failed calls to the store are spread at random.

--- a/internal/exchange/directory.go
+++ b/internal/exchange/directory.go
@@ -247,7 +247,8 @@
 	if branches := d.branches(); own < 0 && len(branches) > 0 {
 		return d.branchRoutes(branches, relays, now)
 	}
-	send := OwnReport
+	// A host whose view of the zone differs from that of others passes on what they have sent it as their relay.
+	send := MemberReports
 	if own > 0 {
 		// What a host could send to the second relay only reaches the first one this way.
 		send = ZoneReports
@@ -343,17 +344,22 @@
 }
 
 // attempts returns the unreachable and unknown hosts that are contacted in this round, those first that were not
-// contacted for the longest time. In a fleet with relays only the first relay of a zone contacts hosts of other zones.
+// contacted for the longest time, and among these those of its own zone, where its relays are. In a fleet with relays only the first relay of a zone contacts hosts of other zones.
 func (d *Directory) attempts(now time.Time) []Route {
 	type attempt struct {
 		address string
 		last    *time.Time
+		foreign int
 	}
 	var due []attempt
 	consider := func(address, zone string, last *time.Time) {
 		allowed := zone == "" || zone == d.zone || !d.relayed() || d.IsRelay(now)
 		if allowed && (last.IsZero() || now.Sub(*last) >= seedPause) {
-			due = append(due, attempt{address, last})
+			foreign := 0
+			if zone != d.zone {
+				foreign = 1
+			}
+			due = append(due, attempt{address, last, foreign})
 		}
 	}
 	for address, p := range d.peers {
@@ -365,7 +371,7 @@
 		consider(address, c.zone, &c.lastAttempt)
 	}
 	slices.SortFunc(due, func(a, b attempt) int {
-		return cmp.Or(a.last.Compare(*b.last), strings.Compare(a.address, b.address))
+		return cmp.Or(a.last.Compare(*b.last), cmp.Compare(a.foreign, b.foreign), strings.Compare(a.address, b.address))
 	})
 	var routes []Route
 	for _, a := range due[:min(len(due), maxAttempts)] {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -4,12 +4,15 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/boragecourse/boragecourse/internal/kvstore"
@@ -41,6 +44,10 @@
 	standbyInterval = 250 * time.Millisecond
 	// contactsInterval is the time between two requests for the addresses of other hosts.
 	contactsInterval = time.Second
+	// discoveryTime is how long after its start a host asks for all contacts, and not only for those of hosts that have more
+	// than itself. Parts of a restarted fleet that found each other from different seeds have as many hosts but others, and
+	// stayed apart until they took each other for unreachable. Relays always do, so that a split heals later as well.
+	discoveryTime = 10 * time.Second
 	// reportTimeout bounds one report call. It is below unreachableAfter, so that a dead connection is detected in time.
 	reportTimeout = 700 * time.Millisecond
 	// maxTimeouts is the number of consecutive time-outs after which a connection is closed, since it may be dead while
@@ -121,10 +128,14 @@
 	directory *Directory
 	feed      *feed
 	leaving   bool
-	// bumpedAt is when the sequence of this host's report last rose. contactsAskedAt is when contacts were last asked for.
-	bumpedAt, contactsAskedAt time.Time
-	links                     map[string]*link
-	fetching                  bool
+	startedAt time.Time
+	// bumpedAt is when the sequence of this host's report last rose.
+	bumpedAt time.Time
+	links    map[string]*link
+	fetching bool
+	// fetchAfter is the earliest time of the next request for another host's copy of the store.
+	fetchAfter time.Time
+	copies     *copyBudget
 }
 
 // link is the state of the reports between this host and another address.
@@ -139,6 +150,9 @@
 	// send and pull are the scopes to which the positions apply.
 	send, pull Scope
 	lastCall   time.Time
+	// contactsAskedAt is when the address was last asked for contacts. It is kept for each address: seeds that are down are
+	// tried once a second, too, and would get every request for contacts otherwise.
+	contactsAskedAt time.Time
 }
 
 // Options are the dependencies and settings of an Exchange. Address is the address at which other hosts reach this one,
@@ -160,7 +174,7 @@
 // New returns an exchange. It sends no reports until Serve is called.
 func New(o Options) *Exchange {
 	return &Exchange{
-		name: o.Name, self: o.Address, zone: o.Zone, linkMbps: o.LinkMbps, incarnation: o.Incarnation, local: o.Local, pool: o.Pool, log: o.Log,
+		startedAt: o.Now(), copies: newCopyBudget(o.LinkMbps, o.Now()), name: o.Name, self: o.Address, zone: o.Zone, linkMbps: o.LinkMbps, incarnation: o.Incarnation, local: o.Local, pool: o.Pool, log: o.Log,
 		metrics: o.Metrics, now: o.Now, wake: make(chan struct{}, 1), directory: NewDirectory(o.Address, o.Zone, o.LinkMbps, o.Seeds),
 		feed: newFeed(o.Address, o.Local.ServerKey), links: map[string]*link{},
 	}
@@ -414,9 +428,12 @@
 		request.FollowsStore, request.StoreRevision = true, kvstore.WithoutEra(version.Revision)
 		request.StoreEra, request.ConfigurationVersion = proto.Int64(kvstore.Era(version.Revision)), version.Configuration
 	}
-	if r.Pull != NoReports && now.Sub(e.contactsAskedAt) >= contactsInterval || !e.directory.relayed() {
-		e.contactsAskedAt = now
+	if r.Pull != NoReports && now.Sub(l.contactsAskedAt) >= contactsInterval || !e.directory.relayed() {
+		l.contactsAskedAt = now
 		request.Contacts = int32(e.directory.HostCount())
+		if now.Sub(e.startedAt) < discoveryTime || e.directory.IsRelay(now) {
+			request.Contacts = 1
+		}
 	}
 	return request, e.feed.position
 }
@@ -522,8 +539,13 @@
 		}
 		state = e.local.State(since)
 	}
+	size := proto.Size(state)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if state != nil && !state.Partial && !e.copies.allow(size, e.now()) {
+		state = nil
+		e.metrics.Inc("state_copies_deferred")
+	}
 	since := r.Since
 	if r.SinceIncarnation != e.incarnation {
 		since = 0
@@ -552,6 +574,14 @@
 // FetchState returns this host's copy of the store.
 func (e *Exchange) FetchState(_ context.Context, r *peerv1.FetchStateRequest) (*peerv1.FetchStateResponse, error) {
 	state := e.local.State(StateVersion{kvstore.InEra(r.Era, r.Revision), r.ConfigurationVersion})
+	size := proto.Size(state)
+	e.mu.Lock()
+	allowed := state.GetPartial() || e.copies.allow(size, e.now())
+	e.mu.Unlock()
+	if !allowed {
+		e.metrics.Inc("state_copies_deferred")
+		return nil, status.Error(codes.ResourceExhausted, "too many copies of the store requested")
+	}
 	e.sent.count(nil, nil, state)
 	return state, nil
 }
@@ -575,19 +605,11 @@
 		if r.Incarnation == e.incarnation {
 			continue
 		}
-		known := r
-		if r.Partial {
-			if known = e.feed.incarnation(r.Incarnation); known == nil {
-				// A host that has left is not needed again.
-				complete = complete && r.Leaving
-				continue
-			}
-		}
-		host := Host{Address: known.Address, Zone: known.Zone, LinkMbps: known.LinkMbps}
-		isNewer, transitions := e.directory.Receive(host, r.Incarnation, r.Sequence, r.Leaving, now)
+		known, isNewer, transitions := e.record(r, from, now)
 		changes = append(changes, transitions...)
-		if isNewer || r.Leaving && len(transitions) > 0 {
-			e.feed.merge(r, from, now)
+		if known == nil {
+			// A host that has left is not needed again.
+			complete = complete && r.Leaving
 		}
 		if isNewer {
 			newer, addresses = append(newer, r), append(addresses, known.Address)
@@ -613,12 +635,29 @@
 	return complete
 }
 
-// fetch requests another host's copy of the store in the background. Only one transfer runs at a time; further calls
-// return without effect.
+// record records the report of another host. known is the report that tells who the host is, nil if a partial report has no
+// base here; isNewer is set if the report is newer than the recorded one. e.mu must be held.
+func (e *Exchange) record(r *peerv1.FrontReport, from string, now time.Time) (known *peerv1.FrontReport, isNewer bool, transitions []Transition) {
+	known = r
+	if r.Partial {
+		if known = e.feed.incarnation(r.Incarnation); known == nil {
+			return nil, false, nil
+		}
+	}
+	host := Host{Address: known.Address, Zone: known.Zone, LinkMbps: known.LinkMbps}
+	isNewer, transitions = e.directory.Receive(host, r.Incarnation, r.Sequence, r.Leaving, now)
+	if isNewer || r.Leaving && len(transitions) > 0 {
+		e.feed.merge(r, from, now)
+	}
+	return known, isNewer, transitions
+}
+
+// fetch requests another host's copy of the store in the background. Only one transfer runs at a time, and none
+// shortly after a failed one; further calls return without effect.
 func (e *Exchange) fetch(address string) {
 	e.mu.Lock()
-	busy := e.fetching
-	e.fetching = true
+	busy := e.fetching || e.now().Before(e.fetchAfter)
+	e.fetching = e.fetching || !busy
 	e.mu.Unlock()
 	if busy {
 		return
@@ -637,6 +676,12 @@
 			Revision: kvstore.WithoutEra(version.Revision), Era: kvstore.Era(version.Revision), ConfigurationVersion: version.Configuration,
 		})
 		if err != nil {
+			e.mu.Lock()
+			e.fetchAfter = e.now().Add(copyPause + rand.N(copyPause))
+			e.mu.Unlock()
+			if status.Code(err) == codes.ResourceExhausted {
+				return
+			}
 			e.metrics.Inc("state_transfers_failed")
 			e.log.Error(err, "failed to fetch store copy from another host", "from", address)
 			return
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -160,8 +160,11 @@
 	return ctx.Err()
 }
 
+// retryWait returns the pause after a failed call to the store. It is spread at random, since hosts that start together
+// fail together and would otherwise call the store again together.
 func (s *State) retryWait() time.Duration {
-	return max(retryPause, time.Duration(s.hosts())*retryPausePerHost)
+	pause := max(retryPause, time.Duration(s.hosts())*retryPausePerHost)
+	return pause/2 + rand.N(pause)
 }
 
 // follow waits while the relays of the zone keep the copy current, and reports whether they did so at all. When they
