--- a/internal/exchange/directory.go
+++ b/internal/exchange/directory.go
@@ -326,8 +326,34 @@
 	return n > branchLimit
 }
 
-// IsBranch reports whether this host is a branch of its zone.
-func (d *Directory) IsBranch() bool { return slices.Contains(d.branches(), d.self) }
+// Role is what a host does in the exchange of reports. Its values are used in logs and metrics.
+type Role string
+
+// Roles.
+const (
+	// Plain hosts exchange reports with a relay or a branch, or with all hosts of a small fleet.
+	Plain       Role = "plain"
+	Branch      Role = "branch"
+	FirstRelay  Role = "relay"
+	SecondRelay Role = "second relay"
+)
+
+// Role returns the role of this host.
+func (d *Directory) Role(now time.Time) Role {
+	if !d.relayed() {
+		return Plain
+	}
+	switch own := slices.Index(d.relaysOf(d.zone, now), d.self); {
+	case own == 0:
+		return FirstRelay
+	case own > 0:
+		return SecondRelay
+	case slices.Contains(d.branches(), d.self):
+		return Branch
+	default:
+		return Plain
+	}
+}
 
 // zoneRoutes returns the first relays of the other zones.
 func (d *Directory) zoneRoutes(now time.Time) []Route {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -133,6 +132,7 @@
 	bumpedAt time.Time
 	links    map[string]*link
 	fetching bool
+	role     Role
 	// fetchAfter is the earliest time of the next request for another host's copy of the store.
 	fetchAfter time.Time
 	copies     *copyBudget
@@ -251,7 +251,7 @@
 	switch {
 	case !e.directory.branched():
 		return max(relayedInterval, shortest), shortest
-	case e.directory.IsBranch() || slices.Contains(e.directory.relaysOf(e.zone, e.now()), e.self):
+	case e.directory.Role(e.now()) != Plain:
 		return branchedRelayInterval, min(shortest, branchedRelayInterval)
 	default:
 		return branchedInterval, min(shortest, branchedInterval)
@@ -296,7 +296,13 @@
 		routes = append(routes, r)
 	}
 	idle := e.idleLinks(now)
+	role, previous := e.directory.Role(now), e.role
+	e.role = role
 	e.mu.Unlock()
+	if role != previous {
+		e.log.Info("role in the exchange of reports changed", "role", role, "previous", previous)
+		e.metrics.Inc("exchange_role_changes", metrics.L("role", string(role)))
+	}
 	e.applyTransitions(changes)
 	if len(idle) > 0 {
 		e.pool.Prune(func(address string) bool { return !idle[address] })
@@ -616,7 +622,8 @@
 			versions = append(versions, e.feed.version(r))
 		}
 	}
-	relay := e.directory.IsRelay(now) || e.directory.IsBranch()
+	role := e.directory.Role(now)
+	relay := role == FirstRelay || role == Branch
 	e.mu.Unlock()
 	e.applyTransitions(changes)
 	if len(newer) == 0 {
