Send a whole report when a host passes it on for the first time

A host passes on only reports that it receives directly. Changes that it had received through another host were left out while its position at the receiver advanced, so that admitted tokens could get lost. The first direct report is now sent as a whole (TestDirectReportsContainWhatWasNotPassedOnBefore).

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -426,7 +426,7 @@
 		l.pull, l.received = r.Pull, 0
 	}
 	request := &peerv1.ReportRequest{
-		Reports: e.feed.since(l.acknowledged, r.Address, e.compact(r.Address, l.incarnation), e.scopeFilter(r.Send, r.Address)), Caller: e.self, Incarnation: e.incarnation,
+		Reports: e.feed.since(l.acknowledged, r.Address, e.compact(r.Address, l.incarnation), r.Send == MemberReports, e.scopeFilter(r.Send, r.Address)), Caller: e.self, Incarnation: e.incarnation,
 		Pull: scopeToWire[r.Pull], Since: l.received, SinceIncarnation: l.incarnation,
 	}
 	now := e.now()
@@ -557,7 +557,7 @@
 		since = 0
 	}
 	reply := &peerv1.ReportResponse{
-		Reports: e.feed.since(since, r.Caller, e.compact(r.Caller, r.Incarnation), e.scopeFilter(scopeFromWire(r.Pull), r.Caller)), Position: e.feed.position, Incarnation: e.incarnation,
+		Reports: e.feed.since(since, r.Caller, e.compact(r.Caller, r.Incarnation), false, e.scopeFilter(scopeFromWire(r.Pull), r.Caller)), Position: e.feed.position, Incarnation: e.incarnation,
 		NeedsFull: !complete, State: state,
 	}
 	if r.Contacts > 0 && e.directory.HostCount() > int(r.Contacts) {
--- a/internal/exchange/feed.go
+++ b/internal/exchange/feed.go
@@ -213,15 +213,27 @@
 	return e.via == e.report.Address || e.report.Address == self
 }
 
+// sentBy reports whether a receiver that has everything up to a position has sent all later changes itself.
+func (e *feedEntry) sentBy(receiver string, position uint64) bool {
+	return receiver != "" && e.via == receiver && position > 0 && position >= e.viaSince
+}
+
+// lacks reports whether a receiver that has got the direct reports up to a position may lack earlier changes of this one,
+// because they were not received directly and so not sent to it.
+func (e *feedEntry) lacks(position uint64, self string) bool {
+	return e.report.Address != self && position <= e.viaSince
+}
+
 // since returns what has changed after a position, for the hosts that include selects, except what the receiver has sent
-// itself. Uses are sent as changes if compact is set, which the receiver must support.
-func (f *feed) since(position uint64, receiver string, compact bool, include func(e *feedEntry) bool) []*peerv1.FrontReport {
+// itself. Uses are sent as changes if compact is set, which the receiver must support. With direct set, include selects
+// direct reports.
+func (f *feed) since(position uint64, receiver string, compact, direct bool, include func(e *feedEntry) bool) []*peerv1.FrontReport {
 	var out []*peerv1.FrontReport
 	for _, e := range f.entries {
-		if e.position <= position || !include(e) || e.via == receiver && position > 0 && position >= e.viaSince {
+		if e.position <= position || !include(e) || e.sentBy(receiver, position) {
 			continue
 		}
-		if e.recorded > position {
+		if e.recorded > position || direct && e.lacks(position, f.self) {
 			r := cloneReport(e.report)
 			r.Uses = e.serverUses.all(compact, f)
 			out = append(out, r)
