--- a/internal/exchange/load_test.go
+++ b/internal/exchange/load_test.go
@@ -45,7 +45,9 @@
 func (l *hostLoad) play(lock func(func()), until time.Time) {
 	start := func(rate float64, begin func() (end func()), lasts time.Duration, notify func()) {
 		for time.Now().Before(until) {
-			time.Sleep(min(time.Duration(l.r.ExpFloat64()/rate*float64(time.Second)), time.Until(until)))
+			var pause time.Duration
+			lock(func() { pause = time.Duration(l.r.ExpFloat64() / rate * float64(time.Second)) })
+			time.Sleep(min(pause, time.Until(until)))
 			var end func()
 			lock(func() { end = begin() })
 			notify()
