--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/boragecourse/boragecourse/internal/kvstore"
@@ -29,12 +32,21 @@
 	// spacingHosts is the number of hosts above which the spacing grows in proportion to the fleet. Rounds then carry the
 	// changes of more hosts, but there are fewer of them in a second.
 	spacingHosts = 40
+	// branchedRelayInterval and branchedInterval bound the time between two rounds of relays and of the other hosts in zones
+	// with branches, where a report passes through five hosts instead of three and must still arrive within
+	// unreachableAfterRelayed when a relay fails: 500 + 300 + 3*120 + 300 ms and reportTimeout.
+	branchedRelayInterval = 120 * time.Millisecond
+	branchedInterval      = 300 * time.Millisecond
 	// livenessInterval is the time after which a host without changes sends a new report, so that it counts as reachable.
 	livenessInterval = 500 * time.Millisecond
 	// standbyInterval is the time between two reports to a relay that is not in use.
 	standbyInterval = 250 * time.Millisecond
 	// contactsInterval is the time between two requests for the addresses of other hosts.
 	contactsInterval = time.Second
+	// discoveryTime is how long after its start a host asks for all contacts, and not only for those of hosts that have more
+	// than itself. Parts of a restarted fleet that found each other from different seeds have as many hosts but others, and
+	// stayed apart until they took each other for unreachable. Relays always do, so that a split heals later as well.
+	discoveryTime = 10 * time.Second
 	// reportTimeout bounds one report call. It is below unreachableAfter, so that a dead connection is detected in time.
 	reportTimeout = 700 * time.Millisecond
 	// maxTimeouts is the number of consecutive time-outs after which a connection is closed, since it may be dead while
@@ -58,6 +70,10 @@
 type Local interface {
 	// Fill sets the resource usage and the state version in a report.
 	Fill(r *peerv1.FrontReport)
+	// DecodeRate returns the rate in tokens a second at which hosts extrapolate the output of each other's runs.
+	DecodeRate() float64
+	// ServerKey returns the key of the backend server with a hash (see ServerHash), empty if it is not known.
+	ServerKey(hash uint64) string
 	// ReportsReceived is called with the reports of other hosts that one message contained, as far as they are newer than
 	// the previous ones. The first report of an incarnation is complete; later ones may be partial.
 	ReportsReceived(reports []*peerv1.FrontReport)
@@ -95,6 +111,8 @@
 	metrics     *metrics.Registry
 	now         func() time.Time
 
+	sent, received traffic
+
 	wake chan struct{}
 
 	// refreshMu is held while this host's report is filled and recorded, so that an older one does not replace a newer one. It
@@ -109,10 +127,15 @@
 	directory *Directory
 	feed      *feed
 	leaving   bool
-	// bumpedAt is when the sequence of this host's report last rose. contactsAskedAt is when contacts were last asked for.
-	bumpedAt, contactsAskedAt time.Time
-	links                     map[string]*link
-	fetching                  bool
+	startedAt time.Time
+	// bumpedAt is when the sequence of this host's report last rose.
+	bumpedAt time.Time
+	links    map[string]*link
+	fetching bool
+	role     Role
+	// fetchAfter is the earliest time of the next request for another host's copy of the store.
+	fetchAfter time.Time
+	copies     *copyBudget
 }
 
 // link is the state of the reports between this host and another address.
@@ -127,6 +150,9 @@
 	// send and pull are the scopes to which the positions apply.
 	send, pull Scope
 	lastCall   time.Time
+	// contactsAskedAt is when the address was last asked for contacts. It is kept for each address: seeds that are down are
+	// tried once a second, too, and would get every request for contacts otherwise.
+	contactsAskedAt time.Time
 }
 
 // Options are the dependencies and settings of an Exchange. Address is the address at which other hosts reach this one,
@@ -148,9 +174,9 @@
 // New returns an exchange. It sends no reports until Serve is called.
 func New(o Options) *Exchange {
 	return &Exchange{
-		name: o.Name, self: o.Address, zone: o.Zone, linkMbps: o.LinkMbps, incarnation: o.Incarnation, local: o.Local, pool: o.Pool, log: o.Log,
+		startedAt: o.Now(), copies: newCopyBudget(o.LinkMbps, o.Now()), name: o.Name, self: o.Address, zone: o.Zone, linkMbps: o.LinkMbps, incarnation: o.Incarnation, local: o.Local, pool: o.Pool, log: o.Log,
 		metrics: o.Metrics, now: o.Now, wake: make(chan struct{}, 1), directory: NewDirectory(o.Address, o.Zone, o.LinkMbps, o.Seeds),
-		feed: newFeed(), links: map[string]*link{},
+		feed: newFeed(o.Address, o.Local.ServerKey), links: map[string]*link{},
 	}
 }
 
@@ -222,7 +248,14 @@
 		return interval, spacing
 	}
 	shortest = max(relayedSpacing, relayedSpacing*time.Duration(e.directory.HostCount())/spacingHosts)
-	return max(relayedInterval, shortest), shortest
+	switch {
+	case !e.directory.branched():
+		return max(relayedInterval, shortest), shortest
+	case e.directory.Role(e.now()) != Plain:
+		return branchedRelayInterval, min(shortest, branchedRelayInterval)
+	default:
+		return branchedInterval, min(shortest, branchedInterval)
+	}
 }
 
 // Leave tells the other hosts, directly or through the relays, that this one serves no more requests. It returns when
@@ -241,6 +274,8 @@
 }
 
 func (e *Exchange) sendRound(ctx context.Context) {
+	e.sent.flush(e.metrics, "sent")
+	e.received.flush(e.metrics, "received")
 	e.refresh()
 	e.mu.Lock()
 	now := e.now()
@@ -261,7 +296,13 @@
 		routes = append(routes, r)
 	}
 	idle := e.idleLinks(now)
+	role, previous := e.directory.Role(now), e.role
+	e.role = role
 	e.mu.Unlock()
+	if role != previous {
+		e.log.Info("role in the exchange of reports changed", "role", role, "previous", previous)
+		e.metrics.Inc("exchange_role_changes", metrics.L("role", string(role)))
+	}
 	e.applyTransitions(changes)
 	if len(idle) > 0 {
 		e.pool.Prune(func(address string) bool { return !idle[address] })
@@ -330,11 +371,12 @@
 	}
 	e.mu.Unlock()
 	e.local.Fill(r)
+	rate := e.local.DecodeRate()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
 	bump := !e.directory.relayed() || now.Sub(e.bumpedAt) >= livenessInterval
-	if e.feed.update(r, bump) || bump {
+	if e.feed.update(r, bump, e.directory.relayed(), rate, now) || bump {
 		e.bumpedAt = now
 	}
 }
@@ -344,8 +386,10 @@
 	defer cancel()
 	request, sentUpTo := e.request(r)
 	requestedAt := e.now()
+	e.sent.count(request, request.Reports, nil)
 	reply, err := peerv1.NewFrontsClient(e.pool.Conn(r.Address)).Report(ctx, request)
 	if err == nil {
+		e.received.count(reply, reply.Reports, reply.State)
 		if reply.State != nil {
 			e.local.ApplyState(r.Address, reply.State, requestedAt, true)
 		}
@@ -382,7 +426,7 @@
 		l.pull, l.received = r.Pull, 0
 	}
 	request := &peerv1.ReportRequest{
-		Reports: e.feed.since(l.acknowledged, e.scopeFilter(r.Send, r.Address)), Caller: e.self, Incarnation: e.incarnation,
+		Reports: e.feed.since(l.acknowledged, r.Address, e.compact(r.Address, l.incarnation), r.Send == MemberReports, e.scopeFilter(r.Send, r.Address)), Caller: e.self, Incarnation: e.incarnation,
 		Pull: scopeToWire[r.Pull], Since: l.received, SinceIncarnation: l.incarnation,
 	}
 	now := e.now()
@@ -390,21 +434,31 @@
 		request.FollowsStore, request.StoreRevision = true, kvstore.WithoutEra(version.Revision)
 		request.StoreEra, request.ConfigurationVersion = proto.Int64(kvstore.Era(version.Revision)), version.Configuration
 	}
-	if r.Pull != NoReports && now.Sub(e.contactsAskedAt) >= contactsInterval || !e.directory.relayed() {
-		e.contactsAskedAt = now
+	if r.Pull != NoReports && now.Sub(l.contactsAskedAt) >= contactsInterval || !e.directory.relayed() {
+		l.contactsAskedAt = now
 		request.Contacts = int32(e.directory.HostCount())
+		if now.Sub(e.startedAt) < discoveryTime || e.directory.IsRelay(now) {
+			request.Contacts = 1
+		}
 	}
 	return request, e.feed.position
 }
 
+// compact reports whether a process gets uses as changes. In a small fleet and to hosts of earlier versions, uses are sent
+// as a whole. e.mu must be held.
+func (e *Exchange) compact(address string, incarnation uint64) bool {
+	return e.directory.relayed() && e.feed.merges(address, incarnation)
+}
+
 var scopeToWire = map[Scope]peerv1.Scope{
 	NoReports: peerv1.Scope_SCOPE_NONE, OwnReport: peerv1.Scope_SCOPE_OWN, ZoneReports: peerv1.Scope_SCOPE_ZONE, AllReports: peerv1.Scope_SCOPE_ALL,
 }
 
 // scopeFilter selects the reports of a scope, except that of the host which receives them. e.mu must be held while the
 // filter is used.
-func (e *Exchange) scopeFilter(scope Scope, receiver string) func(r *peerv1.FrontReport) bool {
-	return func(r *peerv1.FrontReport) bool {
+func (e *Exchange) scopeFilter(scope Scope, receiver string) func(entry *feedEntry) bool {
+	return func(entry *feedEntry) bool {
+		r := entry.report
 		if r.Address == receiver {
 			return false
 		}
@@ -415,6 +469,8 @@
 			return r.Address == e.self
 		case ZoneReports:
 			return r.Zone == e.zone
+		case MemberReports:
+			return r.Zone == e.zone && entry.direct(e.self)
 		default:
 			return true
 		}
@@ -423,7 +479,7 @@
 
 // replied evaluates the response to a report.
 func (e *Exchange) replied(r Route, reply *peerv1.ReportResponse, request *peerv1.ReportRequest, sentUpTo uint64) {
-	complete := e.receive(reply.Reports)
+	complete := e.receive(reply.Reports, r.Address)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
@@ -471,7 +527,14 @@
 // Report receives the reports of another host and returns those that it asks for. The response contains this host's
 // contacts when the caller has fewer, so that hosts discover each other.
 func (e *Exchange) Report(_ context.Context, r *peerv1.ReportRequest) (*peerv1.ReportResponse, error) {
-	complete := e.receive(r.Reports)
+	reply := e.respond(r)
+	e.sent.count(reply, reply.Reports, reply.State)
+	return reply, nil
+}
+
+func (e *Exchange) respond(r *peerv1.ReportRequest) *peerv1.ReportResponse {
+	e.received.count(r, r.Reports, nil)
+	complete := e.receive(r.Reports, r.Caller)
 	e.refreshVersion()
 	var state *peerv1.FetchStateResponse
 	if r.FollowsStore {
@@ -482,14 +545,19 @@
 		}
 		state = e.local.State(since)
 	}
+	size := proto.Size(state)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if state != nil && !state.Partial && !e.copies.allow(size, e.now()) {
+		state = nil
+		e.metrics.Inc("state_copies_deferred")
+	}
 	since := r.Since
 	if r.SinceIncarnation != e.incarnation {
 		since = 0
 	}
 	reply := &peerv1.ReportResponse{
-		Reports: e.feed.since(since, e.scopeFilter(scopeFromWire(r.Pull), r.Caller)), Position: e.feed.position, Incarnation: e.incarnation,
+		Reports: e.feed.since(since, r.Caller, e.compact(r.Caller, r.Incarnation), false, e.scopeFilter(scopeFromWire(r.Pull), r.Caller)), Position: e.feed.position, Incarnation: e.incarnation,
 		NeedsFull: !complete, State: state,
 	}
 	if r.Contacts > 0 && e.directory.HostCount() > int(r.Contacts) {
@@ -497,7 +565,7 @@
 			reply.Peers = append(reply.Peers, &peerv1.Contact{Address: address, Zone: e.directory.Zone(address)})
 		}
 	}
-	return reply, nil
+	return reply
 }
 
 func scopeFromWire(s peerv1.Scope) Scope {
@@ -511,12 +579,22 @@
 
 // FetchState returns this host's copy of the store.
 func (e *Exchange) FetchState(_ context.Context, r *peerv1.FetchStateRequest) (*peerv1.FetchStateResponse, error) {
-	return e.local.State(StateVersion{kvstore.InEra(r.Era, r.Revision), r.ConfigurationVersion}), nil
+	state := e.local.State(StateVersion{kvstore.InEra(r.Era, r.Revision), r.ConfigurationVersion})
+	size := proto.Size(state)
+	e.mu.Lock()
+	allowed := state.GetPartial() || e.copies.allow(size, e.now())
+	e.mu.Unlock()
+	if !allowed {
+		e.metrics.Inc("state_copies_deferred")
+		return nil, status.Error(codes.ResourceExhausted, "too many copies of the store requested")
+	}
+	e.sent.count(nil, nil, state)
+	return state, nil
 }
 
-// receive records reports of other hosts and passes on those that are newer than the recorded ones. It returns false
+// receive records reports of other hosts, which the host at the address from has sent, and passes on those that are newer than the recorded ones. It returns false
 // when one of them is partial and its base is missing here.
-func (e *Exchange) receive(reports []*peerv1.FrontReport) bool {
+func (e *Exchange) receive(reports []*peerv1.FrontReport, from string) bool {
 	if len(reports) == 0 {
 		return true
 	}
@@ -533,26 +611,19 @@
 		if r.Incarnation == e.incarnation {
 			continue
 		}
-		known := r
-		if r.Partial {
-			if known = e.feed.incarnation(r.Incarnation); known == nil {
-				// A host that has left is not needed again.
-				complete = complete && r.Leaving
-				continue
-			}
-		}
-		host := Host{Address: known.Address, Zone: known.Zone, LinkMbps: known.LinkMbps}
-		isNewer, transitions := e.directory.Receive(host, r.Incarnation, r.Sequence, r.Leaving, now)
+		known, isNewer, transitions := e.record(r, from, now)
 		changes = append(changes, transitions...)
-		if isNewer || r.Leaving && len(transitions) > 0 {
-			e.feed.merge(r, now)
+		if known == nil {
+			// A host that has left is not needed again.
+			complete = complete && r.Leaving
 		}
 		if isNewer {
 			newer, addresses = append(newer, r), append(addresses, known.Address)
 			versions = append(versions, e.feed.version(r))
 		}
 	}
-	relay := e.directory.IsRelay(now)
+	role := e.directory.Role(now)
+	relay := role == FirstRelay || role == Branch
 	e.mu.Unlock()
 	e.applyTransitions(changes)
 	if len(newer) == 0 {
@@ -571,12 +642,29 @@
 	return complete
 }
 
-// fetch requests another host's copy of the store in the background. Only one transfer runs at a time; further calls
-// return without effect.
+// record records the report of another host. known is the report that tells who the host is, nil if a partial report has no
+// base here; isNewer is set if the report is newer than the recorded one. e.mu must be held.
+func (e *Exchange) record(r *peerv1.FrontReport, from string, now time.Time) (known *peerv1.FrontReport, isNewer bool, transitions []Transition) {
+	known = r
+	if r.Partial {
+		if known = e.feed.incarnation(r.Incarnation); known == nil {
+			return nil, false, nil
+		}
+	}
+	host := Host{Address: known.Address, Zone: known.Zone, LinkMbps: known.LinkMbps}
+	isNewer, transitions = e.directory.Receive(host, r.Incarnation, r.Sequence, r.Leaving, now)
+	if isNewer || r.Leaving && len(transitions) > 0 {
+		e.feed.merge(r, from, now)
+	}
+	return known, isNewer, transitions
+}
+
+// fetch requests another host's copy of the store in the background. Only one transfer runs at a time, and none
+// shortly after a failed one; further calls return without effect.
 func (e *Exchange) fetch(address string) {
 	e.mu.Lock()
-	busy := e.fetching
-	e.fetching = true
+	busy := e.fetching || e.now().Before(e.fetchAfter)
+	e.fetching = e.fetching || !busy
 	e.mu.Unlock()
 	if busy {
 		return
@@ -595,10 +683,17 @@
 			Revision: kvstore.WithoutEra(version.Revision), Era: kvstore.Era(version.Revision), ConfigurationVersion: version.Configuration,
 		})
 		if err != nil {
+			e.mu.Lock()
+			e.fetchAfter = e.now().Add(copyPause + rand.N(copyPause))
+			e.mu.Unlock()
+			if status.Code(err) == codes.ResourceExhausted {
+				return
+			}
 			e.metrics.Inc("state_transfers_failed")
 			e.log.Error(err, "failed to fetch store copy from another host", "from", address)
 			return
 		}
+		e.received.count(nil, nil, state)
 		e.local.ApplyState(address, state, requestedAt, false)
 	}()
 }
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -20,6 +21,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/boragecourse/boragecourse/internal/exchange"
+	"github.com/boragecourse/boragecourse/internal/metrics"
+	"github.com/boragecourse/boragecourse/internal/serverlimit"
 	peerv1 "github.com/boragecourse/boragecourse/proto/peer/v1"
 )
 
@@ -37,6 +40,8 @@
 	calls int
 	// sent counts the bytes by sending host, for requests and responses.
 	sent map[string]int
+	// missed holds the hosts that became unreachable for others, by the address of the other host.
+	missed map[string][]string
 }
 
 // member is one host. It implements exchange.Local: it admits tokens, and sums what the other hosts report.
@@ -49,6 +54,9 @@
 	exchange    *exchange.Exchange
 	stop        context.CancelFunc
 	paused      bool
+	metrics     *metrics.Registry
+	// load supplies the use of backend servers in place of uses.
+	load func(r *peerv1.FrontReport)
 
 	admitted map[string]int64
 	uses     map[string]int32
@@ -61,12 +69,12 @@
 type view struct {
 	address  string
 	admitted map[string]int64
-	uses     map[string]int32
+	uses     map[uint64]int32
 	evidence *peerv1.CrashEvidence
 }
 
 func newNetwork(t *testing.T) *network {
-	return &network{t: t, g: NewWithT(t), hosts: map[string]*member{}, cut: func(string, string) bool { return false }, sent: map[string]int{}}
+	return &network{t: t, g: NewWithT(t), hosts: map[string]*member{}, cut: func(string, string) bool { return false }, sent: map[string]int{}, missed: map[string][]string{}}
 }
 
 var incarnations uint64
@@ -74,11 +82,11 @@
 func (n *network) start(address, zone string, seeds ...string) *member {
 	incarnations++
 	m := &member{
-		network: n, address: address, zone: zone, incarnation: incarnations, admitted: map[string]int64{}, uses: map[string]int32{}, evidence: &peerv1.CrashEvidence{}, seen: map[uint64]*view{},
+		network: n, address: address, zone: zone, incarnation: incarnations, admitted: map[string]int64{}, uses: map[string]int32{}, evidence: &peerv1.CrashEvidence{}, seen: map[uint64]*view{}, metrics: metrics.New(),
 	}
 	m.exchange = exchange.New(exchange.Options{
 		Name: address, Address: address, Zone: zone, Incarnation: m.incarnation, Seeds: seeds, Local: m, Pool: &caller{n, address, m}, Log: logr.Discard(),
-		Now: time.Now,
+		Metrics: m.metrics, Now: time.Now,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
@@ -163,6 +171,9 @@
 		r.Uses = append(r.Uses, &peerv1.ServerUse{Key: key, Slots: slots})
 	}
 	r.Evidence = m.evidence
+	if m.load != nil {
+		m.load(r)
+	}
 }
 
 // ReportsReceived implements exchange.Local. It overlays reports as a host does.
@@ -183,18 +194,30 @@
 			v.evidence = r.Evidence
 		}
 		if !r.KeepsUses {
-			v.uses = map[string]int32{}
+			if !r.Partial || !r.MergesUses {
+				v.uses = map[uint64]int32{}
+			}
 			for _, u := range r.Uses {
-				v.uses[u.Key] = u.Slots
+				if v.uses[exchange.ServerHash(u)] = u.Slots; u.Slots == 0 {
+					delete(v.uses, exchange.ServerHash(u))
+				}
 			}
 		}
 	}
 }
 
+// DecodeRate and ServerKey implement exchange.Local.
+func (m *member) DecodeRate() float64 { return 60 }
+
+func (m *member) ServerKey(uint64) string { return "" }
+
 // Changed implements exchange.Local.
 func (m *member) Changed(t exchange.Transition) {
 	m.network.mu.Lock()
 	defer m.network.mu.Unlock()
+	if t.State == exchange.Unreachable {
+		m.network.missed[m.address] = append(m.network.missed[m.address], t.Address)
+	}
 	if t.State == exchange.Left || t.State == exchange.Restarted || t.State == exchange.Removed {
 		delete(m.seen, t.Incarnation)
 	}
@@ -225,12 +248,20 @@
 			v := m.seen[other.incarnation]
 			n.g.Expect(v).NotTo(BeNil(), "%s: %s does not know %s", when, m.address, other.address)
 			n.g.Expect(v.admitted).To(Equal(other.admitted), "%s: tokens of %s as known to %s", when, other.address, m.address)
-			n.g.Expect(v.uses).To(Equal(other.uses), "%s: uses of %s as known to %s", when, other.address, m.address)
+			n.g.Expect(v.uses).To(Equal(hashed(other.uses)), "%s: uses of %s as known to %s", when, other.address, m.address)
 			n.g.Expect(proto.Equal(v.evidence, other.evidence)).To(BeTrue(), "%s: evidence of %s as known to %s", when, other.address, m.address)
 		}
 	}
 }
 
+func hashed(uses map[string]int32) map[uint64]int32 {
+	out := map[uint64]int32{}
+	for key, n := range uses {
+		out[serverlimit.Hash(key)] = n
+	}
+	return out
+}
+
 // work lets random hosts admit tokens and take or free slots for a while.
 func (n *network) work(r *rand.Rand, steps int, pause time.Duration) {
 	for range steps {
@@ -288,7 +319,7 @@
 
 // Guards against a host whose reports do not reach all others, in fleets of every shape.
 func TestReportsReachEveryHost(t *testing.T) {
-	for _, c := range []struct{ hosts, zones int }{{2, 1}, {5, 4}, {8, 3}, {9, 3}, {10, 9}, {33, 4}, {60, 3}} {
+	for _, c := range []struct{ hosts, zones int }{{2, 1}, {5, 4}, {8, 3}, {9, 3}, {10, 9}, {33, 4}, {60, 3}, {84, 2}} {
 		t.Run(fmt.Sprintf("%d hosts in %d zones", c.hosts, c.zones), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				n := newNetwork(t)
@@ -376,6 +407,83 @@
 	}
 }
 
+// Guards against sums that miss or repeat what a host admitted, and against hosts that stay unknown or count as
+// unreachable, when branches of a large zone fail, are suspended and return with old totals, or are cut off in one
+// direction.
+func TestReportsSurviveFaultsOfBranches(t *testing.T) {
+	const hosts = 42
+	// The relays are the hosts with the lowest addresses, followed by the branches.
+	relay, branch, second := 0, 2, 3
+	for name, fault := range map[string]func(n *network, all []*member) (heal func()){
+		"relay and branches killed": func(n *network, all []*member) func() {
+			for _, i := range []int{relay, branch, second} {
+				n.kill(all[i])
+			}
+			return func() {}
+		},
+		"branch suspended": func(n *network, all []*member) func() {
+			n.lock(func() { all[branch].paused = true })
+			return func() { n.lock(func() { all[branch].paused = false }) }
+		},
+		"relay suspended": func(n *network, all []*member) func() {
+			n.lock(func() { all[relay].paused = true })
+			return func() { n.lock(func() { all[relay].paused = false }) }
+		},
+		"branch cannot be called": func(n *network, all []*member) func() {
+			n.setCut(func(_, to string) bool { return to == all[branch].address })
+			return func() { n.setCut(func(string, string) bool { return false }) }
+		},
+		"branch cannot call": func(n *network, all []*member) func() {
+			n.setCut(func(from, _ string) bool { return from == all[branch].address })
+			return func() { n.setCut(func(string, string) bool { return false }) }
+		},
+		"branches cannot call the relay": func(n *network, all []*member) func() {
+			n.setCut(func(from, to string) bool { return to == all[relay].address && from < all[second+4].address })
+			return func() { n.setCut(func(string, string) bool { return false }) }
+		},
+	} {
+		duration, wait := 3*time.Second, settled
+		switch {
+		case name == "branch suspended":
+			// The branch is removed meanwhile.
+			duration = 18 * time.Second
+		case strings.Contains(name, "killed"):
+			// Hosts that were killed are removed 15 s after their last report.
+			wait += 15 * time.Second
+		}
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(t)
+				all := n.grow(hosts, 1)
+				time.Sleep(settled)
+				n.expectReachable("before the fault")
+				n.lock(func() { clear(n.missed) })
+				heal := fault(n, all)
+				n.work(rand.New(rand.NewPCG(5, 5)), int(duration/(200*time.Millisecond)), 200*time.Millisecond)
+				n.lock(func() {
+					for _, m := range all[20:] {
+						sound := func(address string) bool { return address >= all[20].address }
+						n.g.Expect(n.missed[m.address]).NotTo(ContainElement(Satisfy(sound)), "sound hosts unreachable for %s", m.address)
+					}
+				})
+				heal()
+				time.Sleep(wait)
+				n.expectConsistent("after the fault")
+				n.expectReachable("after the fault")
+				n.stopAll()
+			})
+		})
+	}
+}
+
+// expectReachable checks that each host counts all others as reachable.
+func (n *network) expectReachable(when string) {
+	n.t.Helper()
+	for _, m := range n.hosts {
+		n.g.Expect(m.exchange.Contacts()).To(HaveLen(len(n.hosts)-1), "%s: hosts reachable for %s", when, m.address)
+	}
+}
+
 // Guards against a number of messages that grows with the square of the number of hosts: a host reports to two relays of
 // its zone, and the relays to each other.
 func TestMessagesPerRoundDoNotGrowQuadratically(t *testing.T) {
--- a/internal/front/overload_test.go
+++ b/internal/front/overload_test.go
@@ -110,7 +110,7 @@
 	limits := fleet.RetryLimits{Window: 10 * time.Second, Ratio: 0.1, Minimum: 20}
 	for range hosts {
 		g := newGroup("app", "a", limits, time.Time{}, time.Now)
-		g.setRemoteUse(nil, hosts)
+		g.updateRemoteUse(nil, hosts)
 		g.update(usable)
 		s.groups = append(s.groups, g)
 	}
@@ -134,7 +134,7 @@
 			for key, n := range total {
 				others[key] = n - uses[i][key]
 			}
-			g.setRemoteUse(others, len(s.groups))
+			g.updateRemoteUse(others, len(s.groups))
 		}
 	}
 }
