--- a/internal/exchange/feed.go
+++ b/internal/exchange/feed.go
@@ -77,15 +77,7 @@
 	} else {
 		old.totalsAt = now
 	}
-	if proto.Equal(old.report.Evidence, r.Evidence) {
-		r.Evidence = nil
-	}
-	if proto.Equal(old.report.Limits, r.Limits) {
-		r.Limits = nil
-	}
-	if proto.Equal(old.report.Observations, r.Observations) {
-		r.Observations = nil
-	}
+	leaveOutUnchanged(old.report, r)
 	changed := old.report.Leaving != r.Leaving || !r.KeepsUses || r.Evidence != nil || r.Limits != nil || r.Observations != nil || countersChanged(old.report, r) ||
 		r.ConfigurationVersion > old.report.ConfigurationVersion
 	if changed || bump {
@@ -95,6 +87,19 @@
 	return changed
 }
 
+// leaveOutUnchanged removes those lists from r that are the same in old.
+func leaveOutUnchanged(old, r *peerv1.FrontReport) {
+	if proto.Equal(old.Evidence, r.Evidence) {
+		r.Evidence = nil
+	}
+	if proto.Equal(old.Limits, r.Limits) {
+		r.Limits = nil
+	}
+	if proto.Equal(old.Observations, r.Observations) {
+		r.Observations = nil
+	}
+}
+
 // countersChanged reports whether a counter of r is new or differs from that of old.
 func countersChanged(old, r *peerv1.FrontReport) bool {
 	for name, v := range r.Admitted {
