Tell the other hosts of engines that fail generations

Each host found out by itself, at eight failures an engine, so that 83 streams went on at another engine and had their prompt processed again.

TestFailedGenerationsAreReportedToOtherHosts failed before.

--- a/internal/front/observations.go
+++ b/internal/front/observations.go
@@ -102,9 +102,10 @@
 	})
 }
 
-// recordDoubt records that a server was not reached or did not respond.
-func (g *group) recordDoubt(key string) {
-	g.load.with(func(m *serverload.Model) { m.RecordUnreachable(key, g.now()) })
+// recordDoubt records that a server was not reached, did not respond, or failed a generation, and tells the other hosts at once.
+func (f *Front) recordDoubt(x *call, key string) {
+	x.group.load.with(func(m *serverload.Model) { m.RecordUnreachable(key, f.now()) })
+	f.exchange.Notify()
 }
 
 // recordLostResult records that a prefill result was gone, if that is why an engine refused to decode from it.
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -221,6 +221,10 @@
 	if status >= http.StatusInternalServerError {
 		result = outlier.Failed
 	}
+	if result == outlier.Failed && x.route.Kind == fleet.Generation {
+		// Each failed run costs a processed prompt, so the other hosts should not find out by themselves.
+		f.recordDoubt(x, key)
+	}
 	if x.group.observe(key, result) {
 		f.log.Info("backend server paused", "request", x.request.ID, "server", key, "reason", "failure rate", "status", status)
 	}
@@ -263,7 +267,7 @@
 		return
 	}
 	if result == outlier.Unreachable {
-		x.group.recordDoubt(key)
+		f.recordDoubt(x, key)
 	}
 	if x.group.observe(key, result) {
 		f.log.Info("backend server paused", "request", x.request.ID, "server", key, "reason", "send failed", "cause", err)
