Make the test of callers that read nothing independent of the order of goroutines

A part was accepted a time after each push, so several at once, and how many pushes had to wait depended on when the writer ran.

--- a/internal/front/delivery_test.go
+++ b/internal/front/delivery_test.go
@@ -90,16 +90,20 @@
 		part := make([]byte, bytebudget.Floor/4)
 		waits := 0
 		for range 20 {
-			// A part is accepted shortly before each limit, from when the queue is full.
-			go func() {
-				time.Sleep(slowCallerLimit - 10*roomPoll)
-				for range part {
-					c.reads <- struct{}{}
-				}
-			}()
-			g.Expect(d.push(t.Context(), part, func() { waits++ })).To(Succeed())
+			// The writer takes what is queued before the next part is pushed, so that the number of waits does not depend on the
+			// order in which goroutines run. From when the queue is full, a part is accepted shortly before each limit.
+			synctest.Wait()
+			g.Expect(d.push(t.Context(), part, func() {
+				waits++
+				go func() {
+					time.Sleep(slowCallerLimit - 10*roomPoll)
+					for range part {
+						c.reads <- struct{}{}
+					}
+				}()
+			})).To(Succeed())
 		}
-		g.Expect(waits).To(BeNumerically(">", 10))
+		g.Expect(waits).To(BeNumerically(">", 10), "waits")
 		// The readers that have been started for the parts in the queue end first.
 		time.Sleep(slowCallerLimit)
 		var err error
