Test cold servers for longer than it takes a host to send its first request

A host's share of the limit is 0.8 requests a second, from an empty bucket, so that the first one is allowed 1.25 s after the host has learned of the server, and the load lasted 1.4 s from its registration. Servers now are cold for 5 s, and the load lasts 3.4 s. The other server is in another zone, so that the hosts prefer the cold one.

--- a/test/users/cold_test.go
+++ b/test/users/cold_test.go
@@ -14,7 +14,7 @@
 	// coldRate is the number of requests a second that a cold server tolerates. coldBound follows from it by the settings.
 	coldRate  = 4
 	coldBound = 1.5*coldRate + 5
-	coldTime  = 3 * time.Second
+	coldTime  = 5 * time.Second
 )
 
 // Guards against hosts that together send more to a cold server than it tolerates, when an evacuation ends, when the server says so
@@ -44,12 +44,13 @@
 		},
 		"started": func(z *zonedFleet) *users.Worker {
 			z.store.Remove("servers/" + z.workers[otherZone][0].ID)
-			return z.worker(users.WorkerOptions{ID: "app-new", Service: "app", Slots: 20})
+			return z.worker(users.WorkerOptions{ID: "app-new", Service: "app", Slots: 20, Zone: otherZone})
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			z := newZonedFleet(t, 5)
-			z.worker(users.WorkerOptions{ID: "app-other", Service: "app", Slots: 20})
+			// In another zone than the hosts, so that they prefer the cold server. Equally idle servers are chosen in no order.
+			z.worker(users.WorkerOptions{ID: "app-other", Service: "app", Slots: 20, Zone: evacuatedZone})
 			c := routes(100000)
 			for _, s := range c["services"].([]any) {
 				s.(map[string]any)["coldStartS"], s.(map[string]any)["coldPerS"] = coldTime.Seconds(), coldRate
