Repeat the uses of backend servers between hosts

How the change is missed is not traced. Each host of a fleet with relays now repeats its uses, and those that have ended within 30 s, every 10 s.

--- a/internal/exchange/feed.go
+++ b/internal/exchange/feed.go
@@ -70,6 +70,8 @@
 	changes := old.serverUses.changes(r.Uses, thin, decodeRate, now)
 	r.KeepsUses = len(changes) == 0 && sameStageChanges(old.report, r)
 	if thin {
+		changes = old.serverUses.repeat(changes, r.Uses, now)
+		r.KeepsUses = r.KeepsUses && len(changes) == 0
 		r.Uses, r.Partial, r.MergesUses = changes, true, true
 	}
 	if thin && now.Sub(old.totalsAt) < totalsInterval {
--- a/internal/exchange/uses.go
+++ b/internal/exchange/uses.go
@@ -16,6 +16,10 @@
 	// maxRemovals is the number of ended uses that are kept for receivers with an earlier position. Receivers are about a
 	// second behind; later ones get all uses.
 	maxRemovals = 128
+	// repeatInterval is the interval at which a host repeats all its uses, and those that have ended within removalMemory.
+	// Hosts that have missed a change, such as the end of a use while a relay was suspended, then have it.
+	repeatInterval = 10 * time.Second
+	removalMemory  = 30 * time.Second
 )
 
 // serverUses is a host's use of backend servers, with the position at which each entry last changed.
@@ -24,6 +28,8 @@
 	// complete is the position up to which removals may have been forgotten: receivers that have less need all uses.
 	complete uint64
 	removals int
+	// repeatedAt is when this host last repeated its uses.
+	repeatedAt time.Time
 }
 
 // useEntry is the use of one backend server.
@@ -68,10 +74,16 @@
 func (s *serverUses) set(hash uint64, u *peerv1.ServerUse, position uint64, now time.Time) {
 	e := s.entries[hash]
 	switch ended := u.Slots == 0 && len(u.Runs) == 0; {
-	case ended && (e == nil || e.use == nil):
+	case ended && e == nil:
+		s.entries[hash] = &useEntry{position: position, at: now}
+		s.removals++
+		return
+	case ended && e.use == nil:
+		// A repeated end, which is passed on.
+		e.position = position
 		return
 	case ended:
-		e.use, e.position = nil, position
+		e.use, e.position, e.at = nil, position, now
 		s.removals++
 		return
 	case e == nil:
@@ -125,6 +137,29 @@
 	return out
 }
 
+// repeat adds to the changes of this host's new report the uses that have not changed, if repeatInterval has passed.
+func (s *serverUses) repeat(changes, uses []*peerv1.ServerUse, now time.Time) []*peerv1.ServerUse {
+	if now.Sub(s.repeatedAt) < repeatInterval {
+		return changes
+	}
+	s.repeatedAt = now
+	changed := make(map[uint64]bool, len(changes))
+	for _, u := range changes {
+		changed[ServerHash(u)] = true
+	}
+	for _, u := range uses {
+		if !changed[ServerHash(u)] {
+			changes = append(changes, u)
+		}
+	}
+	for hash, e := range s.entries {
+		if e.use == nil && !changed[hash] && now.Sub(e.at) < removalMemory {
+			changes = append(changes, &peerv1.ServerUse{Server: hash})
+		}
+	}
+	return changes
+}
+
 // since returns the uses that changed after a position, and whether they are to be merged rather than complete.
 func (s *serverUses) since(position uint64, compact bool, f *feed) (uses []*peerv1.ServerUse, merge bool) {
 	if !compact || position < s.complete {
