Wait for the used share instead of a silent engine in the tests of slow callers

The stand-in engine's writes went on now and then through the kernel's buffers, so the tests took it for not blocked: one of 12 runs of the test of callers who leave failed, and one in a run of test/users.

--- a/test/users/slowcallers_test.go
+++ b/test/users/slowcallers_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -38,8 +39,8 @@
 
 // pressedEngine sends events as fast as they are read, and cuts responses that stay unread for unreadLimit.
 type pressedEngine struct {
-	// cuts counts the cut responses, whole those that were sent completely, open those that are being sent. progressAt is the time of the last write in Unix nanoseconds.
-	cuts, whole, open, progressAt atomic.Int64
+	// cuts counts the cut responses, whole those that were sent completely, open those that are being sent.
+	cuts, whole, open atomic.Int64
 }
 
 func pressedEvent(i int) string {
@@ -76,16 +77,10 @@
 			}
 			return
 		}
-		e.progressAt.Store(time.Now().UnixNano())
 	}
 	e.whole.Add(1)
 }
 
-// blocked reports whether the engine has waited for its response to be read for a while.
-func (e *pressedEngine) blocked() bool {
-	return e.open.Load() == 1 && time.Since(time.Unix(0, e.progressAt.Load())) > 200*time.Millisecond
-}
-
 // newPressedFleet returns a host that bounds its buffered bytes, with engines and a configuration that allows long requests.
 func newPressedFleet(t *testing.T, memoryMB int) (*fleet, *pressedEngine) {
 	f := newFleetWith(t, 1, func(s *users.HostSpec) { s.Contracts, s.MemoryMB = []string{"quiet", "pressure"}, memoryMB })
@@ -135,6 +130,15 @@
 	return ""
 }
 
+// awaitShareUsed waits until one slow caller has used up its share, a twelfth of a quarter of 134 MB, so that the host waits for it.
+func (f *fleet) awaitShareUsed() {
+	f.g.Eventually(func() int {
+		held, _ := strconv.Atoi(f.metric("held_bytes"))
+		return held
+	}).WithTimeout(waitTimeout).Should(BeNumerically(">", 2_700_000))
+	time.Sleep(100 * time.Millisecond)
+}
+
 // Guards against an engine that cuts a stream because its caller pauses: the host has to read and keep what the caller has not
 // read, and pass it on whole and in order.
 func TestCallersThatReadSlowlyGetWholeStreams(t *testing.T) {
@@ -164,7 +168,7 @@
 func TestCallersThatReadNothingAreGivenUp(t *testing.T) {
 	f, engine := newPressedFleet(t, 0)
 	conn := f.openStream("/ask/1000000")
-	f.g.Eventually(engine.blocked).WithTimeout(waitTimeout).Should(BeTrue())
+	f.awaitShareUsed()
 	f.g.Expect(f.stream(f.hosts[0], "ask").body).To(Equal(pressedEvent(1)), "others must be served meanwhile")
 	f.g.Eventually(engine.open.Load).WithTimeout(unreadLimit).Should(BeZero())
 	f.g.Expect(engine.cuts.Load()).To(BeZero())
@@ -184,7 +188,7 @@
 	f, engine := newPressedFleet(t, 0)
 	for range 3 {
 		conn := f.openStream("/ask/1000000")
-		f.g.Eventually(engine.blocked).WithTimeout(waitTimeout).Should(BeTrue())
+		f.awaitShareUsed()
 		f.g.Expect(conn.Close()).To(Succeed())
 		f.g.Eventually(engine.open.Load).WithTimeout(freeTime).WithPolling(10 * time.Millisecond).Should(BeZero())
 	}
