--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -197,12 +196,6 @@
 	return &sample[0]
 }
 
-func hashKey(key string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(key))
-	return h.Sum64()
-}
-
 // mix spreads the bits of a hash (the finalizer of SplitMix64).
 func mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/boragecourse/boragecourse/internal/serverlimit"
 )
 
 // Candidate is a backend server that is eligible for new jobs.
@@ -159,7 +161,7 @@
 	for _, c := range candidates {
 		s := old[c.Key]
 		if s == nil {
-			s = &server{hash: hashKey(c.Key), reportedSlots: p.remote[c.Key], remoteSlots: p.remote[c.Key]}
+			s = &server{hash: serverlimit.Hash(c.Key), reportedSlots: p.remote[c.Key], remoteSlots: p.remote[c.Key]}
 		}
 		s.Candidate, s.configured = c, c.Slots
 		p.servers[c.Key] = s
--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -337,10 +337,9 @@
 	firstAttemptShare = 0.85
 )
 
-// prefill sends the prompt to a prefill engine, preferably in the zone of the decode engine, and returns the location of the
-// result. It returns nil when no prefill
-// engine processes the prompt in time or the retry budget is used up. The decode engine then processes the prompt
-// itself, which is slower.
+// prefill sends the prompt to a prefill engine, preferably in the zone of the decode engine, and returns the location of
+// the result. It returns nil when no prefill engine processes the prompt in time or the retry budget is used up. The decode
+// engine then processes the prompt itself, which is slower.
 func (f *Front) prefill(ctx context.Context, x *call, lastEvent, zone string) *platform.PrefillResult {
 	excluded := map[string]bool{}
 	ledger := &prefillLedger{group: x.group, hosts: f.hosts(), repeated: x.prefilled}
--- a/internal/front/overload.go
+++ b/internal/front/overload.go
@@ -30,9 +30,9 @@
 	refused      int
 }
 
-// observeLoad records what a plain server states about its load in a response, and returns the queueing delay that
+// recordStatedLoad records what a plain server states about its load in a response, and returns the queueing delay that
 // follows from it.
-func (g *group) observeLoad(key string, l overload.Load) (delay time.Duration, known bool) {
+func (g *group) recordStatedLoad(key string, l overload.Load) (delay time.Duration, known bool) {
 	o := &g.overload
 	o.mu.Lock()
 	now := g.now()
@@ -115,7 +115,7 @@
 		return
 	}
 	load := overload.Load{Running: l.Running, Waiting: l.Waiting, Slots: l.Slots, TimePercent: l.TimePercent}
-	if delay, known := f.group(server.Service).observeLoad(serverKey(server), load); known {
+	if delay, known := f.group(server.Service).recordStatedLoad(serverKey(server), load); known {
 		f.metrics.Observe("queue_delay", delay, metrics.L("service", server.Service))
 	}
 }
--- a/internal/front/overload_test.go
+++ b/internal/front/overload_test.go
@@ -243,7 +243,7 @@
 	sent := time.Now()
 	load, ran := server.serve(work)
 	if s.controlled && !server.silent {
-		g.observeLoad(grant.Key, load)
+		g.recordStatedLoad(grant.Key, load)
 	}
 	switch {
 	case ran && s.controlled:
