Read the rest of a body that is refused for lack of memory

Callers with large bodies did not get the refusal: it ends the connection before the body is read, net/http closes it 0.5 s later with unread bytes, and a caller that is still sending finds it reset.

--- a/internal/front/buffered.go
+++ b/internal/front/buffered.go
@@ -33,6 +33,10 @@
 	// memoryRetryAfter is the shortest Retry-After of a request for which the host has no memory; a random part as long again
 	// is added.
 	memoryRetryAfter = 250 * time.Millisecond
+	// discardTime is how long the body of a refused request is read after the refusal, and maxDiscarding the number of such
+	// requests at a time.
+	discardTime   = 2 * time.Second
+	maxDiscarding = 128
 	// socketBuffer is the size of the send and receive buffers of callers' connections, in bytes. The kernel would let the send
 	// buffer of a caller that does not read grow to several MB, which counts toward the host's memory. It is enough for
 	// 100 Mbit/s at a round trip of 5 ms, since the kernel doubles it.
@@ -51,7 +55,7 @@
 	account, ok := f.budget.Open(size)
 	if !ok || !account.FitsRequest(r.ContentLength) {
 		account.Close()
-		return f.refuseMemory(x)
+		return f.refuseMemory(r, x)
 	}
 	x.account, x.size = account, size
 	return nil
@@ -59,8 +63,13 @@
 
 // refuseMemory returns the refusal of a request for which the budget has no room. The connection ends with it, since net/http
 // would otherwise read the body before it sends the refusal.
-func (f *Front) refuseMemory(x *call) error {
+func (f *Front) refuseMemory(r *http.Request, x *call) error {
 	x.w.Header().Set("Connection", "close")
+	x.unread = r.Body
+	if held, counted := r.Body.(*heldBody); counted {
+		x.unread = held.in
+	}
+	_ = http.NewResponseController(x.w).EnableFullDuplex()
 	f.metrics.Inc("held_bytes_refused")
 	refusal := outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeHostMemory, "host has no memory for the request")
 	refusal.RetryAfter = memoryRetryAfter + time.Duration(rand.Int64N(int64(memoryRetryAfter)))
@@ -68,6 +77,20 @@
 	return refusal
 }
 
+// discardUnread reads the rest of a refused request's body, within limits, after the refusal is sent. A caller that is still
+// sending would otherwise find its connection reset, and might not read the refusal.
+func (f *Front) discardUnread(x *call) {
+	if x.unread == nil || f.discarding.Add(1) > maxDiscarding {
+		f.discarding.Add(-1)
+		return
+	}
+	defer f.discarding.Add(-1)
+	connection := http.NewResponseController(x.w)
+	_ = connection.Flush()
+	_ = connection.SetReadDeadline(f.now().Add(discardTime))
+	_, _ = io.Copy(io.Discard, io.LimitReader(x.unread, defaultBodyLimit))
+}
+
 // heldReader counts what is read from in, before it is passed on. If hold does not allow that, a read returns *HostMemoryError
 // with the bytes.
 type heldReader struct {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -62,6 +62,8 @@
 	limiterMu sync.Mutex
 	limiter   *ratelimit.Limiter
 
+	// discarding is the number of refused requests whose bodies are being read.
+	discarding atomic.Int64
 	// budget and outstanding bound the bytes that are held for callers and backend servers. Both are nil where they are not
 	// bounded.
 	budget      *bytebudget.Budget
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"hash/fnv"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -59,6 +60,8 @@
 	caller context.Context //nolint:containedctx // A call is the state of one request.
 	cancel context.CancelCauseFunc
 
+	// unread is the body of a request that was refused before it was read whole.
+	unread io.Reader
 	// account counts the bytes that the host holds for the request, delivery buffers its response; both are nil where they
 	// are not bounded. size is the size of the request with its head, in bytes.
 	account  *bytebudget.Account
@@ -127,6 +130,7 @@
 		cancel()
 	}
 	f.finish(r, x, err)
+	f.discardUnread(x)
 }
 
 // answerPanic answers a request whose handler has panicked. net/http would close the connection without a response.
@@ -259,7 +263,7 @@
 	var noMemory *HostMemoryError
 	switch {
 	case errors.As(err, &noMemory):
-		return f.refuseMemory(x)
+		return f.refuseMemory(r, x)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &outcome.Error{
 			Outcome: outcome.NotRun, Code: outcome.CodeMalformedRequest, Status: http.StatusRequestTimeout, Message: "request body not received in time", Cause: err,
