--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -346,9 +346,13 @@
 	defer ledger.refund()
 	rank, _ := f.rank(x)
 	for {
+		repeated := x.prefilled || lastEvent != "" || f.isLate(x)
+		if repeated {
+			f.metrics.Inc("prompts_repeated", metrics.L("service", x.group.service))
+		}
 		grant, err := x.group.prefill.Acquire(ctx, f.withinServerBytes(x, dispatch.Job{
 			ID: x.request.ID, Begun: x.accepted, Rank: rank, StartBy: f.latestPrefill(x), Exclude: excluded, Zone: zone,
-			Affinity: uint64(x.request.OwnPart), Repeated: x.prefilled || lastEvent != "" || f.isLate(x),
+			Affinity: uint64(x.request.OwnPart), Repeated: repeated,
 		}))
 		if err != nil {
 			return f.prefillSkipped(x, "no-engine", err)
