Give the workspace of the cut responses a rate that the test cannot reach

Cause: the test sends 2,300 requests of 200 tokens; with a rate of 100,000 tokens a second a machine that serves more than 500 requests a second gets 429, which is true: the request has not run.

--- a/test/users/cuthead_test.go
+++ b/test/users/cuthead_test.go
@@ -52,6 +52,9 @@
 // cut after each byte, on new connections and on kept ones, for requests that may be repeated and for others, plain and streams.
 func TestResponsesCutAfterEachByte(t *testing.T) {
 	f := newFleet(t, 1)
+	// 2,300 requests of 200 tokens follow as fast as the host serves them. None may be refused for the rate of the workspace, since
+	// it would not reach a server whose response is cut.
+	f.configure(routes(10_000_000))
 	server, err := rawserver.Start(serveCut)
 	f.g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(server.Close)
