Compare decode engines by their memory in use

Cause: decode engines were compared by slots in use. Engines now count as occupied by the larger share of slots and memory, and the learned speed weighs on the generation's own part only, since engines batch.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// crossZonePenalty is how much lower the occupancy (fraction of slots in use) of a backend server in another
-	// availability zone must be for it to be preferred.
+	// crossZonePenalty is how much lower the occupancy (fraction of the slots, or of the memory, in use) of a backend server in
+	// another availability zone must be for it to be preferred.
 	crossZonePenalty = 0.12
 	// exactHosts is the number of hosts up to which the least occupied backend server is chosen. More hosts than that
 	// would send most of the requests between two reports to the same one.
@@ -113,15 +113,20 @@
 			c.occupancy = used / limit
 			c.relative, c.doubtful = p.model.Expected(key, int(used), now), p.model.Doubtful(key, now)
 		}
+		if job.Occupancy != nil {
+			c.occupancy = max(c.occupancy, job.Occupancy(key))
+		}
 		free = append(free, c)
 	}
-	p.score(free, zone)
+	p.score(free, zone, job.Occupancy != nil)
 	return free
 }
 
 // score computes the scores of backend servers: the occupancy, or the expected completion if some of them are known to be
-// slower or faster than others. The preference for the zone then shrinks as its servers fill.
-func (p *Pool) score(free []scoredServer, zone string) {
+// slower or faster than others. The preference for the zone then shrinks as its servers fill. With batched set, servers work on
+// all their jobs at once: the others hardly delay the job, so the speed weighs on the job's own part only. A fast engine
+// would otherwise be preferred until its memory is full, by all hosts at once.
+func (p *Pool) score(free []scoredServer, zone string, batched bool) {
 	learned := slices.ContainsFunc(free, func(c scoredServer) bool { return c.relative != 1 })
 	penalty := crossZonePenalty
 	if learned {
@@ -134,7 +139,10 @@
 	for i := range free {
 		c := &free[i]
 		c.score = c.occupancy
-		if learned {
+		switch {
+		case learned && batched:
+			c.score = c.relative*setupShare + c.occupancy
+		case learned:
 			c.score = c.relative * (setupShare + c.occupancy)
 		}
 		if c.server.Zone != zone {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -45,6 +45,9 @@
 	// Reserve reserves the other resources that the job needs at a backend server, such as KV memory, and reports whether
 	// they were available. Nil means that the job needs only a slot.
 	Reserve func(key string) bool
+	// Occupancy returns the share of those resources that is in use. A backend server counts as occupied by the larger of this
+	// and the share of its slots in use. Nil if the job needs only a slot.
+	Occupancy func(key string) float64
 	// Unreserve, if it is not nil, takes back a reservation when the slot is freed.
 	Unreserve func(key string)
 }
--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -235,6 +235,7 @@
 		ID: x.request.ID, Begun: x.accepted, Rank: rank, Value: f.value(x, r.Output), StartBy: startBy, Exclude: excluded,
 		Reserve:   func(key string) bool { return f.runTable.add(r, key, capacity) },
 		Unreserve: func(string) { f.runTable.end(r) },
+		Occupancy: func(key string) float64 { return f.runTable.occupancy(key, capacity) },
 	}
 	job = f.withinServerBytes(x, job)
 	for {
--- a/internal/front/runtable.go
+++ b/internal/front/runtable.go
@@ -25,10 +25,15 @@
 	predictor *kvmemory.Predictor
 	own       map[string]map[*run]bool
 	others    map[string][]kvmemory.Run
+	// committed is the memory in tokens that the runs at each engine are expected to take when they end.
+	committed map[string]float64
 }
 
 func newRunTable(now func() time.Time) *runTable {
-	return &runTable{now: now, relativeTime: func(string) float64 { return 1 }, predictor: kvmemory.NewPredictor(), own: map[string]map[*run]bool{}, others: map[string][]kvmemory.Run{}}
+	return &runTable{
+		now: now, relativeTime: func(string) float64 { return 1 }, predictor: kvmemory.NewPredictor(), own: map[string]map[*run]bool{}, others: map[string][]kvmemory.Run{},
+		committed: map[string]float64{},
+	}
 }
 
 // forecast returns the predicted output length of a generation. hint is the caller's estimate and declared its maximum,
@@ -68,9 +73,28 @@
 		t.own[key] = map[*run]bool{}
 	}
 	t.own[key][r] = true
+	t.commit(key, r.FinalSize())
 	return true
 }
 
+// commit changes the committed memory of an engine.
+func (t *runTable) commit(key string, tokens float64) {
+	if t.committed[key] += tokens; len(t.own[key]) == 0 && len(t.others[key]) == 0 {
+		delete(t.committed, key)
+	}
+}
+
+// occupancy returns the committed memory of an engine as a share of capacity; 0 if capacity is 0, which means unknown. Where the
+// memory holds fewer runs than there are slots, the share of the slots in use tells nothing of how full the engine is.
+func (t *runTable) occupancy(key string, capacity int64) float64 {
+	if capacity <= 0 {
+		return 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.committed[key] / float64(capacity)
+}
+
 // progress records the number of tokens that a run has generated so far.
 func (t *runTable) progress(r *run, generated int64) {
 	t.mu.Lock()
@@ -89,10 +113,14 @@
 func (t *runTable) end(r *run) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.own[r.key][r] {
+		return
+	}
 	delete(t.own[r.key], r)
 	if len(t.own[r.key]) == 0 {
 		delete(t.own, r.key)
 	}
+	t.commit(r.key, -r.FinalSize())
 }
 
 // recordFinished passes a completed generation to the predictor: its total output, and the output and duration of its
@@ -130,9 +158,17 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for key, runs := range changed {
+		difference := 0.0
+		for i := range t.others[key] {
+			difference -= t.others[key][i].FinalSize()
+		}
+		for i := range runs {
+			difference += runs[i].FinalSize()
+		}
 		if t.others[key] = runs; len(runs) == 0 {
 			delete(t.others, key)
 		}
+		t.commit(key, difference)
 	}
 }
 
--- a/internal/kvmemory/forecast.go
+++ b/internal/kvmemory/forecast.go
@@ -21,6 +21,9 @@
 	Output Output
 }
 
+// FinalSize returns the memory in tokens that the run is expected to hold when it ends: the prompt and the median output.
+func (r *Run) FinalSize() float64 { return float64(r.Prompt) + r.Output.Median() }
+
 // Output is a forecast of an output length in tokens: a log-normal distribution truncated at Max.
 type Output struct {
 	// LogMean and LogSigma are the mean and standard deviation of the natural logarithm of the length.
