--- a/internal/dispatch/choose_test.go
+++ b/internal/dispatch/choose_test.go
@@ -69,3 +69,24 @@
 	p.SetCandidates([]dispatch.Candidate{{Key: "a", Zone: "z1", Slots: 8}, {Key: "b", Zone: "z2", Slots: 8}})
 	g.Expect(granted(p, 1, dispatch.Job{Zone: "z2"})).To(Equal(map[string]int{"b": 1}))
 }
+
+// Guards against engines that are compared by their slots while their memory is nearly full: in the own zone, and where a fast engine
+// would be preferred until its memory is full.
+func TestJobsGoWhereMemoryIsLeft(t *testing.T) {
+	g := NewWithT(t)
+	memory := map[string]float64{"near": 0.8, "far": 0.5}
+	occupancy := func(key string) float64 { return memory[key] }
+	p := newPool(64)
+	p.SetCandidates([]dispatch.Candidate{{Key: "near", Zone: "z1", Slots: 64}, {Key: "far", Zone: "z2", Slots: 64}})
+	g.Expect(granted(p, 1, dispatch.Job{Zone: "z1"})).To(Equal(map[string]int{"near": 1}))
+	g.Expect(granted(p, 1, dispatch.Job{Zone: "z1", Occupancy: occupancy})).To(Equal(map[string]int{"far": 1}))
+
+	memory = map[string]float64{"fast": 0.7, "a": 0.4}
+	p = newPool(64, "fast", "a")
+	p.SetModel(fakeModel{relative: map[string]float64{"fast": 0.5}})
+	shares := granted(p, 20, dispatch.Job{Occupancy: occupancy})
+	g.Expect(shares).To(Equal(map[string]int{"a": 20}))
+	memory["fast"] = 0.5
+	shares = granted(p, 20, dispatch.Job{Occupancy: occupancy})
+	g.Expect(shares["fast"]).To(BeNumerically(">", shares["a"]), "a fast engine has the memory back sooner")
+}
