--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -11,6 +11,9 @@
 	// crossZonePenalty is how much lower the occupancy (fraction of the slots, or of the memory, in use) of a backend server in
 	// another availability zone must be for it to be preferred.
 	crossZonePenalty = 0.12
+	// batchedZonePenalty is the same for jobs that servers work on all at once and for seconds. A generation in another zone breaks
+	// off when the zones are cut off from each other, while an engine is no slower until its memory is full.
+	batchedZonePenalty = 0.5
 	// exactHosts is the number of hosts up to which the least occupied backend server is chosen. More hosts than that
 	// would send most of the requests between two reports to the same one.
 	exactHosts = 8
@@ -125,12 +128,17 @@
 // score computes the scores of backend servers: the occupancy, or the expected completion if some of them are known to be
 // slower or faster than others. The preference for the zone then shrinks as its servers fill. With batched set, servers work on
 // all their jobs at once: the others hardly delay the job, so the speed weighs on the job's own part only. A fast engine
-// would otherwise be preferred until its memory is full, by all hosts at once.
+// would otherwise be preferred until its memory is full, by all hosts at once. The preference for the zone shrinks in any case.
 func (p *Pool) score(free []scoredServer, zone string, batched bool) {
 	learned := slices.ContainsFunc(free, func(c scoredServer) bool { return c.relative != 1 })
 	penalty := crossZonePenalty
-	if learned {
+	if batched {
+		penalty = batchedZonePenalty
+	}
+	if learned || batched {
 		penalty *= 1 - zoneOccupancy(free, zone)
+	}
+	if learned {
 		if rand.Float64() < recheckShare {
 			// The choice by occupancy alone.
 			learned = false
