--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -55,83 +55,109 @@
 // crossZonePenalty. In a large fleet it compares only a random sample of the backend servers first, so that hosts with the
 // same reports do not all choose the same one.
 func (p *Pool) choose(job Job, now time.Time) *server {
-	free := p.free(job, now)
-	certain := len(free)
+	free := p.free(job, now, rand.Float64, nil)
+	p.sortByPreference(free, job, rand.Shuffle)
+	for _, c := range free {
+		if job.Reserve == nil || job.Reserve(c.server.Key) {
+			return c.server
+		}
+	}
+	return nil
+}
+
+// sortByPreference sorts backend servers in the order in which a job takes them. It returns how many of them are compared first, and
+// how many are not doubtful. Without shuffle, which draws the sample of a large fleet, all of them are compared.
+func (p *Pool) sortByPreference(free []scoredServer, job Job, shuffle func(n int, swap func(i, j int))) (sample, certain int) {
+	certain = len(free)
 	if p.model != nil {
 		// Doubtful servers come last. The order of the others does not change.
 		slices.SortStableFunc(free, func(a, b scoredServer) int { return compareBool(a.doubtful, b.doubtful) })
 		certain = len(free) - countDoubtful(free)
 	}
 	sampled, rest := free[:certain], free[certain:]
-	sample := sampleSize(certain, int(p.hosts.Load()))
+	sample = sampleSize(certain, int(p.hosts.Load()))
+	compared := sample
 	switch {
 	case job.Affinity != 0:
 		orderByAffinity(sampled, job.Affinity)
 		if job.Repeated && sample > 0 {
 			preferred(sampled[:sample], cmp.Or(job.Zone, p.zone)).score -= affinityBonus
 		}
+	case shuffle == nil:
+		compared = certain
 	case sample < certain:
-		rand.Shuffle(certain, func(i, j int) { sampled[i], sampled[j] = sampled[j], sampled[i] })
+		shuffle(certain, func(i, j int) { sampled[i], sampled[j] = sampled[j], sampled[i] })
 	}
 	byScore := func(a, b scoredServer) int { return cmp.Compare(a.score, b.score) }
-	slices.SortStableFunc(sampled[:sample], byScore)
-	slices.SortStableFunc(sampled[sample:], byScore)
+	slices.SortStableFunc(sampled[:compared], byScore)
+	slices.SortStableFunc(sampled[compared:], byScore)
 	slices.SortStableFunc(rest, byScore)
-	for _, c := range free {
-		if job.Reserve == nil || job.Reserve(c.server.Key) {
-			return c.server
-		}
-	}
-	return nil
+	return sample, certain
 }
 
-// free returns the backend servers with a free slot, with their scores.
-func (p *Pool) free(job Job, now time.Time) []scoredServer {
+// free returns the backend servers with a free slot, with their scores. leftOut, if it is not nil, is called for the others.
+func (p *Pool) free(job Job, now time.Time, random func() float64, leftOut func(*server, Reason)) []scoredServer {
 	zone := cmp.Or(job.Zone, p.zone)
 	free := make([]scoredServer, 0, len(p.order))
 	for _, key := range p.order {
-		s := p.servers[key]
-		counted := s.localSlots + s.remoteSlots
-		used := float64(counted)
-		if p.model != nil {
-			used = p.model.Occupied(key, counted, now)
-		}
-		// The use that a server has stated bounds it by itself; see SetStatedLoad.
-		bounding := used
-		if s.stated != nil {
-			bounding = float64(counted)
+		c, reason := p.assess(p.servers[key], &job, now)
+		if reason == "" {
+			free = append(free, c)
+		} else if leftOut != nil {
+			leftOut(c.server, reason)
 		}
-		if s.localSlots >= s.Slots || bounding >= float64(s.Slots) || now.Before(s.fullUntil) || job.Exclude[key] || !p.limits[key].allows(now) {
-			continue
-		}
-		c := scoredServer{server: s, occupancy: used / float64(s.Slots), relative: 1}
-		if p.model != nil {
-			limit := float64(p.model.Limit(key, s.Slots, now))
-			if bounding >= limit {
-				continue
-			}
-			c.occupancy = used / limit
-			c.relative, c.doubtful = p.model.Expected(key, int(used), now), p.model.Doubtful(key, now)
-		}
-		if job.Occupancy != nil {
-			c.occupancy = max(c.occupancy, job.Occupancy(key))
-		}
-		free = append(free, c)
 	}
-	p.score(free, zone, job.Occupancy != nil)
+	p.score(free, zone, job.Occupancy != nil, random)
 	return free
 }
 
+// assess returns the terms by which a backend server is compared, or the reason for which it gets no job now.
+func (p *Pool) assess(s *server, job *Job, now time.Time) (scoredServer, Reason) {
+	key, counted := s.Key, s.localSlots+s.remoteSlots
+	used := float64(counted)
+	if p.model != nil {
+		used = p.model.Occupied(key, counted, now)
+	}
+	// The use that a server has stated bounds it by itself; see SetStatedLoad.
+	bounding := used
+	if s.stated != nil {
+		bounding = float64(counted)
+	}
+	c := scoredServer{server: s, used: used, limit: s.Slots, relative: 1}
+	switch {
+	case job.Exclude[key]:
+		return c, ReasonExcluded
+	case now.Before(s.fullUntil):
+		return c, ReasonRefusedAsFull
+	case s.localSlots >= s.Slots || bounding >= float64(s.Slots):
+		return c, ReasonFull
+	case !p.limits[key].allows(now):
+		return c, ReasonRateLimit
+	}
+	if p.model != nil {
+		c.limit = p.model.Limit(key, s.Slots, now)
+		if bounding >= float64(c.limit) {
+			return c, ReasonLearnedLimit
+		}
+		c.relative, c.doubtful = p.model.Expected(key, int(used), now), p.model.Doubtful(key, now)
+	}
+	c.occupancy = used / float64(c.limit)
+	if job.Occupancy != nil {
+		c.occupancy = max(c.occupancy, job.Occupancy(key))
+	}
+	return c, ""
+}
+
 // score computes the scores of backend servers: the occupancy, or the expected completion if some of them are known to be
 // slower or faster than others. The preference for the zone then shrinks as its servers fill. With batched set, servers work on
 // all their jobs at once: the others hardly delay the job, so the speed weighs on the job's own part only. A fast engine
-// would otherwise be preferred until its memory is full, by all hosts at once.
-func (p *Pool) score(free []scoredServer, zone string, batched bool) {
+// would otherwise be preferred until its memory is full, by all hosts at once. random draws whether speeds are ignored.
+func (p *Pool) score(free []scoredServer, zone string, batched bool, random func() float64) {
 	learned := slices.ContainsFunc(free, func(c scoredServer) bool { return c.relative != 1 })
 	penalty := crossZonePenalty
 	if learned {
 		penalty *= 1 - zoneOccupancy(free, zone)
-		if rand.Float64() < recheckShare {
+		if random() < recheckShare {
 			// The choice by occupancy alone.
 			learned = false
 		}
@@ -219,6 +245,9 @@
 	// server.
 	occupancy, relative float64
 	doubtful            bool
+	// used is the number of slots in use, in terms of ordinary jobs, and limit how many may be in use.
+	used  float64
+	limit int
 }
 
 // sampleSize returns how many of n backend servers a host compares, in inverse proportion to the number of hosts.
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -360,7 +360,7 @@
 		}
 		p.queue.remove(w)
 		s.localSlots++
-		p.limits[s.Key].take()
+		p.limits[s.Key].take(now)
 		p.grants.add(now)
 		p.ranks.granted(w.job.Rank, now)
 		w.done <- result{grant: &Grant{
@@ -376,10 +376,8 @@
 func (p *Pool) refuseLate(now time.Time) {
 	perSecond := p.grants.perSecond(now)
 	for ahead, w := range p.ordered(now) {
-		remaining := w.job.StartBy.Sub(now)
-		attainable := perSecond*remaining.Seconds() + 1
-		retryAfter, inTime := p.rateAllows(ahead+1, remaining, now)
-		if remaining > 0 && len(p.order) > 0 && float64(ahead) < attainable && inTime {
+		retryAfter, attainable := p.attainable(&w.job, ahead, perSecond, now)
+		if attainable {
 			continue
 		}
 		p.queue.remove(w)
@@ -387,6 +385,14 @@
 	}
 }
 
+// attainable reports whether a job gets a slot before its deadline with a number of jobs ahead of it, at a rate of grants. If the
+// rate limits of the backend servers are the reason why it does not, retryAfter is when they allow it.
+func (p *Pool) attainable(job *Job, ahead int, perSecond float64, now time.Time) (retryAfter time.Duration, ok bool) {
+	remaining := job.StartBy.Sub(now)
+	retryAfter, inTime := p.rateAllows(ahead+1, remaining, now)
+	return retryAfter, remaining > 0 && len(p.order) > 0 && float64(ahead) < perSecond*remaining.Seconds()+1 && inTime
+}
+
 // ordered returns a copy of the waiting jobs in the order in which they get slots, so that entries may be removed during
 // iteration.
 func (p *Pool) ordered(now time.Time) []*waiter {
@@ -396,15 +402,20 @@
 // refuseOutranked refuses a job on arrival when jobs of higher rank or value arrive faster than slots are granted. The job
 // would otherwise wait until its deadline and then be refused. A rank that has got less than its share is not refused.
 func (p *Pool) refuseOutranked(w *waiter) {
-	now := p.now()
-	ahead := p.arrivals.countAbove(now, w.job)
-	granted := p.grants.perSecond(now) * rateWindow.Seconds()
-	if float64(ahead) <= granted*outrankedMargin+1 || p.ranks.owed(w.job.Rank, now) || !p.queue.remove(w) {
+	ahead, outranked := p.outranked(&w.job, &p.ranks, p.now())
+	if !outranked || !p.queue.remove(w) {
 		return
 	}
 	w.done <- result{err: &RefusedError{Stats: p.stats(), Ahead: ahead}}
 }
 
+// outranked reports whether jobs that go before a job arrive faster than slots are granted, and how many have arrived.
+func (p *Pool) outranked(job *Job, shares *rankShares, now time.Time) (ahead int, outranked bool) {
+	ahead = p.arrivals.countAbove(now, *job)
+	granted := p.grants.perSecond(now) * rateWindow.Seconds()
+	return ahead, float64(ahead) > granted*outrankedMargin+1 && !shares.owed(job.Rank, now)
+}
+
 // schedule sets the timer for the next dispatch: when a full backend server becomes eligible again, or when the
 // deadline of a waiting job passes.
 func (p *Pool) schedule(now time.Time) {
--- a/internal/dispatch/rankshare.go
+++ b/internal/dispatch/rankshare.go
@@ -39,6 +39,15 @@
 	return c
 }
 
+// clone returns an independent copy.
+func (r *rankShares) clone() *rankShares {
+	c := &rankShares{updated: r.updated, ranks: make(map[int]*rankCount, len(r.ranks))}
+	for rank, n := range r.ranks {
+		c.ranks[rank] = &rankCount{arrived: n.arrived, granted: n.granted}
+	}
+	return c
+}
+
 // decay brings the counts to the present and removes ranks without recent jobs.
 func (r *rankShares) decay(now time.Time) {
 	elapsed := now.Sub(r.updated)
--- a/internal/dispatch/ratelimit.go
+++ b/internal/dispatch/ratelimit.go
@@ -15,8 +15,12 @@
 }
 
 func (l *rateLimit) refill(now time.Time) {
-	l.tokens = min(l.tokens+l.perSecond*max(now.Sub(l.updated).Seconds(), 0), 1)
-	l.updated = now
+	l.tokens, l.updated = l.level(now), now
+}
+
+// level returns the tokens at a time without changing the bucket.
+func (l *rateLimit) level(now time.Time) float64 {
+	return min(l.tokens+l.perSecond*max(now.Sub(l.updated).Seconds(), 0), 1)
 }
 
 // allows reports whether a job may be sent now. A rate of 0 allows none, whatever is left of an earlier rate.
@@ -24,12 +28,12 @@
 	if l == nil {
 		return true
 	}
-	l.refill(now)
-	return l.perSecond > 0 && l.tokens >= 1
+	return l.perSecond > 0 && l.level(now) >= 1
 }
 
-func (l *rateLimit) take() {
+func (l *rateLimit) take(now time.Time) {
 	if l != nil {
+		l.refill(now)
 		l.tokens--
 	}
 }
@@ -51,8 +55,7 @@
 			return 0, true
 		}
 		if l.perSecond > 0 {
-			l.refill(now)
-			tokens, perSecond = tokens+l.tokens, perSecond+l.perSecond
+			tokens, perSecond = tokens+l.level(now), perSecond+l.perSecond
 		}
 	}
 	missing := float64(n) - tokens
--- a/internal/dispatch/stated.go
+++ b/internal/dispatch/stated.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// statedTTL is how long the load that a server has stated replaces what other hosts have reported. A host of a fleet of
@@ -56,18 +59,18 @@
 // refuseHopeless refuses a job on arrival that has to wait and whose response cannot be in time, if others are waiting
 // whose responses can. It would be served after all of them.
 func (p *Pool) refuseHopeless(w *waiter) {
-	now := p.now()
-	if w.job.inTime(now) {
-		return
-	}
-	for _, o := range p.queue.waiters {
-		if o != w && o.job.inTime(now) && !o.job.DueBy.IsZero() && o.job.Rank <= w.job.Rank && p.queue.remove(w) {
-			w.done <- result{err: &RefusedError{Stats: p.stats(), Ahead: 1, TooLate: true}}
-			return
-		}
+	if p.hopeless(&w.job, p.now()) && p.queue.remove(w) {
+		w.done <- result{err: &RefusedError{Stats: p.stats(), Ahead: 1, TooLate: true}}
 	}
 }
 
+// hopeless reports whether the response to a job cannot be in time while those to waiting jobs that are as urgent can.
+func (p *Pool) hopeless(job *Job, now time.Time) bool {
+	return !job.inTime(now) && slices.ContainsFunc(p.queue.waiters, func(o *waiter) bool {
+		return o.job.inTime(now) && !o.job.DueBy.IsZero() && o.job.Rank <= job.Rank
+	})
+}
+
 // HasIdle reports whether a backend server is believed to have a slot that runs a request at once. queueFactor is the
 // number of requests for each slot that candidates' slots stand for. A server that has stated its load counts with what it
 // has stated, since the estimate between reports is too low while other hosts go on sending.
