Preview rate limits, overload refusals and KV memory without changing them

An explanation of a route must not change the state of a limiter or controller. The checks are split so that the real ones and their previews run the same code. The reasons for which a group withholds servers from its pools are named.

go test -count=1 of internal/overload, ratelimit, registry, front and dispatch passes.

--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -225,18 +225,10 @@
 // reserve waits until startBy for a slot at a decode engine and reserves KV memory for the prompt there. It tries the next engine when
 // one refuses the reservation.
 func (f *Front) reserve(ctx context.Context, x *call, excluded map[string]bool, startBy time.Time) (*reservation, error) {
-	r := &run{Run: kvmemory.Run{Prompt: x.request.Tokens.Prompt, Output: f.runTable.forecast(x.request.LengthHint, x.request.Tokens.MaxOutput)}}
-	capacity := int64(0)
-	if e := f.engineOf(x); e != nil {
-		capacity = e.KVCapacity
-	}
-	rank, _ := f.rank(x)
-	job := dispatch.Job{
-		ID: x.request.ID, Begun: x.accepted, Rank: rank, Value: f.value(x, r.Output), StartBy: startBy, Exclude: excluded,
-		Reserve:   func(key string) bool { return f.runTable.add(r, key, capacity) },
-		Unreserve: func(string) { f.runTable.end(r) },
-		Occupancy: func(key string) float64 { return f.runTable.occupancy(key, capacity) },
-	}
+	r, capacity := f.newRun(x), f.kvCapacity(x)
+	job := f.decodeJob(x, r.Output, excluded, startBy)
+	job.Reserve = func(key string) bool { return f.runTable.add(r, key, capacity) }
+	job.Unreserve = func(string) { f.runTable.end(r) }
 	job = f.withinServerBytes(x, job)
 	for {
 		grant, err := x.group.decode.Acquire(ctx, job)
@@ -273,6 +265,38 @@
 	}
 }
 
+// newRun returns the run of a generation, which is not placed yet.
+func (f *Front) newRun(x *call) *run {
+	return &run{Run: kvmemory.Run{Prompt: x.request.Tokens.Prompt, Output: f.runTable.forecast(x.request.LengthHint, x.request.Tokens.MaxOutput)}}
+}
+
+// kvCapacity returns the KV memory of the engines that serve the request, in tokens; 0 if it is not known.
+func (f *Front) kvCapacity(x *call) int64 {
+	if e := f.engineOf(x); e != nil {
+		return e.KVCapacity
+	}
+	return 0
+}
+
+// decodeJob returns the job of a generation at a decode engine, without the reservation of KV memory.
+func (f *Front) decodeJob(x *call, output kvmemory.Output, excluded map[string]bool, startBy time.Time) dispatch.Job {
+	rank, _ := f.rank(x)
+	capacity := f.kvCapacity(x)
+	return dispatch.Job{
+		ID: x.request.ID, Begun: x.accepted, Rank: rank, Value: f.value(x, output), StartBy: startBy, Exclude: excluded,
+		Occupancy: func(key string) float64 { return f.runTable.occupancy(key, capacity) },
+	}
+}
+
+// prefillJob returns the job of a prompt at a prefill engine. zone is the one of the decode engine.
+func (f *Front) prefillJob(x *call, excluded map[string]bool, zone string, repeated bool) dispatch.Job {
+	rank, _ := f.rank(x)
+	return dispatch.Job{
+		ID: x.request.ID, Begun: x.accepted, Rank: rank, StartBy: f.latestPrefill(x), Exclude: excluded, Zone: zone,
+		Affinity: uint64(x.request.OwnPart), Repeated: repeated,
+	}
+}
+
 func reservationReason(err error) string {
 	var full *platform.NoCapacityError
 	if errors.As(err, &full) {
@@ -345,16 +369,12 @@
 	excluded := map[string]bool{}
 	ledger := &prefillLedger{group: x.group, hosts: f.hosts(), repeated: x.prefilled}
 	defer ledger.refund()
-	rank, _ := f.rank(x)
 	for {
 		repeated := x.prefilled || lastEvent != "" || f.isLate(x)
 		if repeated {
 			f.metrics.Inc("prompts_repeated", metrics.L("service", x.group.service))
 		}
-		grant, err := x.group.prefill.Acquire(ctx, f.withinServerBytes(x, dispatch.Job{
-			ID: x.request.ID, Begun: x.accepted, Rank: rank, StartBy: f.latestPrefill(x), Exclude: excluded, Zone: zone,
-			Affinity: uint64(x.request.OwnPart), Repeated: repeated,
-		}))
+		grant, err := x.group.prefill.Acquire(ctx, f.withinServerBytes(x, f.prefillJob(x, excluded, zone, repeated)))
 		if err != nil {
 			return f.prefillSkipped(x, "no-engine", err)
 		}
--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -25,6 +25,17 @@
 	prefillConcurrency = 4
 )
 
+// Reasons why servers get no requests that the pools do not know.
+const (
+	reasonEvacuated     dispatch.Reason = "zone_evacuated"
+	reasonLeaving       dispatch.Reason = "leaving"
+	reasonMisdirected   dispatch.Reason = "misdirected"
+	reasonHeldOff       dispatch.Reason = "held_off"
+	reasonPaused        dispatch.Reason = "paused"
+	reasonChangingStage dispatch.Reason = "changing_stage"
+	reasonNoMemory      dispatch.Reason = "no_kv_memory"
+)
+
 // group holds the backend servers of one service with this host's pools, outlier detector and retry budget for them.
 type group struct {
 	service string
@@ -105,16 +116,15 @@
 	now := g.now()
 	paused := false
 	for key, s := range g.servers {
-		if now.Before(g.heldOff[key]) {
-			paused = true
+		reason := g.withheld(key, now)
+		paused = paused || reason != ""
+		if reason == reasonHeldOff {
 			continue
 		}
 		stage, c := candidate(key, s)
 		all[stage] = append(all[stage], c)
-		if !g.outliers.Paused(key, now) && !now.Before(g.changing[key]) {
+		if reason == "" {
 			active[stage] = append(active[stage], c)
-		} else {
-			paused = true
 		}
 	}
 	recheck := paused && !g.recheckDue
@@ -136,6 +146,19 @@
 	}
 }
 
+// withheld returns why the pools do not get a usable backend server, or "" if they do. g.mu must be held.
+func (g *group) withheld(key string, now time.Time) dispatch.Reason {
+	switch {
+	case now.Before(g.heldOff[key]):
+		return reasonHeldOff
+	case g.outliers.Paused(key, now):
+		return reasonPaused
+	case now.Before(g.changing[key]):
+		return reasonChangingStage
+	}
+	return ""
+}
+
 // pauseRecheck is the interval at which paused backend servers are checked again.
 const pauseRecheck = 100 * time.Millisecond
 
--- a/internal/front/overload.go
+++ b/internal/front/overload.go
@@ -77,6 +77,14 @@
 	return o.controller.Admit(a, g.now())
 }
 
+// previewPlain returns the probability with which admitPlain would refuse a request now, and the refusal.
+func (g *group) previewPlain(a overload.Arrival, objective time.Duration) (float64, *overload.Refusal) {
+	a.FreeSlot = g.plain.HasIdle(plainQueueFactor)
+	g.overload.mu.Lock()
+	defer g.overload.mu.Unlock()
+	return g.overload.controller.Preview(a, objective, g.now())
+}
+
 // workTime returns the time that a plain request takes at a server without waiting, 0 if it is not known.
 func (g *group) workTime() time.Duration {
 	g.overload.mu.Lock()
@@ -122,10 +130,9 @@
 
 // refuseOverloaded refuses a plain request on arrival if the service is overloaded. Nothing has been sent yet.
 func (f *Front) refuseOverloaded(x *call) error {
-	rank, _ := f.rank(x)
-	refusal := x.group.admitPlain(overload.Arrival{
-		Rank: rank, Returned: f.isLate(x), Random: rand.Float64(), TimeLeft: x.deadline.Sub(f.now()),
-	}, x.config.Objective(x.group.service))
+	arrival := f.arrival(x)
+	arrival.Random = rand.Float64()
+	refusal := x.group.admitPlain(arrival, x.config.Objective(x.group.service))
 	share, began, ended, count := x.group.overloadChange(refusal != nil)
 	service := x.group.service
 	f.metrics.Set("overload_probability_percent", int64(100*share+0.5), metrics.L("service", service))
@@ -142,6 +149,12 @@
 	return &OverloadedError{Refusal: *refusal}
 }
 
+// arrival describes a plain request to the overload controller.
+func (f *Front) arrival(x *call) overload.Arrival {
+	rank, _ := f.rank(x)
+	return overload.Arrival{Rank: rank, Returned: f.isLate(x), TimeLeft: x.deadline.Sub(f.now())}
+}
+
 // spread adds a random part as long again to a Retry-After, so that refused callers do not return at the same time.
 func spread(after time.Duration) time.Duration {
 	return after + time.Duration(rand.Int64N(int64(max(after, 1))))
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -125,14 +125,7 @@
 
 // sendPlain makes one attempt. It returns the key of the backend server, which is empty when none was available.
 func (f *Front) sendPlain(ctx context.Context, x *call, excluded map[string]bool) (*response, string, error) {
-	latest := x.deadline
-	if o := x.route.LatencyObjective; o > 0 {
-		latest = x.request.Arrived.Add(max(o, (x.deadline.Sub(x.request.Arrived))/2))
-	}
-	rank, _ := f.rank(x)
-	grant, err := x.group.plain.Acquire(ctx, f.withinServerBytes(x, dispatch.Job{
-		ID: x.request.ID, Rank: rank, StartBy: latest, DueBy: f.dueBy(x), Exclude: excluded,
-	}))
+	grant, err := x.group.plain.Acquire(ctx, f.withinServerBytes(x, f.plainJob(x, excluded)))
 	if err != nil {
 		f.countPlainRefusal(x, err)
 		return nil, "", err
@@ -166,6 +159,16 @@
 	return read, grant.Key, nil
 }
 
+// plainJob returns the job of a plain request.
+func (f *Front) plainJob(x *call, excluded map[string]bool) dispatch.Job {
+	latest := x.deadline
+	if o := x.route.LatencyObjective; o > 0 {
+		latest = x.request.Arrived.Add(max(o, (x.deadline.Sub(x.request.Arrived))/2))
+	}
+	rank, _ := f.rank(x)
+	return dispatch.Job{ID: x.request.ID, Rank: rank, StartBy: latest, DueBy: f.dueBy(x), Exclude: excluded}
+}
+
 // dueBy returns the latest time at which a server may get a plain request so that its response is in time; zero if the
 // route has no objective. The time that the caller has spent on earlier requests counts.
 func (f *Front) dueBy(x *call) time.Time {
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -165,10 +165,8 @@
 	}
 	x.request = request
 	x.config = f.state.Configuration()
-	if x.config == nil || !f.state.Loaded() || f.catchingUp() {
-		refusal := outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeNoConfiguration, "configuration not loaded yet")
-		refusal.RetryAfter = unreadyRetry
-		return nil, nil, refusal
+	if err := f.refuseUnconfigured(x); err != nil {
+		return nil, nil, err
 	}
 	if err := f.authorize(x); err != nil {
 		return nil, nil, err
@@ -197,6 +195,16 @@
 	return ctx, cancel, nil
 }
 
+// refuseUnconfigured refuses requests until this host has a configuration and knows the evacuations in force.
+func (f *Front) refuseUnconfigured(x *call) error {
+	if x.config != nil && f.state.Loaded() && !f.catchingUp() {
+		return nil
+	}
+	refusal := outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeNoConfiguration, "configuration not loaded yet")
+	refusal.RetryAfter = unreadyRetry
+	return refusal
+}
+
 // writeTime is how long after the request's deadline a caller may take to receive the end of a response.
 const writeTime = time.Second
 
@@ -311,15 +319,19 @@
 	level := f.limiter.Level(x.workspace.Name, now)
 	f.limiterMu.Unlock()
 	if !ok {
-		refusal := outcome.Refuse(http.StatusTooManyRequests, outcome.CodeRateExceeded, "workspace rate limit exceeded")
-		refusal.RetryAfter = until
-		refusal.Cause = &RateExceededError{Cost: cost, Level: level, Rate: x.workspace.Rate, Burst: x.workspace.Burst}
-		return refusal
+		return rateRefusal(x.workspace, cost, level, until)
 	}
 	x.charged = cost
 	return nil
 }
 
+func rateRefusal(w *fleet.Workspace, cost int64, level float64, until time.Duration) error {
+	refusal := outcome.Refuse(http.StatusTooManyRequests, outcome.CodeRateExceeded, "workspace rate limit exceeded")
+	refusal.RetryAfter = until
+	refusal.Cause = &RateExceededError{Cost: cost, Level: level, Rate: w.Rate, Burst: w.Burst}
+	return refusal
+}
+
 // refund credits the charge back to the workspace's rate limit if the request certainly did not run.
 func (f *Front) refund(x *call) {
 	if x.charged == 0 || x.mayHaveRun {
--- a/internal/front/runtable.go
+++ b/internal/front/runtable.go
@@ -56,17 +56,9 @@
 func (t *runTable) add(r *run, key string, capacity int64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.now()
-	r.At = now
-	if capacity > 0 {
-		runs := append([]kvmemory.Run(nil), t.others[key]...)
-		for o := range t.own[key] {
-			runs = append(runs, o.Run)
-		}
-		decodeRate := t.predictor.EngineRate(t.relativeTime(key))
-		if len(runs) > 0 && !kvmemory.Fits(kvmemory.Needs(runs, decodeRate, now), r.Run, capacity, kvmemory.SafetyMargin, decodeRate, now) {
-			return false
-		}
+	r.At = t.now()
+	if !t.suffices(r.Run, key, capacity) {
+		return false
 	}
 	r.key = key
 	if t.own[key] == nil {
@@ -77,6 +69,27 @@
 	return true
 }
 
+// fits reports whether add would record a run at an engine now.
+func (t *runTable) fits(r kvmemory.Run, key string, capacity int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r.At = t.now()
+	return t.suffices(r, key, capacity)
+}
+
+// suffices reports whether the KV memory of an engine suffices for a run that begins now. t.mu must be held.
+func (t *runTable) suffices(r kvmemory.Run, key string, capacity int64) bool {
+	if capacity <= 0 {
+		return true
+	}
+	runs := append([]kvmemory.Run(nil), t.others[key]...)
+	for o := range t.own[key] {
+		runs = append(runs, o.Run)
+	}
+	decodeRate := t.predictor.EngineRate(t.relativeTime(key))
+	return len(runs) == 0 || kvmemory.Fits(kvmemory.Needs(runs, decodeRate, r.At), r, capacity, kvmemory.SafetyMargin, decodeRate, r.At)
+}
+
 // commit changes the committed memory of an engine.
 func (t *runTable) commit(key string, tokens float64) {
 	if t.committed[key] += tokens; len(t.own[key]) == 0 && len(t.others[key]) == 0 {
--- a/internal/overload/admit.go
+++ b/internal/overload/admit.go
@@ -45,20 +45,34 @@
 
 // Admit decides on an arrival. It returns nil if the request is admitted.
 func (c *Controller) Admit(a Arrival, now time.Time) *Refusal {
+	own, refusal := c.assess(a, now)
+	if a.Random >= own {
+		return nil
+	}
+	return refusal
+}
+
+// Preview returns the probability with which Admit would refuse an arrival now, and the refusal, without changing the controller.
+func (c *Controller) Preview(a Arrival, objective time.Duration, now time.Time) (probability float64, r *Refusal) {
+	// The servers are shared with the copy, because assess does not change them.
+	preview := *c
+	preview.SetObjective(objective)
+	return preview.assess(a, now)
+}
+
+// assess counts an arrival and returns the probability of its refusal, and that refusal.
+func (c *Controller) assess(a Arrival, now time.Time) (own float64, r *Refusal) {
 	rank := min(max(a.Rank, 0), maxRanks-1)
 	c.arrivals.add(rank, now)
 	p := c.Probability(now)
 	if p == 0 || a.FreeSlot {
-		return nil
+		return 0, nil
 	}
-	own := c.arrivals.split(p)[rank]
+	own = c.arrivals.split(p)[rank]
 	if a.Returned {
 		own = math.Pow(own, returnedExponent)
 	}
-	if a.Random >= own {
-		return nil
-	}
-	return &Refusal{RetryAfter: c.retryAfter(p, a.TimeLeft, now), Probability: p, Delay: c.lastDelay}
+	return own, &Refusal{RetryAfter: c.retryAfter(p, a.TimeLeft, now), Probability: p, Delay: c.lastDelay}
 }
 
 // retryAfter returns the time until the queue is served and the probability has fallen, if the excess ended now. A caller
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -87,12 +87,42 @@
 }
 
 func (l *Limiter) refill(t *bucket, now time.Time) {
-	if d := now.Sub(t.updated).Seconds(); d > 0 {
-		t.level = math.Min(t.capacity, t.level+t.rate*d)
-		t.updated = now
+	if now.After(t.updated) {
+		t.level, t.updated = t.refilled(now), now
 	}
 }
 
+// refilled returns the level of a bucket at a time without changing it.
+func (t *bucket) refilled(now time.Time) float64 {
+	return math.Min(t.capacity, t.level+t.rate*math.Max(now.Sub(t.updated).Seconds(), 0))
+}
+
+// wait returns the time until a bucket with a level covers a cost, 0 if it does already.
+func (t *bucket) wait(level float64, cost int64) time.Duration {
+	return time.Duration(math.Max(float64(cost)-level, 0) / t.rate * float64(time.Second))
+}
+
+// Preview returns what Admit would decide about a request now, and the tokens that are available, without changing the limiter.
+// The level is infinite if the workspace is not limited.
+func (l *Limiter) Preview(workspace string, cost int64, now time.Time) (level float64, ok bool, until time.Duration) {
+	t := l.buckets[workspace]
+	if t == nil {
+		return math.Inf(1), true, 0
+	}
+	level = t.refilled(now)
+	for _, p := range l.peers {
+		if p.unreachable {
+			level -= l.presumedShare(t, p, now)
+		}
+	}
+	return level, level >= float64(cost), t.wait(level, cost)
+}
+
+// presumedShare returns the tokens that an unreachable peer may have admitted since they were last subtracted.
+func (l *Limiter) presumedShare(t *bucket, p *peer, now time.Time) float64 {
+	return t.rate * now.Sub(p.presumedAt).Seconds() / float64(len(l.peers)+1)
+}
+
 // Admit subtracts the cost of a request, in tokens, if the bucket of the workspace covers it. Otherwise it returns
 // false and the time until the bucket is refilled far enough.
 func (l *Limiter) Admit(workspace string, cost int64, now time.Time) (bool, time.Duration) {
@@ -103,8 +133,7 @@
 	l.subtractUnreachable(now)
 	l.refill(t, now)
 	if t.level < float64(cost) {
-		missing := (float64(cost) - t.level) / t.rate
-		return false, time.Duration(missing * float64(time.Second))
+		return false, t.wait(t.level, cost)
 	}
 	t.level -= float64(cost)
 	t.admitted += cost
@@ -192,19 +221,17 @@
 
 // subtractUnreachable subtracts the share of the rate that unreachable peers may have admitted since the last call.
 func (l *Limiter) subtractUnreachable(now time.Time) {
-	hosts := float64(len(l.peers) + 1)
 	for _, p := range l.peers {
 		if !p.unreachable {
 			continue
 		}
-		elapsed := now.Sub(p.presumedAt).Seconds()
-		p.presumedAt = now
 		for name, t := range l.buckets {
 			l.refill(t, now)
-			share := t.rate * elapsed / hosts
+			share := l.presumedShare(t, p, now)
 			t.level -= share
 			p.presumed[name] += share
 		}
+		p.presumedAt = now
 	}
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -241,6 +241,11 @@
 	return r.selected(func(s *State) bool { return s.Usable(now) && r.evacuated[s.Zone] })
 }
 
+// Unusable returns the backend servers that get no requests whether or not their zone is evacuated, in order of id.
+func (r *Registry) Unusable(now time.Time) []State {
+	return r.selected(func(s *State) bool { return !s.Usable(now) })
+}
+
 // HasZone reports whether a backend server is registered in a zone.
 func (r *Registry) HasZone(zone string) bool {
 	for _, s := range r.servers {
