Serve explanations of routes on the metrics address

Operators need to know where a request would go now and why, without sending it. POST /explain/route runs the checks of admission and the choice of each stage through their previews, and lists the servers that the group or the registry withholds.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -22,6 +22,7 @@
 
 	"github.com/boragecourse/boragecourse/internal/bytebudget"
 	"github.com/boragecourse/boragecourse/internal/exchange"
+	"github.com/boragecourse/boragecourse/internal/explain"
 	"github.com/boragecourse/boragecourse/internal/fleet"
 	"github.com/boragecourse/boragecourse/internal/keepalive"
 	"github.com/boragecourse/boragecourse/internal/leader"
@@ -86,6 +87,9 @@
 	// serverKeys holds the keys of the usable backend servers by their hashes.
 	serverKeys atomic.Pointer[map[uint64]string]
 
+	// explaining is the number of explanations that are being made.
+	explaining atomic.Int64
+
 	startedAt time.Time
 	open      atomic.Int64
 	draining  atomic.Bool
@@ -204,6 +208,7 @@
 			f.log.Error(err, "failed to send metrics page")
 		}
 	})
+	metricsRouter.Post(explain.RoutePath, f.explainRoute)
 	// A router would refuse the methods that it does not know.
 	callers := http.HandlerFunc(f.handle)
 	for _, s := range []struct {
