--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -30,7 +30,7 @@
 	Charges  ChargesCmd  `cmd:"" help:"Look up charges."`
 	Drain    DrainCmd    `cmd:"" help:"Drain one host: finish its requests, take no new ones. Example: boragecourse drain 10.0.0.5:8082"`
 	Evacuate EvacuateCmd `cmd:"" help:"Take the backend servers of a zone out of use, or end that. Example: boragecourse evacuate piran-a --why='power works'"`
-	Explain  ExplainCmd  `cmd:"" help:"Print what the hosts' logs tell of one request. Example: boragecourse explain 9c41d07b host-*.log"`
+	Explain  ExplainCmd  `cmd:"" help:"Explain what happened to a request, or where one would go."`
 
 	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Print the shell line that installs completion."`
 }
