--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -182,3 +182,12 @@
 	g.Expect(run(t, &fleet{}, "", "no-such-command").code).To(Equal(cli.ExitUsage))
 	g.Expect(run(t, &fleet{}, "", "check", filepath.Join(t.TempDir(), "missing")).code).To(Equal(cli.ExitFailure))
 }
+
+// Guards against explain ID [FILES] that no longer works beside explain route.
+func TestExplainReadsLogs(t *testing.T) {
+	g := NewWithT(t)
+	line := "time=2026-12-06T20:00:00.000Z event=x request=abc\n"
+	g.Expect(run(t, &fleet{}, line, "explain", "abc")).To(Equal(result{out: line}))
+	g.Expect(run(t, &fleet{}, "", "explain", "abc", writeRules(t, line))).To(Equal(result{out: line}))
+	g.Expect(run(t, &fleet{}, "", "explain").code).To(Equal(cli.ExitUsage))
+}
