--- a/internal/dispatch/explain_test.go
+++ b/internal/dispatch/explain_test.go
@@ -1,8 +1,10 @@
 package dispatch_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -62,3 +64,22 @@
 	g.Expect(p.Explain(dispatch.Job{StartBy: time.Now().Add(-time.Second)}, nil).Refused).NotTo(BeNil())
 	g.Expect(p.Stats().Waiting).To(BeZero())
 }
+
+// Guards against a random choice in a large fleet that the explanation does not state, and against a list out of order.
+func TestExplainStatesTheSample(t *testing.T) {
+	g := NewWithT(t)
+	keys := make([]string, 100)
+	used := map[string]int{}
+	for i := range keys {
+		keys[i] = fmt.Sprint(i)
+		used[keys[i]] = i % 7
+	}
+	p := newPool(8, keys...)
+	p.SetRemoteUse(used)
+	p.SetHosts(8)
+	g.Expect(p.Explain(dispatch.Job{}, nil).Sample).To(BeZero())
+	p.SetHosts(80)
+	e := p.Explain(dispatch.Job{}, nil)
+	g.Expect(e.Sample).To(Equal(10))
+	g.Expect(slices.IsSortedFunc(e.Candidates, func(a, b dispatch.Terms) int { return cmp.Compare(a.Score, b.Score) })).To(BeTrue())
+}
