--- a/test/users/explainroute_test.go
+++ b/test/users/explainroute_test.go
@@ -76,12 +76,19 @@
 	h := f.hosts[0]
 	f.awaitReady(h)
 	_, unknownKey, _ := f.explainRoute(h, "--path=/view/1", "--key=other")
-	f.g.Expect([]any{unknownKey.Refusal.Status, unknownKey.Refusal.Code}).To(Equal([]any{http.StatusUnauthorized, f.codeOf(f.do(h, http.MethodGet, "/view/1", header("Authorization", "Bearer other")))}))
+	f.g.Expect([]any{unknownKey.Refusal.Status, unknownKey.Refusal.Code}).To(Equal([]any{
+		http.StatusUnauthorized, f.codeOf(f.do(h, http.MethodGet, "/view/1", header("Authorization", "Bearer other"))),
+	}))
 	_, noServer, _ := f.explainRoute(h, "--path=/view/1", "--key="+key)
-	f.g.Expect([]any{noServer.Refusal.Status, noServer.Refusal.Code}).To(Equal([]any{http.StatusServiceUnavailable, f.codeOf(f.do(h, http.MethodGet, "/view/1"))}))
+	f.g.Expect([]any{noServer.Refusal.Status, noServer.Refusal.Code}).To(Equal([]any{
+		http.StatusServiceUnavailable, f.codeOf(f.do(h, http.MethodGet, "/view/1")),
+	}))
 	_, costly, _ := f.explainRoute(h, "--path=/ask/1", "--key="+key, "--prompt-tokens=100000000")
 	f.g.Expect(costly.Refusal.Status).To(Equal(http.StatusTooManyRequests))
-	for _, args := range [][]string{{"--path=x", "--key=" + key}, {"--path=/view/1"}, {"--path=/view/1", "--workspace=none"}, {"--path=/ask/1", "--key=" + key, "--length-hint=-1"}} {
+	for _, args := range [][]string{
+		{"--path=x", "--key=" + key}, {"--path=/view/1"}, {"--path=/view/1", "--workspace=none"},
+		{"--path=/ask/1", "--key=" + key, "--length-hint=-1"},
+	} {
 		code, _, errOut := f.explainRoute(h, args...)
 		f.g.Expect(code).To(Equal(cli.ExitUsage))
 		f.g.Expect(errOut).To(Or(ContainSubstring("path"), ContainSubstring("workspace"), ContainSubstring("lengthHint")))
