Send admitted tokens by the index of the workspace

Admitted tokens repeated the name of the workspace in each entry and were over half of the bytes of large fleets. A request now identifies the caller's list of workspaces by a hash of its contents. If the called host has the same list, its response sends the index and the total. Requests still use names, since the process at an address may have been replaced by one of an earlier version. Totals stay totals, and relays keep names, so hosts with other lists and earlier versions get the old form.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -136,6 +136,7 @@
 	// fetchAfter is the earliest time of the next request for another host's copy of the store.
 	fetchAfter time.Time
 	copies     *copyBudget
+	workspaces *workspaceList
 }
 
 // link is the state of the reports between this host and another address.
@@ -219,6 +220,15 @@
 	return e.directory.Contacts()
 }
 
+// SetWorkspaces sets the names of the workspaces of the local configuration, in any order. Hosts with the same workspaces
+// refer to them by index.
+func (e *Exchange) SetWorkspaces(names []string) {
+	list := newWorkspaceList(names)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.workspaces = list
+}
+
 // Serve sends reports until ctx ends. It implements suture.Service.
 func (e *Exchange) Serve(ctx context.Context) error {
 	for {
@@ -384,7 +394,7 @@
 func (e *Exchange) send(ctx context.Context, r Route) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	request, sentUpTo := e.request(r)
+	request, workspaces, sentUpTo := e.request(r)
 	requestedAt := e.now()
 	e.sent.count(request, request.Reports, nil)
 	reply, err := peerv1.NewFrontsClient(e.pool.Conn(r.Address)).Report(ctx, request)
@@ -393,7 +403,7 @@
 		if reply.State != nil {
 			e.local.ApplyState(r.Address, reply.State, requestedAt, true)
 		}
-		e.replied(r, reply, request, sentUpTo)
+		e.replied(r, reply, request, workspaces, sentUpTo)
 		return
 	}
 	e.metrics.Inc("reports_failed")
@@ -413,8 +423,9 @@
 	}
 }
 
-// request builds the message for a route, and returns the position of the feed that it leads to.
-func (e *Exchange) request(r Route) (*peerv1.ReportRequest, uint64) {
+// request builds the message for a route. It returns the list of workspaces that the message names, and the position of the
+// feed that it leads to.
+func (e *Exchange) request(r Route) (*peerv1.ReportRequest, *workspaceList, uint64) {
 	version := e.local.StateVersion()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -425,8 +436,10 @@
 	if l.pull != r.Pull {
 		l.pull, l.received = r.Pull, 0
 	}
+	// The process at the address may have been replaced by one of an earlier version, so the request names all workspaces.
+	form := form{changedUses: e.compact(r.Address, l.incarnation)}
 	request := &peerv1.ReportRequest{
-		Reports: e.feed.since(l.acknowledged, r.Address, e.compact(r.Address, l.incarnation), r.Send == MemberReports, e.scopeFilter(r.Send, r.Address)), Caller: e.self, Incarnation: e.incarnation,
+		Reports: e.feed.since(l.acknowledged, r.Address, form, r.Send == MemberReports, e.scopeFilter(r.Send, r.Address)), Caller: e.self, Incarnation: e.incarnation,
 		Pull: scopeToWire[r.Pull], Since: l.received, SinceIncarnation: l.incarnation,
 	}
 	now := e.now()
@@ -441,7 +454,10 @@
 			request.Contacts = 1
 		}
 	}
-	return request, e.feed.position
+	if r.Pull != NoReports {
+		request.WorkspaceList = e.workspaces.identity()
+	}
+	return request, e.workspaces, e.feed.position
 }
 
 // compact reports whether a process gets uses as changes. In a small fleet and to hosts of earlier versions, uses are sent
@@ -477,9 +493,10 @@
 	}
 }
 
-// replied evaluates the response to a report.
-func (e *Exchange) replied(r Route, reply *peerv1.ReportResponse, request *peerv1.ReportRequest, sentUpTo uint64) {
-	complete := e.receive(reply.Reports, r.Address)
+// replied evaluates the response to a report. workspaces is the list that the request named.
+func (e *Exchange) replied(r Route, reply *peerv1.ReportResponse, request *peerv1.ReportRequest, workspaces *workspaceList, sentUpTo uint64) {
+	readable := workspaces.expandAll(reply.Reports)
+	complete := e.receive(readable, r.Address) && len(readable) == len(reply.Reports)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
@@ -508,7 +525,7 @@
 	for _, c := range reply.Peers {
 		e.directory.AddCandidate(c.Address, c.Zone)
 	}
-	if request.Pull == peerv1.Scope_SCOPE_ALL && carriesChanges(reply.Reports) {
+	if request.Pull == peerv1.Scope_SCOPE_ALL && carriesChanges(readable) {
 		// More changes are likely, so the next round does not wait for the interval.
 		e.Notify()
 	}
@@ -556,8 +573,9 @@
 	if r.SinceIncarnation != e.incarnation {
 		since = 0
 	}
+	form := form{changedUses: e.compact(r.Caller, r.Incarnation), workspaces: e.workspaces.ifNamed(r.WorkspaceList)}
 	reply := &peerv1.ReportResponse{
-		Reports: e.feed.since(since, r.Caller, e.compact(r.Caller, r.Incarnation), false, e.scopeFilter(scopeFromWire(r.Pull), r.Caller)), Position: e.feed.position, Incarnation: e.incarnation,
+		Reports: e.feed.since(since, r.Caller, form, false, e.scopeFilter(scopeFromWire(r.Pull), r.Caller)), Position: e.feed.position, Incarnation: e.incarnation,
 		NeedsFull: !complete, State: state,
 	}
 	if r.Contacts > 0 && e.directory.HostCount() > int(r.Contacts) {
--- a/internal/exchange/feed.go
+++ b/internal/exchange/feed.go
@@ -238,10 +238,17 @@
 	return e.report.Address != self && position <= e.viaSince
 }
 
+// form is the form of reports that a receiver supports.
+type form struct {
+	// changedUses is set if uses may be sent as changes.
+	changedUses bool
+	// workspaces is the list by whose indices admitted tokens are sent, nil if they are sent by name.
+	workspaces *workspaceList
+}
+
 // since returns what has changed after a position, for the hosts that include selects, except what the receiver has sent
-// itself. Uses are sent as changes if compact is set, which the receiver must support. With direct set, include selects
-// direct reports.
-func (f *feed) since(position uint64, receiver string, compact, direct bool, include func(e *feedEntry) bool) []*peerv1.FrontReport {
+// itself. With direct set, include selects direct reports.
+func (f *feed) since(position uint64, receiver string, form form, direct bool, include func(e *feedEntry) bool) []*peerv1.FrontReport {
 	var out []*peerv1.FrontReport
 	for _, e := range f.entries {
 		if e.position <= position || !include(e) || e.sentBy(receiver, position) {
@@ -249,7 +256,8 @@
 		}
 		if e.recorded > position || direct && e.lacks(position, f.self) {
 			r := cloneReport(e.report)
-			r.Uses = e.serverUses.all(compact, f)
+			r.Uses = e.serverUses.all(form.changedUses, f)
+			form.workspaces.compact(r)
 			out = append(out, r)
 			continue
 		}
@@ -263,7 +271,7 @@
 			// Only a host itself knows for sure what its process supports.
 			r.MergesUses = e.report.MergesUses && e.report.Address == f.self
 		} else {
-			r.Uses, r.MergesUses = e.serverUses.since(position, compact, f)
+			r.Uses, r.MergesUses = e.serverUses.since(position, form.changedUses, f)
 			r.ChangingStage = e.report.ChangingStage
 		}
 		if e.evidence > position {
@@ -279,7 +287,7 @@
 			r.StateEra, r.ConfigurationVersion = e.report.StateEra, e.report.ConfigurationVersion
 		}
 		for name := range e.admitted.since(position) {
-			r.Admitted[name] = e.report.Admitted[name]
+			form.workspaces.addAdmitted(r, name, e.report.Admitted[name])
 		}
 		for name := range e.generations.since(position) {
 			r.Generations[name] = e.report.Generations[name]
--- a/internal/exchange/feed_test.go
+++ b/internal/exchange/feed_test.go
@@ -16,7 +16,7 @@
 	now := time.Unix(1000, 0)
 	f := newFeed("self", func(uint64) string { return "" })
 	direct := func(position uint64) []*peerv1.FrontReport {
-		return f.since(position, "relay", true, true, func(e *feedEntry) bool { return e.direct("self") })
+		return f.since(position, "relay", form{changedUses: true}, true, func(e *feedEntry) bool { return e.direct("self") })
 	}
 	f.merge(&peerv1.FrontReport{Address: "host", Incarnation: 7, Sequence: 4, Admitted: map[string]int64{"a": 1}}, "host", now)
 	known := f.position
@@ -30,5 +30,5 @@
 	known = f.position
 	f.merge(&peerv1.FrontReport{Incarnation: 7, Sequence: 7, Partial: true, KeepsUses: true, Admitted: map[string]int64{"c": 4}}, "host", now)
 	g.Expect(direct(known)[0].Admitted).To(Equal(map[string]int64{"c": 4}), "only the change once the receiver has all")
-	g.Expect(f.since(known, "host", true, false, func(*feedEntry) bool { return true })).To(BeEmpty(), "nothing back to the sender")
+	g.Expect(f.since(known, "host", form{changedUses: true}, false, func(*feedEntry) bool { return true })).To(BeEmpty(), "nothing back to the sender")
 }
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -40,6 +40,8 @@
 	calls int
 	// sent counts the bytes by sending host, for requests and responses.
 	sent map[string]int
+	// byIndex counts the reports received that name workspaces by index.
+	byIndex int
 	// missed holds the hosts that became unreachable for others, by the address of the other host.
 	missed map[string][]string
 }
@@ -54,7 +56,9 @@
 	exchange    *exchange.Exchange
 	stop        context.CancelFunc
 	paused      bool
-	metrics     *metrics.Registry
+	// old is set for a host of a version that names all workspaces.
+	old     bool
+	metrics *metrics.Registry
 	// load supplies the use of backend servers in place of uses.
 	load func(r *peerv1.FrontReport)
 
@@ -88,6 +92,7 @@
 		Name: address, Address: address, Zone: zone, Incarnation: m.incarnation, Seeds: seeds, Local: m, Pool: &caller{n, address, m}, Log: logr.Discard(),
 		Metrics: m.metrics, Now: time.Now,
 	})
+	m.exchange.SetWorkspaces(workspaceNames(35))
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
 	n.mu.Lock()
@@ -153,11 +158,39 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.calls++
-	n.sent[from] += proto.Size(message)
 	receiver := n.hosts[to]
+	if receiver != nil && (receiver.old || c.member.old) {
+		dropNewFields(message)
+	}
+	if response, ok := message.(*peerv1.ReportResponse); ok {
+		for _, r := range response.Reports {
+			n.byIndex += min(len(r.AdmittedByIndex), 1)
+		}
+	}
+	n.sent[from] += proto.Size(message)
 	return receiver, receiver != nil && (n.cut(from, to) || receiver.paused || c.member.paused)
 }
 
+// dropNewFields removes what a host of an earlier version neither sends nor reads.
+func dropNewFields(message proto.Message) {
+	switch m := message.(type) {
+	case *peerv1.ReportRequest:
+		m.WorkspaceList = 0
+	case *peerv1.ReportResponse:
+		for _, r := range m.Reports {
+			r.AdmittedByIndex = nil
+		}
+	}
+}
+
+// workspaceNames returns the names of the first workspaces that work uses.
+func workspaceNames(count int) (names []string) {
+	for i := range count {
+		names = append(names, "w"+strconv.Itoa(i))
+	}
+	return names
+}
+
 func (c *conn) NewStream(context.Context, *grpc.StreamDesc, string, ...grpc.CallOption) (grpc.ClientStream, error) {
 	return nil, status.Error(codes.Unimplemented, "no streams")
 }
--- a/internal/exchange/load_test.go
+++ b/internal/exchange/load_test.go
@@ -100,6 +100,13 @@
 	r.Generations = map[string]*peerv1.GenerationTotals{"chat": {Arrived: l.generations, Prompt: 1, Output: 1}}
 }
 
+func loadWorkspaces() (names []string) {
+	for i := range 500 {
+		names = append(names, "workspace-"+strconv.Itoa(i))
+	}
+	return names
+}
+
 func serverName(i int) string { return fmt.Sprintf("server-%04d/1790000000000", i) }
 
 var trafficKinds = []string{"uses", "runs", "admitted", "totals", "evidence", "limits", "observations", "store_copy", "life"}
@@ -120,6 +127,7 @@
 				plain: map[int]int32{}, tokens: map[string]int64{}, started: map[*peerv1.GenerationRun]time.Time{},
 			}
 			n.lock(func() { m.load = l.fill })
+			m.exchange.SetWorkspaces(loadWorkspaces())
 			l.play(n.lock, until)
 		}
 		time.Sleep(time.Second)
--- a/internal/exchange/traffic.go
+++ b/internal/exchange/traffic.go
@@ -87,6 +87,7 @@
 	for name, v := range r.Admitted {
 		sizes[kindAdmitted] += fieldSize(fieldSize(len(name)) + 1 + protowire.SizeVarint(uint64(v)))
 	}
+	sizes[kindAdmitted] += admittedByIndexSize(r.AdmittedByIndex)
 	for name, v := range r.Generations {
 		sizes[kindTotals] += fieldSize(fieldSize(len(name)) + fieldSize(proto.Size(v)))
 	}
@@ -100,3 +101,15 @@
 		sizes[kindObservations] += 1 + fieldSize(proto.Size(r.Observations))
 	}
 }
+
+// admittedByIndexSize returns the bytes of a packed field with two bytes of tag.
+func admittedByIndexSize(pairs []int64) int {
+	if len(pairs) == 0 {
+		return 0
+	}
+	n := 0
+	for _, v := range pairs {
+		n += protowire.SizeVarint(uint64(v))
+	}
+	return 1 + fieldSize(n)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -276,6 +276,11 @@
 func (f *Front) hosts() int { return f.exchange.Hosts() }
 
 func (f *Front) configure(c *fleet.Configuration) {
+	names := make([]string, len(c.Workspaces))
+	for i, w := range c.Workspaces {
+		names[i] = w.Name
+	}
+	f.exchange.SetWorkspaces(names)
 	f.limiterMu.Lock()
 	defer f.limiterMu.Unlock()
 	f.limiter.Configure(c.Workspaces, f.now())
