Check calls to backend servers directly before they are written

Cause: nothing asks, once a connection is open, whether a backend server may still get a call. Attempt.MaySend is called at that point, for each connection that net/http takes for the call; an error makes the connection refuse writes, and the call ends with NotSentError. httptrace callers may not close a connection themselves, so the connection is one of our own type. Control calls have no attempt and are not checked.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -20,6 +20,9 @@
 	Incarnation uint64
 	// Priority is the priority of the workspace; higher values are served first.
 	Priority int
+	// MaySend is called when the connection is open, directly before the call is written, also when the call is repeated
+	// on another connection. An error stops the call with *NotSentError. Nil allows every call.
+	MaySend func() error
 }
 
 // KVCacheHandle identifies an exported KV cache. The exporting engine keeps it for less than a second.
@@ -119,7 +122,7 @@
 	Pieces      int64
 }
 
-// Server is a client of one inference engine. Errors are *ConnectError (no byte was sent), *RefusedError (the engine
+// Server is a client of one inference engine. Errors are *ConnectError and *NotSentError (no byte was sent), *RefusedError (the engine
 // responded that it did not run the call), *StreamLostError, *ImportError, *StaleFencingTokenError, or *FailedError.
 type Server interface {
 	// Name is the backend server's name in the rules.
@@ -149,7 +152,7 @@
 // Service is a client of one plain HTTP service. The headers that it sends never contain the caller's key.
 type Service interface {
 	Name() string
-	// Do sends the request exactly once, without retries. The error is *ConnectError when no byte was sent.
+	// Do sends the request exactly once, without retries. The error is *ConnectError or *NotSentError when no byte was sent.
 	Do(ctx context.Context, a Attempt, r *http.Request) (*http.Response, error)
 }
 
--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -15,6 +15,19 @@
 
 func (e *ConnectError) Unwrap() error { return e.Cause }
 
+// NotSentError reports that Attempt.MaySend stopped the call before any byte of it was sent, so that it cannot have run.
+type NotSentError struct {
+	Server string
+	// Cause is the error of MaySend.
+	Cause error
+}
+
+func (e *NotSentError) Error() string {
+	return fmt.Sprintf("call not sent to %s: %v", e.Server, e.Cause)
+}
+
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
 // RefusedError reports that the backend server responded that it did not run the call.
 type RefusedError struct {
 	Server     string
--- a/internal/engine/openai/client.go
+++ b/internal/engine/openai/client.go
@@ -11,7 +11,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/boragecourse/boragecourse/internal/engine"
@@ -75,7 +74,7 @@
 	}
 	transport := func(unpooled bool) *http.Transport {
 		return &http.Transport{
-			DialContext:            (&net.Dialer{Timeout: s.DialTimeout}).DialContext,
+			DialContext:            dialStoppable(&net.Dialer{Timeout: s.DialTimeout}),
 			DisableCompression:     true,
 			DisableKeepAlives:      unpooled,
 			MaxIdleConnsPerHost:    maxIdlePerServer,
@@ -137,21 +136,18 @@
 // Name implements engine.Server.
 func (c *client) Name() string { return c.name }
 
-// send does one HTTP exchange and returns the response, whatever its status. The error is *engine.ConnectError when no
-// byte was sent and *engine.FailedError otherwise, also for a response with another attempt's id.
+// send does one HTTP exchange and returns the response, whatever its status. The error is *engine.ConnectError or
+// *engine.NotSentError when no byte was sent and *engine.FailedError otherwise, also for a response with another
+// attempt's id.
 func (c *client) send(transport http.RoundTripper, req *http.Request, a engine.Attempt) (*http.Response, error) {
 	setAttemptHeaders(req.Header, a)
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
+	check := &sendCheck{maySend: a.MaySend}
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: check.gotConn}))
 	// Without GetBody net/http cannot read the body again, so it does not retry requests with an Idempotency-Key.
 	req.GetBody = nil
 	res, err := transport.RoundTrip(req)
 	if err != nil {
-		if !connected.Load() {
-			return nil, &engine.ConnectError{Server: c.name, Cause: err}
-		}
-		return nil, &engine.FailedError{Server: c.name, Cause: err}
+		return nil, check.failure(c.name, err)
 	}
 	if got := res.Header.Get(HeaderAttempt); got != "" && a.ID != "" && got != a.ID {
 		_ = res.Body.Close()
--- a/test/standin/engine/core.go
+++ b/test/standin/engine/core.go
@@ -131,6 +131,17 @@
 	return nil
 }
 
+// connectFor is connect for a call of an attempt, which MaySend may stop.
+func (c *Core) connectFor(ctx context.Context, a engine.Attempt) error {
+	if err := c.connect(ctx); err != nil || a.MaySend == nil {
+		return err
+	}
+	if err := a.MaySend(); err != nil {
+		return &engine.NotSentError{Server: c.cfg.Name, Cause: err}
+	}
+	return nil
+}
+
 // accept registers an attempt, or returns a RefusedError when slots and queue are full.
 func (c *Core) accept(call engine.Call, kv *engine.KVCacheHandle, stage Role) (*attempt, error) {
 	p, err := parsePrompt(call.Path, call.Body, call.Continue)
--- a/test/standin/engine/decode.go
+++ b/test/standin/engine/decode.go
@@ -12,7 +12,7 @@
 // Decode implements engine.Server. It returns once the KV cache is imported or computed. Generation continues
 // until it ends or is aborted, even if nobody reads the stream.
 func (c *Core) Decode(ctx context.Context, call engine.Call, kv *engine.KVCacheHandle) (engine.Stream, error) {
-	if err := c.connect(ctx); err != nil {
+	if err := c.connectFor(ctx, call.Attempt); err != nil {
 		return nil, err
 	}
 	a, err := c.accept(call, kv, Decode)
@@ -132,7 +132,7 @@
 
 // Resume implements engine.Server.
 func (c *Core) Resume(ctx context.Context, id engine.Attempt, offset int64) (engine.Stream, error) {
-	if err := c.connect(ctx); err != nil {
+	if err := c.connectFor(ctx, id); err != nil {
 		return nil, err
 	}
 	c.mu.Lock()
--- a/test/standin/engine/prefill.go
+++ b/test/standin/engine/prefill.go
@@ -20,7 +20,7 @@
 
 // Prefill implements engine.Server. The work continues after ctx is done; its export then expires unused.
 func (c *Core) Prefill(ctx context.Context, call engine.Call) (engine.KVCacheHandle, error) {
-	if err := c.connect(ctx); err != nil {
+	if err := c.connectFor(ctx, call.Attempt); err != nil {
 		return engine.KVCacheHandle{}, err
 	}
 	a, err := c.accept(call, nil, Prefill)
