Stop requests that were placed before the evacuation of their server's zone

Cause: a request waits for quota, a slot and a connection, and was then sent with the configuration of its placement. Each attempt now asks the installed configuration directly before the call is written: prefills, decodes, resumptions of streams, and calls to services. A stopped call has not run, is not reported as a failure of the server, and is placed again with the installed configuration. It takes nothing from the retry budget, since an evacuation stops many at once and no server has seen them; MaxRetries bounds how often.

--- a/internal/request/budget.go
+++ b/internal/request/budget.go
@@ -1,8 +1,10 @@
 package request
 
 import (
+	"errors"
 	"sync"
 
+	"github.com/boragecourse/boragecourse/internal/engine"
 	"github.com/boragecourse/boragecourse/internal/metrics"
 )
 
@@ -36,9 +38,24 @@
 	return true
 }
 
+// reasonStopped is the reason label of calls that were stopped before they were sent because of an evacuation.
+const reasonStopped = "zone_evacuated"
+
+// stopped reports whether a call was stopped directly before it was sent.
+func stopped(err error) bool {
+	var notSent *engine.NotSentError
+	return errors.As(err, &notSent)
+}
+
 // retry takes one retry from the limit of the request and the budget of the host. It returns a *BudgetError if either
-// has none left.
+// has none left. Calls that were stopped before they were sent have cost no server anything and an evacuation stops many
+// at once, so up to MaxRetries of them for each request are not taken from the limit and the budget.
 func (x *run) retry(reason string, cause error) error {
+	if stopped(cause) && x.stops < x.settings.MaxRetries {
+		x.stops++
+		x.Metrics.Inc("retries", metrics.L("reason", reason))
+		return nil
+	}
 	if x.retries >= x.settings.MaxRetries || !x.budget.withdraw() {
 		x.Metrics.Inc("retries_exhausted", metrics.L("reason", reason))
 		return &BudgetError{Reason: reason, Cause: cause}
--- a/internal/request/errors.go
+++ b/internal/request/errors.go
@@ -14,6 +14,14 @@
 	errNotContinuable = errors.New("response contains output other than text, so another engine cannot continue it")
 )
 
+// EvacuatedError reports that a call was not sent because the zone of its backend server is evacuated.
+type EvacuatedError struct {
+	Zone string
+}
+
+// Error implements error.
+func (e *EvacuatedError) Error() string { return fmt.Sprintf("zone %s is evacuated", e.Zone) }
+
 // OffsetError reports a stream chunk that does not continue at the current output offset.
 type OffsetError struct {
 	// Want is the expected offset and Got the received one, in output tokens.
--- a/internal/request/fakes_test.go
+++ b/internal/request/fakes_test.go
@@ -89,11 +89,11 @@
 	f.charges = append(f.charges, r)
 }
 
-// slot returns the first server by name that has one of the roles, and counts its reservation.
+// slot returns the first active server by name that has one of the roles, and counts its reservation.
 func (f *fixture) slot(all []*rules.Server, exclude []string, roles ...rules.Role) (*rules.Server, func()) {
 	var best *rules.Server
 	for _, s := range all {
-		excluded := false
+		excluded := s.State == rules.ServerLeaving
 		for _, e := range exclude {
 			excluded = excluded || e == s.Name
 		}
@@ -197,6 +197,9 @@
 	if s.f.down[s.name] {
 		return nil, &engine.ConnectError{Server: s.name, Cause: io.ErrClosedPipe}
 	}
+	if err := a.MaySend(); err != nil {
+		return nil, &engine.NotSentError{Server: s.name, Cause: err}
+	}
 	defer func() {
 		if recover() != nil {
 			res, err = nil, &engine.FailedError{Server: s.name, Cause: io.ErrUnexpectedEOF}
--- a/internal/request/generate.go
+++ b/internal/request/generate.go
@@ -159,7 +159,7 @@
 }
 
 func (g *generation) prefill(ctx context.Context, server *rules.Server, h *hold) error {
-	a := g.newAttempt()
+	a := g.newAttempt(server)
 	h.attempt = a.ID
 	pctx, cancel := context.WithTimeout(ctx, g.settings.PrefillTimeout)
 	defer cancel()
@@ -220,7 +220,7 @@
 // decode starts the decode stream and reads it to its end. On an engine with both roles the call includes the prefill;
 // prefill is then the hold of the prefill reservation.
 func (g *generation) decode(ctx context.Context, p *placement.Placement, h, prefill *hold) error {
-	a, server := g.newAttempt(), p.Decode
+	a, server := g.newAttempt(p.Decode), p.Decode
 	h.attempt = a.ID
 	dctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -284,11 +284,12 @@
 	return errors.As(err, &imported) || errors.Is(err, errImportStalled)
 }
 
-// observe reports the result of a stage to the placement, which avoids failing servers. A call that fails because the
-// request was canceled, the server is at capacity, or the server rejects the request itself is not reported.
+// observe reports the result of a stage to the placement, which avoids failing servers. A call is not reported if it
+// failed because the request was canceled, the call was stopped before it was sent, the server is at capacity, or the
+// server rejects the request itself.
 func (x *run) observe(ctx context.Context, server *rules.Server, stage placement.Stage, tokens int64, start time.Time, err error) {
 	var refused *engine.RefusedError
-	if _, ok := rejectionStatus(err); err != nil && (ok || ctx.Err() != nil || errors.As(err, &refused)) {
+	if _, ok := rejectionStatus(err); err != nil && (ok || ctx.Err() != nil || errors.As(err, &refused) || stopped(err)) {
 		return
 	}
 	x.Placer.Observe(placement.Observation{
@@ -320,7 +321,7 @@
 func didNotRun(err error) bool {
 	var connect *engine.ConnectError
 	var refused *engine.RefusedError
-	return errors.As(err, &connect) || errors.As(err, &refused)
+	return errors.As(err, &connect) || errors.As(err, &refused) || stopped(err)
 }
 
 // rejectionStatus reports whether the engine rejected the request itself, which any other engine would reject as well,
--- a/internal/request/recover.go
+++ b/internal/request/recover.go
@@ -148,6 +148,8 @@
 	var refused *engine.RefusedError
 	var imported *engine.ImportError
 	switch {
+	case stopped(st.cause):
+		return reasonStopped
 	case errors.As(st.cause, &connect):
 		return string(st.stage) + "_connect"
 	case errors.As(st.cause, &refused):
--- a/internal/request/refusals_test.go
+++ b/internal/request/refusals_test.go
@@ -115,7 +115,7 @@
 		f.Expect(r.text.String()).To(Equal(standin.Answer(promptText, 12)))
 		f.Expect(in.Header).To(BeEmpty())
 		f.Expect(x.parse()).To(Succeed())
-		f.Expect(string(x.call(x.newAttempt(), 12, "").Body)).NotTo(MatchRegexp("kv_transfer|priority|completion_tokens"))
+		f.Expect(string(x.call(x.newAttempt(nil), 12, "").Body)).NotTo(MatchRegexp("kv_transfer|priority|completion_tokens"))
 		f.verify(in, r)
 	})
 }
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -38,6 +38,8 @@
 	// exclude lists the backend servers that failed this request and are not used for its next attempt.
 	exclude []string
 	retries int
+	// stops counts the calls that were placed again without a retry because they were stopped before they were sent.
+	stops int
 }
 
 // progress is what is known about the work that backend servers did for a request.
@@ -60,10 +62,11 @@
 }
 
 // newAttempt returns the identity of the next call to a backend server.
-func (x *run) newAttempt() engine.Attempt {
+func (x *run) newAttempt(server *rules.Server) engine.Attempt {
 	x.attempts++
 	a := engine.Attempt{
 		ID: x.in.ID + "." + strconv.Itoa(x.attempts), Host: x.Self.Name, Incarnation: x.Self.Incarnation,
+		MaySend: func() error { return x.maySend(server) },
 	}
 	if x.workspace != nil {
 		a.Priority = x.workspace.Priority
@@ -71,6 +74,15 @@
 	return a
 }
 
+// maySend returns *EvacuatedError if the installed configuration evacuates the server's zone. The request may have been
+// placed with an earlier one.
+func (x *run) maySend(server *rules.Server) error {
+	if snap := x.Config.Current(); snap != nil && snap.Evacuated(server.Zone) {
+		return &EvacuatedError{Zone: server.Zone}
+	}
+	return nil
+}
+
 // finish releases the resources of the request, settles its quota, and writes its charge and its log line. It also
 // runs after a panic.
 func (x *run) finish() {
--- a/internal/request/service.go
+++ b/internal/request/service.go
@@ -83,14 +83,14 @@
 	}
 }
 
-// place selects a server of the pool. When every server has failed this request, it waits and considers all of them
-// again.
+// place selects a server of the pool in the installed configuration, which may have changed since the last call. When
+// every server has failed this request, it waits and considers all of them again.
 func (c *serviceCall) place(ctx context.Context) (*rules.Server, func(), error) {
-	server, release, err := c.Placer.PlaceService(ctx, c.snap, c.route.Pool, c.exclude)
+	server, release, err := c.Placer.PlaceService(ctx, c.Config.Current(), c.route.Pool, c.exclude)
 	var none *placement.NoServerError
 	if errors.As(err, &none) && len(c.exclude) > 0 && wait.For(ctx, retryWait<<c.retries) == nil {
 		c.exclude = nil
-		return c.Placer.PlaceService(ctx, c.snap, c.route.Pool, nil)
+		return c.Placer.PlaceService(ctx, c.Config.Current(), c.route.Pool, nil)
 	}
 	return server, release, err
 }
@@ -132,7 +132,10 @@
 		return serverFailure(c.run, err)
 	}
 	reason := "service_failed"
-	if noEffect {
+	switch {
+	case stopped(err):
+		reason = reasonStopped
+	case noEffect:
 		reason = "service_refused"
 	}
 	if berr := c.retry(reason, err); berr != nil {
@@ -162,7 +165,7 @@
 		req.Body = nil
 	}
 	start := time.Now()
-	res, err := c.Engines.Service(server.Name, server.Addr).Do(timed, c.newAttempt(), req)
+	res, err := c.Engines.Service(server.Name, server.Addr).Do(timed, c.newAttempt(server), req)
 	c.observe(ctx, server, placement.StageService, c.route.Cost, start, err)
 	if err != nil {
 		return err
