Refuse requests that only evacuated servers could run with zone_evacuated

Cause: they got no_backend_server with a fixed Retry-After of 5 s, or deadline_unreachable if a reservation had been denied before. The placement now states in NoServerError that every server of a needed stage, or of the pool, is in an evacuated zone; the request is refused at once with 503, zone_evacuated, and a Retry-After between 1 and 4 s at random. It does not wait for servers that it has excluded.

--- a/internal/placement/errors.go
+++ b/internal/placement/errors.go
@@ -9,9 +9,14 @@
 type NoServerError struct {
 	// Model or Pool is the requested one; the other is empty.
 	Model, Pool string
+	// Evacuated is set if servers could take the request but for the evacuation of their zones.
+	Evacuated bool
 }
 
 func (e *NoServerError) Error() string {
+	if e.Evacuated {
+		return fmt.Sprintf("backend servers for model %q, pool %q are in evacuated zones only", e.Model, e.Pool)
+	}
 	return fmt.Sprintf("no active backend server for model %q, pool %q", e.Model, e.Pool)
 }
 
--- a/internal/placement/metrics.go
+++ b/internal/placement/metrics.go
@@ -14,6 +14,7 @@
 	metricPollFails = "placement_poll_failures_total"
 
 	reasonNoServer        = "no_server"
+	reasonEvacuated       = "zone_evacuated"
 	reasonDeadline        = "deadline"
 	reasonQueueFull       = "queue_full"
 	reasonCanceled        = "canceled"
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -61,6 +61,9 @@
 		if ctx.Err() != nil {
 			return nil, s.countRefusal(fmt.Errorf("place request %s: %w", r.ID, ctx.Err()))
 		}
+		if s.evacuated(snap, r.Model, fixed) {
+			return nil, s.countRefusal(&NoServerError{Model: r.Model, Evacuated: true})
+		}
 		if !waitClass || !s.configured(snap, r) {
 			return nil, s.countRefusal(err)
 		}
@@ -74,10 +77,7 @@
 // configured reports whether the rules still have active servers for both stages that the request does not exclude.
 // Without them a waiting request could never be placed.
 func (s *Service) configured(snap *config.Snapshot, r Request) bool {
-	if installed := s.snapshot(); installed != nil {
-		snap = installed
-	}
-	engines := snap.Engines(r.Model)
+	engines := s.installed(snap).Engines(r.Model)
 	return len(usable(engines, StagePrefill, r.Exclude)) > 0 && len(usable(engines, StageDecode, r.Exclude)) > 0
 }
 
@@ -111,6 +111,8 @@
 		return reasonDeadline
 	case errors.As(err, &full):
 		return reasonQueueFull
+	case errors.As(err, &none) && none.Evacuated:
+		return reasonEvacuated
 	case errors.As(err, &none):
 		return reasonNoServer
 	default:
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -101,8 +101,7 @@
 			return server, s.ownInflight.add(server.Name, StageService), nil
 		}
 	}
-	s.metrics.Inc(metricRefusals, metrics.L("reason", reasonNoServer))
-	return nil, nil, &NoServerError{Pool: pool}
+	return nil, nil, s.countRefusal(&NoServerError{Pool: pool, Evacuated: poolEvacuated(snap, pool)})
 }
 
 // availableServers returns the servers that are not down, and those of them in this host's zone.
@@ -136,6 +135,14 @@
 	return s.config.Current()
 }
 
+// installed returns the installed snapshot, or the given one without a configuration.
+func (s *Service) installed(snap *config.Snapshot) *config.Snapshot {
+	if installed := s.snapshot(); installed != nil {
+		return installed
+	}
+	return snap
+}
+
 // newIDLocked returns the next reservation ID; the owner in it makes it unique among all hosts.
 func (s *Service) newIDLocked() ReservationID {
 	s.lastID++
--- a/internal/request/evacuation_test.go
+++ b/internal/request/evacuation_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/boragecourse/boragecourse/internal/config"
 	"github.com/boragecourse/boragecourse/internal/metrics"
+	"github.com/boragecourse/boragecourse/internal/outcome"
 	"github.com/boragecourse/boragecourse/internal/rules"
 	standin "github.com/boragecourse/boragecourse/test/standin/engine"
 )
@@ -89,3 +90,28 @@
 		})
 	}
 }
+
+// Guards against a request that waits, or is reported as failed or with a fixed Retry-After, when its call was stopped and no zone
+// is left for it.
+func TestRequestsWithoutAZoneAreRefusedAtOnce(t *testing.T) {
+	for _, path := range []string{pathCompletions, "/booking/reserve"} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t)
+			defer f.Close()
+			delays := map[time.Duration]bool{}
+			for range 20 {
+				f.evacuateAfter(0, "z", "y")
+				in := f.input(path, completion("once", true))
+				r := f.run(t.Context(), in)
+				f.Expect(r.err).NotTo(BeNil())
+				f.Expect([]any{r.err.Code, r.err.Status, r.err.Outcome}).To(Equal([]any{outcome.CodeZoneEvacuated, 503, outcome.NotRun}))
+				f.Expect(r.err.RetryAfter).To(And(BeNumerically(">=", time.Second), BeNumerically("<=", 4*time.Second)))
+				f.Expect(time.Since(in.Arrived)).To(BeNumerically("<", retryWait))
+				f.verify(in, r)
+				delays[r.err.RetryAfter] = true
+			}
+			f.Expect(len(delays)).To(BeNumerically(">", 10))
+			f.Expect(f.charges).To(BeEmpty())
+		})
+	}
+}
--- a/internal/request/fakes_test.go
+++ b/internal/request/fakes_test.go
@@ -125,6 +125,11 @@
 	}
 }
 
+// allEvacuated reports whether both zones of zonedRules are evacuated.
+func (f *fixture) allEvacuated() bool {
+	return f.Current().Evacuated("z") && f.Current().Evacuated("y")
+}
+
 // Place implements placement.Placer.
 func (f *fixture) Place(ctx context.Context, snap *config.Snapshot, r placement.Request) (*placement.Placement, error) {
 	if err := f.wait(ctx); err != nil {
@@ -135,7 +140,7 @@
 	}
 	prefill, release := f.slot(snap.Engines(r.Model), r.Exclude, rules.RolePrefill, rules.RoleBoth)
 	if prefill == nil {
-		return nil, &placement.NoServerError{Model: r.Model}
+		return nil, &placement.NoServerError{Model: r.Model, Evacuated: f.allEvacuated()}
 	}
 	if prefill.Role == rules.RoleBoth {
 		return &placement.Placement{Prefill: prefill, Decode: prefill, ReleasePrefill: release, ReleaseDecode: func() {}}, nil
@@ -167,7 +172,7 @@
 	}
 	s, release := f.slot(snap.Pool(pool), exclude, rules.RoleService)
 	if s == nil {
-		return nil, nil, &placement.NoServerError{Pool: pool}
+		return nil, nil, &placement.NoServerError{Pool: pool, Evacuated: f.allEvacuated()}
 	}
 	return s, release, nil
 }
--- a/internal/request/recover.go
+++ b/internal/request/recover.go
@@ -102,7 +102,7 @@
 	}
 	p, err := g.Placer.Place(ctx, g.snap, g.placeRequest(time.Now()))
 	var none *placement.NoServerError
-	if errors.As(err, &none) && len(g.exclude) > 0 {
+	if errors.As(err, &none) && !none.Evacuated && len(g.exclude) > 0 {
 		if wait.For(ctx, retryWait<<g.retries) == nil {
 			g.exclude = nil
 			p, err = g.Placer.Place(ctx, g.snap, g.placeRequest(time.Now()))
--- a/internal/request/refusals.go
+++ b/internal/request/refusals.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -18,6 +19,10 @@
 	retryUnconfirmed = 3 * time.Second
 	retryNoServer    = 5 * time.Second
 	retryClaims      = 2 * time.Second
+	// When an evacuation ends is not known. The random part up to retryEvacuatedSpread keeps refused callers from
+	// returning all at once.
+	retryEvacuated       = time.Second
+	retryEvacuatedSpread = 3 * time.Second
 )
 
 func errDraining() *outcome.Error {
@@ -92,6 +97,9 @@
 	e := x.fail(http.StatusServiceUnavailable, outcome.CodeNoServer, "no backend server can take the request", err)
 	e.RetryAfter = retryNoServer
 	switch {
+	case errors.As(err, &none) && none.Evacuated:
+		e.Code, e.Message = outcome.CodeZoneEvacuated, "all backend servers that could take the request are in evacuated zones"
+		e.RetryAfter = retryEvacuated + rand.N(retryEvacuatedSpread) //nolint:gosec // The spread needs no secret.
 	case errors.As(err, &none):
 	case errors.As(err, &late):
 		e.Code, e.Message, e.RetryAfter = outcome.CodeDeadline, "the request cannot be answered in time", late.RetryAfter
--- a/internal/request/refusals_test.go
+++ b/internal/request/refusals_test.go
@@ -69,6 +69,7 @@
 		"burst":             {refuse(&quota.ExceedsBurstError{}), outcome.CodeExceedsBurst, 400, outcome.NotRun},
 		"quota unavailable": {refuse(&quota.UnavailableError{}), outcome.CodeQuotaUnavailable, 503, outcome.NotRun},
 		"no server":         {place(&placement.NoServerError{}), outcome.CodeNoServer, 503, outcome.NotRun},
+		"evacuated":         {place(&placement.NoServerError{Evacuated: true}), outcome.CodeZoneEvacuated, 503, outcome.NotRun},
 		"too late":          {place(&placement.DeadlineError{RetryAfter: time.Second}), outcome.CodeDeadline, 503, outcome.NotRun},
 		"queue full":        {place(&placement.QueueFullError{RetryAfter: time.Second}), outcome.CodeQueueFull, 503, outcome.NotRun},
 		"all refuse":        {every(standin.Faults{Full: true}), outcome.CodeRetriesExhausted, 503, outcome.NotRun},
--- a/internal/request/service.go
+++ b/internal/request/service.go
@@ -88,7 +88,7 @@
 func (c *serviceCall) place(ctx context.Context) (*rules.Server, func(), error) {
 	server, release, err := c.Placer.PlaceService(ctx, c.Config.Current(), c.route.Pool, c.exclude)
 	var none *placement.NoServerError
-	if errors.As(err, &none) && len(c.exclude) > 0 && wait.For(ctx, retryWait<<c.retries) == nil {
+	if errors.As(err, &none) && !none.Evacuated && len(c.exclude) > 0 && wait.For(ctx, retryWait<<c.retries) == nil {
 		c.exclude = nil
 		return c.Placer.PlaceService(ctx, c.Config.Current(), c.route.Pool, nil)
 	}
