Ask MaySend in the stand-in fleet before a call counts as work

Cause: the stand-in counts work before it hands a call to the engine, so a call that is stopped before it is sent would count as sent. Measured: go vet passes; no test of the fleet evacuates a zone yet.

--- a/test/fleet/backend.go
+++ b/test/fleet/backend.go
@@ -96,6 +96,17 @@
 	return nil
 }
 
+// reachFor is reach for a call of an attempt, which MaySend may stop before it counts as work.
+func (d *directory) reachFor(server string, a engine.Attempt) error {
+	if err := d.reach(server); err != nil || a.MaySend == nil {
+		return err
+	}
+	if err := a.MaySend(); err != nil {
+		return &engine.NotSentError{Server: server, Cause: err}
+	}
+	return nil
+}
+
 // Server implements engine.Directory.
 func (d *directory) Server(name, addr string) engine.Server {
 	return &server{d.fleet.engines.Server(name, addr), d}
@@ -111,7 +122,7 @@
 }
 
 func (s *server) Prefill(ctx context.Context, c engine.Call) (engine.KVCacheHandle, error) {
-	if err := s.d.reach(s.Name()); err != nil {
+	if err := s.d.reachFor(s.Name(), c.Attempt); err != nil {
 		return engine.KVCacheHandle{}, err
 	}
 	s.d.fleet.recordWork(s.Name(), c.Attempt.ID, s.d.host.Name)
@@ -124,7 +135,7 @@
 }
 
 func (s *server) Decode(ctx context.Context, c engine.Call, kv *engine.KVCacheHandle) (engine.Stream, error) {
-	if err := s.d.reach(s.Name()); err != nil {
+	if err := s.d.reachFor(s.Name(), c.Attempt); err != nil {
 		return nil, err
 	}
 	s.d.fleet.recordWork(s.Name(), c.Attempt.ID, s.d.host.Name)
@@ -209,7 +220,7 @@
 
 // Do implements engine.Service by calling the handler directly; it returns the errors that the HTTP adapter would.
 func (s *serviceClient) Do(ctx context.Context, a engine.Attempt, r *http.Request) (res *http.Response, err error) {
-	if err := s.d.reach(s.name); err != nil {
+	if err := s.d.reachFor(s.name, a); err != nil {
 		return nil, err
 	}
 	s.d.fleet.recordWork(s.name, a.ID, s.d.host.Name)
