--- a/internal/request/recover.go
+++ b/internal/request/recover.go
@@ -102,7 +102,7 @@
 	}
 	p, err := g.Placer.Place(ctx, g.snap, g.placeRequest(time.Now()))
 	var none *placement.NoServerError
-	if errors.As(err, &none) && len(g.exclude) > 0 {
+	if errors.As(err, &none) && !none.Evacuated && len(g.exclude) > 0 {
 		if wait.For(ctx, retryWait<<g.retries) == nil {
 			g.exclude = nil
 			p, err = g.Placer.Place(ctx, g.snap, g.placeRequest(time.Now()))
@@ -148,6 +148,8 @@
 	var refused *engine.RefusedError
 	var imported *engine.ImportError
 	switch {
+	case stopped(st.cause):
+		return reasonStopped
 	case errors.As(st.cause, &connect):
 		return string(st.stage) + "_connect"
 	case errors.As(st.cause, &refused):
