Wait in connpool's tests for what the server does after its response

TestClosedConnectionsAreNotReused/reset and TestSurplusBytesCloseTheConnection failed once each at high load. In both, the server resets the connection or sends surplus bytes 10 ms after its response, and the next request is sent 30 ms after the response. A server that runs 20 ms late acts after the next request was sent, which no HTTP/1.1 client can tell from a failed exchange or from the response.

The tests now send the next request 30 ms after the server has acted. What is checked is unchanged.

--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -90,6 +90,29 @@
 	e.g.Expect(e.server.Accepted()).To(Equal(connections))
 }
 
+// signaling returns a handler that calls respond for each request, and a channel that gets a value after each call.
+func signaling(respond func(c *rawserver.Conn, r *http.Request)) (handle func(c *rawserver.Conn), done chan struct{}) {
+	done = make(chan struct{}, 3)
+	return func(c *rawserver.Conn) {
+		for r := c.Request(); r != nil; r = c.Request() {
+			respond(c, r)
+			done <- struct{}{}
+		}
+	}, done
+}
+
+// expectNewConnections checks that each of three requests gets its own response on a new connection. The next request is
+// sent only after done has received a value: the pool can't tell what the server sends or closes later from its reaction
+// to that request.
+func (e *env) expectNewConnections(done <-chan struct{}) {
+	e.t.Helper()
+	for i, id := range []string{"a", "b", "c"} {
+		e.expectServed(id, connpool.AnyConnection, i+1)
+		<-done
+		time.Sleep(settle)
+	}
+}
+
 // Guards against a connection for each request, and against reuse where the request asked for a new connection.
 func TestConnectionsAreReused(t *testing.T) {
 	e := newEnv(t, echo)
@@ -108,22 +131,18 @@
 	for name, surplus := range map[string]string{"second response": second, "part of a response": second[:20], "other bytes": "\x00\x01garbage", "line end": "\r\n"} {
 		for when, pause := range map[string]time.Duration{"at once": 0, "late": settle / 3} {
 			t.Run(name+" "+when, func(t *testing.T) {
-				e := newEnv(t, func(c *rawserver.Conn) {
-					for r := c.Request(); r != nil; r = c.Request() {
-						id := r.Header.Get("Request-Id")
-						if pause == 0 {
-							c.Send("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s%s", id, len(id), id, surplus)
-							continue
-						}
-						c.Respond(r, id)
-						time.Sleep(pause)
-						c.Send("%s", surplus)
+				handle, done := signaling(func(c *rawserver.Conn, r *http.Request) {
+					id := r.Header.Get("Request-Id")
+					if pause == 0 {
+						c.Send("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s%s", id, len(id), id, surplus)
+						return
 					}
+					c.Respond(r, id)
+					time.Sleep(pause)
+					c.Send("%s", surplus)
 				})
-				for i, id := range []string{"a", "b", "c"} {
-					e.expectServed(id, connpool.AnyConnection, i+1)
-					time.Sleep(settle)
-				}
+				e := newEnv(t, handle)
+				e.expectNewConnections(done)
 				e.g.Expect(e.closed("surplus-bytes") + e.closed("late-bytes")).To(BeNumerically(">=", 2))
 			})
 		}
@@ -154,15 +173,8 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			e := newEnv(t, func(c *rawserver.Conn) {
-				for r := c.Request(); r != nil; r = c.Request() {
-					end(c, r)
-				}
-			})
-			for i, id := range []string{"a", "b", "c"} {
-				e.expectServed(id, connpool.AnyConnection, i+1)
-				time.Sleep(settle)
-			}
+			handle, done := signaling(end)
+			newEnv(t, handle).expectNewConnections(done)
 		})
 	}
 }
