Let a pool of dispatch take its source of random numbers

The choice of a server drew from the global random generator, so no simulation of it could be repeated. Each pool now has a generator with a random seed, which SetRandom replaces. Choosing is unchanged. The tests of internal/dispatch pass.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -71,7 +70,7 @@
 			preferred(sampled[:sample], cmp.Or(job.Zone, p.zone)).score -= affinityBonus
 		}
 	case sample < certain:
-		rand.Shuffle(certain, func(i, j int) { sampled[i], sampled[j] = sampled[j], sampled[i] })
+		p.random.Shuffle(certain, func(i, j int) { sampled[i], sampled[j] = sampled[j], sampled[i] })
 	}
 	byScore := func(a, b scoredServer) int { return cmp.Compare(a.score, b.score) }
 	slices.SortStableFunc(sampled[:sample], byScore)
@@ -131,7 +130,7 @@
 	penalty := crossZonePenalty
 	if learned {
 		penalty *= 1 - zoneOccupancy(free, zone)
-		if rand.Float64() < recheckShare {
+		if p.random.Float64() < recheckShare {
 			// The choice by occupancy alone.
 			learned = false
 		}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -128,7 +129,9 @@
 	limits map[string]*rateLimit
 	// model is what is known of the backend servers, nil if nothing is.
 	model Model
-	timer *time.Timer
+	// random is the source of the random parts of choose.
+	random *rand.Rand
+	timer  *time.Timer
 }
 
 type server struct {
@@ -150,9 +153,17 @@
 func NewPool(zone string, now func() time.Time) *Pool {
 	return &Pool{
 		zone: zone, now: now, servers: map[string]*server{}, grants: rate{window: rateWindow}, arrivals: valueWindow{window: rateWindow},
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
+// SetRandom replaces the source of random numbers, which has a random seed, so that simulations can be repeated.
+func (p *Pool) SetRandom(source rand.Source) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.random = rand.New(source)
+}
+
 // SetCandidates replaces the group of backend servers. Slots that this host uses stay counted, including those of
 // backend servers that are no longer candidates.
 func (p *Pool) SetCandidates(candidates []Candidate) {
