--- a/internal/serverload/alternatives_test.go
+++ b/internal/serverload/alternatives_test.go
@@ -199,41 +199,58 @@
 	{"learned", newLearned, simHosts},
 }
 
+// capacitySeeds are the seeds of the runs over which the learned choice is judged.
+var capacitySeeds = []uint64{1, 2, 3}
+
 // Load: the three loads with 60 hosts and reports that are 0.1 to 0.8 s old. Guards against a model that gives away capacity that
-// a choice with complete knowledge uses: responses in time must reach 0.95 of those of that choice. The figures of the
-// alternatives are for the design note.
+// a choice with complete knowledge uses: responses in time must reach 0.95 of those of that choice. One run differs from another
+// by up to 0.03, so the mean over capacitySeeds is judged. The figures of the alternatives are for the design note.
 func TestCapacityReached(t *testing.T) {
 	for name, load := range loads {
-		// The other loads and the alternatives take a minute, and several with the race detector.
+		// The other loads and the alternatives take minutes.
 		if name != "neighbors" && name != "knees" && !testing.Verbose() {
 			continue
 		}
 		t.Run(name, func(t *testing.T) {
-			best := load
-			best.shared, best.hosts, best.make = true, 1, completeKnowledge
-			var most, mostF int
-			synctest.Test(t, func(t *testing.T) {
-				s := simulate(best)
-				most, mostF = s.inTime, s.finishedBy
-				t.Logf("%-32s in time %d, median %v, 99th %v", "complete knowledge", s.inTime, s.quantile(0.5), s.quantile(0.99))
-			})
-			for _, a := range alternatives {
-				if a.name != "learned" && !testing.Verbose() {
-					continue
-				}
-				synctest.Test(t, func(t *testing.T) {
-					load.make, load.hosts = a.make, a.hosts
-					s := simulate(load)
-					t.Logf("%-32s in time %.3f of the best, finished %.3f, median %v, 99th %v", a.name, float64(s.inTime)/float64(most), float64(s.finishedBy)/float64(mostF), s.quantile(0.5), s.quantile(0.99))
-					if a.name == "learned" {
-						NewWithT(t).Expect(float64(s.inTime)).To(BeNumerically(">=", load.least*float64(most)))
-					}
-				})
+			var sum float64
+			for _, load.seed = range capacitySeeds {
+				sum += load.compare(t)
 			}
+			mean := sum / float64(len(capacitySeeds))
+			t.Logf("learned: in time %.3f of the best in the mean", mean)
+			NewWithT(t).Expect(mean).To(BeNumerically(">=", load.least))
 		})
 	}
 }
 
+// compare runs a load with complete knowledge and with the learned choice, and returns the responses in time of the second as a
+// share of those of the first. With -v, it runs the alternatives with the first seed as well.
+func (sc scenario) compare(t *testing.T) (learned float64) {
+	best := sc
+	best.shared, best.hosts, best.make = true, 1, completeKnowledge
+	most := run(t, best)
+	t.Logf("%-32s seed %d: in time %d, median %v, 99th %v", "complete knowledge", sc.seed, most.inTime, most.quantile(0.5), most.quantile(0.99))
+	for _, a := range alternatives {
+		if a.name != "learned" && (!testing.Verbose() || sc.seed != capacitySeeds[0]) {
+			continue
+		}
+		sc.make, sc.hosts = a.make, a.hosts
+		s := run(t, sc)
+		inTime := float64(s.inTime) / float64(most.inTime)
+		t.Logf("%-32s seed %d: in time %.3f of the best, finished %.3f, median %v, 99th %v", a.name, sc.seed, inTime,
+			float64(s.finishedBy)/float64(most.finishedBy), s.quantile(0.5), s.quantile(0.99))
+		if a.name == "learned" {
+			learned = inTime
+		}
+	}
+	return learned
+}
+
+func run(t *testing.T, sc scenario) (s *simulation) {
+	synctest.Test(t, func(*testing.T) { s = simulate(sc) })
+	return s
+}
+
 // known is the learned occupancy with known speeds and knees.
 type known struct {
 	*learned
--- a/internal/serverload/load_test.go
+++ b/internal/serverload/load_test.go
@@ -53,6 +53,8 @@
 	hosts  int
 	shared bool
 	make   func(s *simulation) policy
+	// seed is the seed of all random numbers.
+	seed uint64
 }
 
 // learned is the policy of this package. Its lock is that of the simulation's hosts.
@@ -167,6 +169,7 @@
 		if sc.shared && len(s.pools) > 0 {
 			p = s.pools[0]
 		}
+		p.SetRandom(rand.NewPCG(sc.seed, uint64(len(s.pools))))
 		p.SetCandidates(candidates)
 		p.SetHosts(sc.hosts)
 		pol := sc.make(s)
@@ -187,7 +190,7 @@
 
 // load sends requests of random sizes to random hosts until simLength has passed.
 func (s *simulation) load(policies []policy) {
-	rng := rand.New(rand.NewPCG(7, 7))
+	rng := rand.New(rand.NewPCG(s.seed, 7<<32))
 	var group sync.WaitGroup
 	for time.Since(s.started) < simLength {
 		time.Sleep(time.Duration(rng.ExpFloat64() / s.perSecond * float64(time.Second)))
@@ -250,7 +253,7 @@
 
 // report passes the use of servers and the observations to the hosts every 90 ms, 0.1 to 0.8 s old.
 func (s *simulation) report(ctx context.Context, policies []policy) {
-	rng := rand.New(rand.NewPCG(8, 8))
+	rng := rand.New(rand.NewPCG(s.seed, 8<<32))
 	for ctx.Err() == nil {
 		time.Sleep(90 * time.Millisecond)
 		total := map[string]int{}
@@ -270,7 +273,7 @@
 			for key, n := range total {
 				others[key] = n - uses[i][key]
 			}
-			time.AfterFunc(time.Duration(100+rng.IntN(700))*time.Millisecond, func() {
+			time.AfterFunc(100*time.Millisecond+time.Duration(rng.Int64N(int64(700*time.Millisecond))), func() {
 				p.SetRemoteUse(others)
 				if l, ok := policies[i].(*learned); ok {
 					for j := range shared {
