--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -58,8 +57,8 @@
 // crossZonePenalty. In a large fleet it compares only a random sample of the backend servers first, so that hosts with the
 // same reports do not all choose the same one.
 func (p *Pool) choose(job Job, now time.Time) *server {
-	free := p.free(job, now, rand.Float64, nil)
-	p.sortByPreference(free, job, rand.Shuffle)
+	free := p.free(job, now, p.random.Float64, nil)
+	p.sortByPreference(free, job, p.random.Shuffle)
 	for _, c := range free {
 		if job.Reserve == nil || job.Reserve(c.server.Key) {
 			return c.server
