Soak: evacuate a zone while faults follow each other

The soak had one zone and no evacuations, so the bound of evacuateMs was tested only with single faults. The fleet now has two zones with servers of each service and stage. Each run writes the key of one of them and removes it 5.5 to 7.5 s later. A call that reaches the zone later than 5,000 ms after the store's response and before the removal fails the run if its host was without faults for the last 4 s. The evacuation has a random generator of its own, so the faults that a seed stands for are the same as before.

--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -47,6 +47,7 @@
 	g.checkDrains(c)
 	g.checkAnnouncements(c)
 	g.checkRefusals(c)
+	g.checkEvacuation(c)
 	g.checkRate()
 	g.checkCommands()
 	for _, h := range g.f.hosts {
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"path/filepath"
 	"sync"
 	"time"
@@ -51,6 +52,7 @@
 	procs    *loopback.Processes
 	hosts    []*host
 	backends []*backend
+	calls    callLog
 
 	mu      sync.Mutex
 	version int
@@ -60,7 +62,8 @@
 func newFleet(bin, dir string, network int) (*fleet, error) {
 	f := &fleet{
 		dir: dir, store: users.NewStore(), procs: &loopback.Processes{Bin: bin, Logs: dir},
-		keys: map[string][]string{"guests": {"key-guests", "key-spare"}, "limited": {"key-limited"}},
+		keys:  map[string][]string{"guests": {"key-guests", "key-spare"}, "limited": {"key-limited"}},
+		calls: callLog{byZone: map[string][]backendCall{}},
 	}
 	f.configure()
 	for i := range hostCount {
@@ -71,11 +74,12 @@
 		f.hosts = append(f.hosts, h)
 	}
 	for _, o := range []users.WorkerOptions{
-		{ID: "app-1", Service: "app"}, {ID: "app-2", Service: "app"}, {ID: "app-3", Service: "app"},
-		{ID: "pre-1", Service: "llm", Stage: "prefill"}, {ID: "pre-2", Service: "llm", Stage: "prefill"},
-		{ID: "dec-1", Service: "llm", Stage: "decode"}, {ID: "dec-2", Service: "llm", Stage: "decode"}, {ID: "dec-3", Service: "llm", Stage: "decode"},
+		{ID: "app-1", Zone: "z", Service: "app"}, {ID: "app-2", Zone: "z", Service: "app"}, {ID: "app-3", Zone: "y", Service: "app"},
+		{ID: "pre-1", Zone: "z", Service: "llm", Stage: "prefill"}, {ID: "pre-2", Zone: "y", Service: "llm", Stage: "prefill"},
+		{ID: "dec-1", Zone: "z", Service: "llm", Stage: "decode"}, {ID: "dec-2", Zone: "z", Service: "llm", Stage: "decode"},
+		{ID: "dec-3", Zone: "y", Service: "llm", Stage: "decode"},
 	} {
-		o.Zone, o.Slots, o.Events, o.EventPause, o.Work, o.StageChange = "z", 6, eventCount, 40*time.Millisecond, 8*time.Millisecond, 6*time.Second
+		o.Slots, o.Events, o.EventPause, o.Work, o.StageChange = 6, eventCount, 40*time.Millisecond, 8*time.Millisecond, 6*time.Second
 		b := &backend{options: o}
 		var err error
 		if b.proxy, err = newProxy(""); err != nil {
@@ -151,6 +155,7 @@
 		return err
 	}
 	w.Advertise(b.proxy.addr)
+	w.Before(func(r *http.Request) { f.calls.record(o.Zone, r) })
 	b.proxy.mu.Lock()
 	b.proxy.server = w.Addr
 	b.proxy.mu.Unlock()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -103,6 +103,8 @@
 	faultLog  []string
 	withdrawn time.Time
 	drained   map[*users.Worker]time.Time
+	// evacuated is the evacuation of the run.
+	evacuated *evacuation
 }
 
 // faultChoice is a kind of fault.
@@ -149,7 +151,10 @@
 	loaded := make(chan struct{})
 	go func() { defer close(loaded); c.run(warmUp + faultPhase + 2*time.Second) }()
 	time.Sleep(warmUp)
+	var planned sync.WaitGroup
+	planned.Go(func() { g.evacuate(seed) })
 	g.faultPhase()
+	planned.Wait()
 	<-loaded
 	g.healAll()
 	g.awaitServing(recoveryLimit)
