Leave engines whose memory fills up to a few hosts each; findings of the review

From the review of the merged parts, by reading: a reported generation that is no number hid the use of its engine (tested); the memory of an engine is summed anew with each change and counts what has been generated; engines without a known capacity are compared as before; the client of an explanation has a limited time to read it; a call on a connection that cannot be stopped counts as one that may have run; calls to services are placed by the configuration of their arrival unless one was stopped.

--- a/internal/engine/openai/check.go
+++ b/internal/engine/openai/check.go
@@ -59,9 +59,13 @@
 		s.allowed = true
 		return
 	}
-	if conn, ok := info.Conn.(*stoppableConn); ok {
-		conn.stop(s.refusal)
+	conn, ok := info.Conn.(*stoppableConn)
+	if !ok {
+		// The call is written to a connection that cannot be stopped, so it may run.
+		s.allowed = true
+		return
 	}
+	conn.stop(s.refusal)
 }
 
 // failure returns the error of package engine for a call that ended without a response.
--- a/internal/front/explainroute.go
+++ b/internal/front/explainroute.go
@@ -21,8 +21,10 @@
 	explainBodyLimit = 64 << 10
 	// maxExplaining is the number of explanations at a time. A host has as little as 0.14 of a core, which is for callers.
 	maxExplaining = 2
-	// explainReadTime bounds the time for which a slow body keeps others from getting an explanation.
-	explainReadTime = time.Second
+	// explainReadTime and explainWriteTime bound the time for which a client that sends or reads slowly keeps others from getting
+	// an explanation.
+	explainReadTime  = time.Second
+	explainWriteTime = 3 * time.Second
 )
 
 // explainRoute answers where a request would go now, and why.
@@ -32,7 +34,9 @@
 		f.writeExplained(w, http.StatusTooManyRequests, &explain.RouteError{Code: "busy", Message: "too many explanations at a time"})
 		return
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(explainReadTime))
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(explainReadTime))
+	_ = control.SetWriteDeadline(time.Now().Add(explainReadTime + explainWriteTime))
 	question := explain.RouteRequest{}
 	in := json.NewDecoder(http.MaxBytesReader(w, r.Body, explainBodyLimit))
 	in.DisallowUnknownFields()
@@ -236,11 +240,15 @@
 
 func (f *Front) explainGeneration(x *call, out *explain.RouteResponse) error {
 	r, capacity := f.newRun(x), f.kvCapacity(x)
+	shared := f.sharedEngines(x.group)
 	e := x.group.decode.Explain(f.decodeJob(x, r.Output, nil, f.latestStart(x)), func(key string) dispatch.Reason {
-		if f.runTable.fits(r.Run, key, capacity) {
-			return ""
+		switch {
+		case !shared.mayUse(key, f.runTable.occupancy(key, capacity)):
+			return reasonLeftToOthers
+		case !f.runTable.fits(r.Run, key, capacity):
+			return reasonNoMemory
 		}
-		return reasonNoMemory
+		return ""
 	})
 	out.Stages = append(out.Stages, f.explainStage(x.group, "decode", decodeIndex, &e))
 	zone := ""
--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -227,7 +227,14 @@
 func (f *Front) reserve(ctx context.Context, x *call, excluded map[string]bool, startBy time.Time) (*reservation, error) {
 	r, capacity := f.newRun(x), f.kvCapacity(x)
 	job := f.decodeJob(x, r.Output, excluded, startBy)
-	job.Reserve = func(key string) bool { return f.runTable.add(r, key, capacity) }
+	shared := f.sharedEngines(x.group)
+	job.Reserve = func(key string) bool {
+		if !shared.mayUse(key, f.runTable.occupancy(key, capacity)) {
+			f.metrics.Inc("engines_left_to_others", metrics.L("service", x.group.service))
+			return false
+		}
+		return f.runTable.add(r, key, capacity)
+	}
 	job.Unreserve = func(string) { f.runTable.end(r) }
 	job = f.withinServerBytes(x, job)
 	for {
@@ -281,11 +288,11 @@
 // decodeJob returns the job of a generation at a decode engine, without the reservation of KV memory.
 func (f *Front) decodeJob(x *call, output kvmemory.Output, excluded map[string]bool, startBy time.Time) dispatch.Job {
 	rank, _ := f.rank(x)
-	capacity := f.kvCapacity(x)
-	return dispatch.Job{
-		ID: x.request.ID, Begun: x.accepted, Rank: rank, Value: f.value(x, output), StartBy: startBy, Exclude: excluded,
-		Occupancy: func(key string) float64 { return f.runTable.occupancy(key, capacity) },
+	job := dispatch.Job{ID: x.request.ID, Begun: x.accepted, Rank: rank, Value: f.value(x, output), StartBy: startBy, Exclude: excluded}
+	if capacity := f.kvCapacity(x); capacity > 0 {
+		job.Occupancy = func(key string) float64 { return f.runTable.occupancy(key, capacity) }
 	}
+	return job
 }
 
 // prefillJob returns the job of a prompt at a prefill engine. zone is the one of the decode engine.
--- a/internal/front/remoteuse.go
+++ b/internal/front/remoteuse.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"math"
 	"time"
 
 	"github.com/boragecourse/boragecourse/internal/exchange"
@@ -71,6 +72,9 @@
 func reportedRuns(runs []*peerv1.GenerationRun, now time.Time) []kvmemory.Run {
 	var out []kvmemory.Run
 	for _, r := range runs {
+		if !plausibleRun(r) {
+			continue
+		}
 		out = append(out, kvmemory.Run{
 			Prompt: r.Prompt, Generated: r.Generated, At: now,
 			Output: kvmemory.Output{LogMean: float64(r.LogMean), LogSigma: float64(r.LogSigma), Max: r.MaxOutput},
@@ -79,6 +83,16 @@
 	return out
 }
 
+// maxRunTokens bounds the sizes that are believed of a reported generation.
+const maxRunTokens = 1 << 31
+
+// plausibleRun reports whether a reported generation can be used in sums and forecasts.
+func plausibleRun(r *peerv1.GenerationRun) bool {
+	mean, sigma := float64(r.LogMean), float64(r.LogSigma)
+	finite := !math.IsNaN(mean) && !math.IsInf(mean, 0) && !math.IsNaN(sigma) && !math.IsInf(sigma, 0)
+	return finite && min(r.Prompt, r.Generated, r.MaxOutput) >= 0 && max(r.Prompt, r.Generated, r.MaxOutput) <= maxRunTokens
+}
+
 func (u *remoteUse) set(incarnation uint64, h *hostUse, server uint64, use serverUse) {
 	u.subtract(incarnation, server, h.uses[server])
 	if use.slots == 0 && len(use.runs) == 0 {
--- a/internal/front/runtable.go
+++ b/internal/front/runtable.go
@@ -65,7 +65,7 @@
 		t.own[key] = map[*run]bool{}
 	}
 	t.own[key][r] = true
-	t.commit(key, r.FinalSize())
+	t.sumCommitted(key)
 	return true
 }
 
@@ -90,9 +90,16 @@
 	return len(runs) == 0 || kvmemory.Fits(kvmemory.Needs(runs, decodeRate, r.At), r, capacity, kvmemory.SafetyMargin, decodeRate, r.At)
 }
 
-// commit changes the committed memory of an engine.
-func (t *runTable) commit(key string, tokens float64) {
-	if t.committed[key] += tokens; len(t.own[key]) == 0 && len(t.others[key]) == 0 {
+// sumCommitted updates the committed memory of an engine whose runs have changed.
+func (t *runTable) sumCommitted(key string) {
+	sum := 0.0
+	for r := range t.own[key] {
+		sum += r.FinalSize()
+	}
+	for i := range t.others[key] {
+		sum += t.others[key][i].FinalSize()
+	}
+	if t.committed[key] = sum; sum == 0 {
 		delete(t.committed, key)
 	}
 }
@@ -133,7 +140,7 @@
 	if len(t.own[r.key]) == 0 {
 		delete(t.own, r.key)
 	}
-	t.commit(r.key, -r.FinalSize())
+	t.sumCommitted(r.key)
 }
 
 // recordFinished passes a completed generation to the predictor: its total output, and the output and duration of its
@@ -171,17 +178,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for key, runs := range changed {
-		difference := 0.0
-		for i := range t.others[key] {
-			difference -= t.others[key][i].FinalSize()
-		}
-		for i := range runs {
-			difference += runs[i].FinalSize()
-		}
 		if t.others[key] = runs; len(runs) == 0 {
 			delete(t.others, key)
 		}
-		t.commit(key, difference)
+		t.sumCommitted(key)
 	}
 }
 
--- a/internal/kvmemory/forecast.go
+++ b/internal/kvmemory/forecast.go
@@ -21,8 +21,11 @@
 	Output Output
 }
 
-// FinalSize returns the memory in tokens that the run is expected to hold when it ends: the prompt and the median output.
-func (r *Run) FinalSize() float64 { return float64(r.Prompt) + r.Output.Median() }
+// FinalSize returns the memory in tokens that the run is expected to hold when it ends: the prompt and the median output, or
+// what has been generated if that is more.
+func (r *Run) FinalSize() float64 {
+	return float64(r.Prompt) + math.Max(r.Output.Median(), float64(r.Generated))
+}
 
 // Output is a forecast of an output length in tokens: a log-normal distribution truncated at Max.
 type Output struct {
--- a/internal/request/service.go
+++ b/internal/request/service.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/boragecourse/boragecourse/internal/config"
 	"github.com/boragecourse/boragecourse/internal/engine"
 	"github.com/boragecourse/boragecourse/internal/outcome"
 	"github.com/boragecourse/boragecourse/internal/placement"
@@ -83,14 +84,23 @@
 	}
 }
 
-// place selects a server of the pool in the installed configuration, which may have changed since the last call. When
-// every server has failed this request, it waits and considers all of them again.
+// placementRules returns the configuration by which the request is placed: that of its arrival or, after a call was stopped
+// because of an evacuation, the installed one.
+func (c *serviceCall) placementRules() *config.Snapshot {
+	if c.stops > 0 {
+		return c.Config.Current()
+	}
+	return c.snap
+}
+
+// place selects a server of the pool. When every server has failed this request, it waits and considers all of them
+// again.
 func (c *serviceCall) place(ctx context.Context) (*rules.Server, func(), error) {
-	server, release, err := c.Placer.PlaceService(ctx, c.Config.Current(), c.route.Pool, c.exclude)
+	server, release, err := c.Placer.PlaceService(ctx, c.placementRules(), c.route.Pool, c.exclude)
 	var none *placement.NoServerError
 	if errors.As(err, &none) && !none.Evacuated && len(c.exclude) > 0 && wait.For(ctx, retryWait<<c.retries) == nil {
 		c.exclude = nil
-		return c.Placer.PlaceService(ctx, c.Config.Current(), c.route.Pool, nil)
+		return c.Placer.PlaceService(ctx, c.placementRules(), c.route.Pool, nil)
 	}
 	return server, release, err
 }
