Give the keepalive tests a head time-out that a stalled machine does not reach

Cause: TestRequestsCutInTheHeadAreRefusedAsNotRun failed once in a race run at a load average of 20 (400 instead of 503). The server of the tests gave callers 1 s for the head, 0.5 s more than a shutdown waits for it; on a machine that stalls in between, the time-out comes first and net/http answers a partial line with 400. Shown with a time-out of 300 ms, which fails in the same way. With 10 s, as in the product, all tests of the package pass in 11 s, so none needs the shorter one. The checks are unchanged.

--- a/internal/keepalive/keepalive_test.go
+++ b/internal/keepalive/keepalive_test.go
@@ -50,7 +50,7 @@
 func startServer(t *testing.T, l net.Listener) *fixture {
 	t.Helper()
 	f := &fixture{address: l.Addr().String()}
-	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := &http.Server{ReadHeaderTimeout: 10 * time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.requests.Add(1)
 		time.Sleep(work)
 		if pause := r.URL.Query().Get("pause"); pause != "" {
