Make the tests of explanations independent of the machine's speed

A pause of 150 ms between a refusal and the explanation changed the reason of a server, and the front's tests began before the pools had their servers.

--- a/internal/dispatch/explain_test.go
+++ b/internal/dispatch/explain_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -15,6 +16,10 @@
 
 // Guards against an explanation with wrong terms or reasons, and against one whose first candidate does not get the job.
 func TestExplainStatesTermsAndReasons(t *testing.T) {
+	synctest.Test(t, explainTermsAndReasons)
+}
+
+func explainTermsAndReasons(t *testing.T) {
 	g := NewWithT(t)
 	p := newPool(4, "a", "b", "doubtful", "learned", "limited", "memory", "refused", "used")
 	p.SetModel(fakeModel{doubtful: map[string]bool{"doubtful": true}, limit: map[string]int{"learned": 1}, relative: map[string]float64{"b": 2}})
