--- a/internal/front/explainroute.go
+++ b/internal/front/explainroute.go
@@ -240,15 +240,11 @@
 
 func (f *Front) explainGeneration(x *call, out *explain.RouteResponse) error {
 	r, capacity := f.newRun(x), f.kvCapacity(x)
-	shared := f.sharedEngines(x.group)
 	e := x.group.decode.Explain(f.decodeJob(x, r.Output, nil, f.latestStart(x)), func(key string) dispatch.Reason {
-		switch {
-		case !shared.mayUse(key, f.runTable.occupancy(key, capacity)):
-			return reasonLeftToOthers
-		case !f.runTable.fits(r.Run, key, capacity):
-			return reasonNoMemory
+		if f.runTable.fits(r.Run, key, capacity) {
+			return ""
 		}
-		return ""
+		return reasonNoMemory
 	})
 	out.Stages = append(out.Stages, f.explainStage(x.group, "decode", decodeIndex, &e))
 	zone := ""
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -74,7 +74,6 @@
 	stages     *stages
 	quarantine *quarantineLedger
 	limits     *serverLimits
-	hostSet    hostSetCache
 	leader     *leader.Elector
 	exchange   *exchange.Exchange
 	pool       *peer.Pool
--- a/internal/front/generation.go
+++ b/internal/front/generation.go
@@ -227,14 +227,7 @@
 func (f *Front) reserve(ctx context.Context, x *call, excluded map[string]bool, startBy time.Time) (*reservation, error) {
 	r, capacity := f.newRun(x), f.kvCapacity(x)
 	job := f.decodeJob(x, r.Output, excluded, startBy)
-	shared := f.sharedEngines(x.group)
-	job.Reserve = func(key string) bool {
-		if !shared.mayUse(key, f.runTable.occupancy(key, capacity)) {
-			f.metrics.Inc("engines_left_to_others", metrics.L("service", x.group.service))
-			return false
-		}
-		return f.runTable.add(r, key, capacity)
-	}
+	job.Reserve = func(key string) bool { return f.runTable.add(r, key, capacity) }
 	job.Unreserve = func(string) { f.runTable.end(r) }
 	job = f.withinServerBytes(x, job)
 	for {
--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -34,7 +34,6 @@
 	reasonPaused        dispatch.Reason = "paused"
 	reasonChangingStage dispatch.Reason = "changing_stage"
 	reasonNoMemory      dispatch.Reason = "no_kv_memory"
-	reasonLeftToOthers  dispatch.Reason = "left_to_other_hosts"
 )
 
 // group holds the backend servers of one service with this host's pools, outlier detector and retry budget for them.
--- a/internal/serverlimit/cold.go
+++ b/internal/serverlimit/cold.go
@@ -149,24 +149,6 @@
 	return s
 }
 
-// IsSelfAmongFirst reports whether this host is among the first n in an order of the hosts that differs between servers and
-// does not depend on zones. It is true if this host is not in the set.
-func (s *HostSet) IsSelfAmongFirst(n int, server uint64) bool {
-	if s.self < 0 {
-		return true
-	}
-	rank, ahead := mix(s.hashes[s.self]^server), 0
-	for _, h := range s.hashes {
-		if mix(h^server) < rank {
-			ahead++
-		}
-	}
-	return ahead < n
-}
-
-// Size returns the number of hosts in the set.
-func (s *HostSet) Size() int { return len(s.hosts) }
-
 // isSelfAmongFirst reports whether this host is among the first n in the order of firstHosts.
 func (s *HostSet) isSelfAmongFirst(n int, server uint64, zone string) bool {
 	if s.self < 0 {
