Review: more callers in case 6, steady uploads in case 7

Cause: no booking was lost in case 6 for want of callers; the bodies of case 7 would have choked a real link.

--- a/review/cases2/fleet.go
+++ b/review/cases2/fleet.go
@@ -62,6 +62,8 @@
 	client  *http.Client
 	next    atomic.Int64
 	starts  atomic.Int64
+	// lost counts requests that may not be repeated and got no answer of a worker.
+	lost    atomic.Int64
 	version int
 	ctx     context.Context //nolint:containedctx // The fleet lives as long as its run.
 	// workspaceRate is the rate and burst of the tenant in tokens a second.
@@ -254,10 +256,10 @@
 }
 
 // send sends one request of the tenant to a host.
-func (f *fleet) send(h *host, method, path, body string, header map[string]string) answer {
+func (f *fleet) send(h *host, method, path string, body io.Reader, length int64) answer {
 	ctx, cancel := context.WithTimeout(f.ctx, 4*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.front+path, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.front+path, body)
 	a := answer{id: "r" + strconv.FormatInt(f.next.Add(1), 10)}
 	if err != nil {
 		a.err = err
@@ -267,9 +269,7 @@
 	req.Header.Set("Request-Id", a.id)
 	req.Header.Set("Deadline-Ms", "3000")
 	req.Header.Set("Authorization", "Bearer "+apiKey)
-	for name, value := range header {
-		req.Header.Set(name, value)
-	}
+	req.ContentLength = length
 	resp, err := f.client.Do(req)
 	if err != nil {
 		a.err = err
--- a/review/cases2/leaving.go
+++ b/review/cases2/leaving.go
@@ -55,6 +55,7 @@
 	}
 	late := leaving.ranAfter(bound.Add(100 * time.Millisecond))
 	f.line("worker %s ran %d requests later than %v after it was gone, from hosts in touch", leaving.id, len(late), bound.Sub(goneAt).Round(time.Millisecond))
+	f.line("%d requests that may not be repeated got no answer of a worker", f.lost.Load())
 	if len(late) > 0 {
 		return errBroken
 	}
@@ -108,29 +109,32 @@
 	return goneAt, f.configure(nil)
 }
 
-// callers sends 20 requests a second to each host until the returned function is called.
+// callers sends 20 lookups and 20 bookings a second to each host until the returned function is called.
 func (f *fleet) callers(hosts ...*host) (stop func()) {
 	done := make(chan struct{})
 	for _, h := range hosts {
+		for _, kind := range []struct{ method, path string }{{http.MethodGet, "/view/1"}, {http.MethodPost, "/reserve/1"}} {
+			go f.caller(done, h, kind.method, kind.path)
+		}
+	}
+	return func() { close(done) }
+}
+
+func (f *fleet) caller(done <-chan struct{}, h *host, method, path string) {
+	tick := time.NewTicker(50 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-tick.C:
+		}
 		go func() {
-			tick := time.NewTicker(50 * time.Millisecond)
-			defer tick.Stop()
-			for n := 0; ; n++ {
-				select {
-				case <-done:
-					return
-				case <-tick.C:
-				}
-				method, path := http.MethodGet, "/view/1"
-				if n%2 == 1 {
-					method, path = http.MethodPost, "/reserve/1"
-				}
-				go func() {
-					x := f.send(h, method, path, "", nil)
-					f.line("%s to %s: %s %s: status %d %v", x.id, h.name, method, path, x.status, x.err)
-				}()
+			x := f.send(h, method, path, http.NoBody, 0)
+			if method == http.MethodPost && x.status != http.StatusOK {
+				f.lost.Add(1)
 			}
+			f.line("%s to %s: %s %s: status %d %v", x.id, h.name, method, path, x.status, x.err)
 		}()
 	}
-	return func() { close(done) }
 }
--- a/review/cases2/memory.go
+++ b/review/cases2/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"strconv"
 	"strings"
@@ -12,11 +13,16 @@
 const (
 	// bodyLimit is maxBodyBytes of the users' example.
 	bodyLimit = 4194304
-	// usual is the number of callers that send at the same moment on an ordinary day, crowd that of a burst: 2.3 times as many.
-	usual, crowd = 20, 46
+	// usual is the number of callers that send at the same moment on an ordinary day, crowd that of a burst: 2.25 times as many.
+	usual, crowd = 16, 36
 	// endsAllowed is the number of ends by itself on one machine above which the day counts 0, endedMachines that of machines.
 	endsAllowed, endedMachines = 2, 2
 	restartDelay               = 500 * time.Millisecond
+	// A caller sends its body within uploadTime, so that a crowd takes 0.72 Gbit/s and waits for no link.
+	uploadTime, uploadPart = 1680 * time.Millisecond, 32 << 10
+	// A burst has wavesOfBurst waves of a crowd and lasts 4 s; a wave of the usual callers follows each.
+	bursts, wavesOfBurst = 5, 2
+	wavePause            = 300 * time.Millisecond
 )
 
 // largeBodies has many callers send requests at once whose bodies are as large as the configuration allows. The platform kills
@@ -42,23 +48,49 @@
 	callers := usual
 	if trouble {
 		callers = crowd
-		f.line("burst: %d times the usual number of callers", crowd/usual)
 	}
-	for range 12 {
-		f.wave(callers)
-		f.sleep(1600 * time.Millisecond)
+	for range bursts {
+		for range wavesOfBurst {
+			f.wave(callers)
+			f.sleep(wavePause)
+		}
+		f.wave(usual)
+		f.sleep(wavePause)
 	}
 	return p.judge()
 }
 
-// wave has callers send one request each to each host, at once, and waits for the answers.
+// upload is a body that is sent at a steady rate.
+type upload struct {
+	begun time.Time
+	sent  int
+}
+
+// Read implements io.Reader.
+func (u *upload) Read(b []byte) (int, error) {
+	if u.sent == bodyLimit {
+		return 0, io.EOF
+	}
+	if u.begun.IsZero() {
+		u.begun = time.Now()
+	}
+	time.Sleep(time.Until(u.begun.Add(uploadTime * time.Duration(u.sent) / bodyLimit)))
+	n := min(len(b), uploadPart, bodyLimit-u.sent)
+	for i := range b[:n] {
+		b[i] = 'x'
+	}
+	u.sent += n
+	return n, nil
+}
+
+// wave has callers send one request each to each host at the same time, and waits for the answers.
 func (f *fleet) wave(callers int) {
-	body := strings.Repeat("x", bodyLimit)
+	f.line("%d callers send to each host", callers)
 	var group sync.WaitGroup
 	for _, h := range f.hosts {
 		for range callers {
 			group.Go(func() {
-				a := f.send(h, "POST", "/reserve/1", body, nil)
+				a := f.send(h, "POST", "/reserve/1", &upload{}, bodyLimit)
 				f.line("%s to %s: POST /reserve/1, %d bytes: status %d %v", a.id, h.name, bodyLimit, a.status, a.err)
 			})
 		}
--- a/review/cases2/worker.go
+++ b/review/cases2/worker.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{f: f, id: id, zone: zone, addr: l.Addr().String(), born: time.Now().UnixMilli(), coldUntil: time.Now().Add(cold), work: 30 * time.Millisecond}
+	w := &worker{f: f, id: id, zone: zone, addr: l.Addr().String(), born: time.Now().UnixMilli(), coldUntil: time.Now().Add(cold), work: 60 * time.Millisecond}
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
 	go func() { _ = w.server.Serve(l) }()
 	w.register()
