Reject responses with a status outside of HTTP

What callers saw: a response with status 000 was skipped like an informational one, and its body read as the next response. A body that looks like a response with the request's id and a receipt reached the caller as a 200. On the own interface the client returned status 000 as the service's response. A write whose store response had such a status counted as not done.

Cause: http.ReadResponse accepts any three characters that strconv.Atoi takes for a number from 0 on. The pool treated all below 200 as informational; the other two clients checked no lower bound.

Evidence: TestResponsesWithoutAValidStatus (test/users, with a real host) failed before for GET, POST and both kinds of streams with the statuses 000, 099 and +20: 200 with the receipt of the inner response.

--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -14,6 +14,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/boragecourse/boragecourse/internal/responsehead"
 )
 
 const (
@@ -214,12 +216,12 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := responsehead.Check(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, &UnexpectedStatusError{Status: resp.StatusCode}
-		}
 	}
 	return nil, &UnexpectedStatusError{Status: http.StatusContinue}
 }
--- a/internal/engine/openai/client.go
+++ b/internal/engine/openai/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/boragecourse/boragecourse/internal/engine"
 	"github.com/boragecourse/boragecourse/internal/metrics"
+	"github.com/boragecourse/boragecourse/internal/responsehead"
 )
 
 // Limits of connections and calls to backend servers.
@@ -149,6 +150,10 @@
 	if err != nil {
 		return nil, check.failure(c.name, err)
 	}
+	if err := responsehead.Check(res); err != nil {
+		_ = res.Body.Close()
+		return nil, &engine.FailedError{Server: c.name, Cause: err}
+	}
 	if got := res.Header.Get(HeaderAttempt); got != "" && a.ID != "" && got != a.ID {
 		_ = res.Body.Close()
 		c.d.metrics.Inc(metricAttemptMismatch, metrics.L("server", c.name))
