Reject responses with an invalid field name in their head

What callers saw: a 200 whose head had a line such as "X Y: z" was relayed without that line. With "Content-Length : 22" or "Transfer-Encoding : chunked" the line did not count, so the body was whatever came until the connection ended. A line that began with a blank became part of the field before it, such as the receipt.

Cause: net/textproto accepts blanks in field names, keeps such a name as it is, and joins folded lines. All three clients read heads with it. It refuses all other bytes that are no token, control bytes among them, so these cases were handled already; their tests stay.

Why it works: responsehead.Check refuses each name that is no token. Folded lines cannot be told from the parsed head, so the pool keeps the received bytes until the head is complete and checks their lines. The clients that use http.Transport (own interface, store) do not see the bytes and still join folded lines, which RFC 9112, section 5.2, allows.

--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -39,6 +39,10 @@
 	in     *bufio.Reader
 	// headLeft is the number of bytes that may still be received as part of a response head.
 	headLeft, headLimit int64
+	// head holds all bytes of the current exchange that have been received while readingHead is set. Some of the last ones may
+	// follow the head and be in the read buffer still.
+	head        []byte
+	readingHead bool
 	// received and sent count the bytes of the current exchange.
 	received, sent int64
 	// sentAt is when the current exchange began, on the pool's clock.
@@ -64,6 +68,9 @@
 		return 0, &HeadTooLargeError{Limit: r.headLimit}
 	}
 	n, err := r.conn.Read(b[:min(int64(len(b)), r.headLeft)])
+	if r.readingHead {
+		r.head = append(r.head, b[:n]...)
+	}
 	r.received += int64(n)
 	r.headLeft -= int64(n)
 	return n, err
@@ -142,12 +149,12 @@
 
 // exchange sends a request on a connection and reads the head of the response.
 func (p *Pool) exchange(ctx context.Context, c *connection, req *http.Request) (*Response, error) {
-	c.sent, c.received, c.headLeft, c.sentAt = 0, 0, c.headLimit, p.o.Clock()
+	c.sent, c.received, c.headLeft, c.readingHead, c.sentAt = 0, 0, c.headLimit, true, p.o.Clock()
 	// Closing the connection is what interrupts reads and writes, and makes the server abort the request.
 	stop := context.AfterFunc(ctx, c.close)
 	resp, written, err := c.roundTrip(req) //nolint:bodyclose // Response.Close ends the connection; closing the body would read it to its end.
 	if err == nil {
-		c.headLeft = math.MaxInt64
+		c.headLeft, c.readingHead, c.head = math.MaxInt64, false, nil
 		c.idleTime = idleTime(resp.Header)
 		return &Response{Response: resp, Reused: c.reused, body: &body{
 			in: resp.Body, pool: p, connection: c, stop: stop, written: written, closing: resp.Close || req.Close,
@@ -216,7 +223,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := responsehead.Check(resp); err != nil {
+		received := c.head[:len(c.head)-c.in.Buffered()]
+		if err := cmp.Or(responsehead.Check(resp), responsehead.CheckLines(received)); err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
--- a/internal/engine/openai/brokenresponses_test.go
+++ b/internal/engine/openai/brokenresponses_test.go
@@ -60,3 +60,13 @@
 		})
 	}
 }
+
+// Guards against a response with an invalid field name that is passed on to the caller, with a body that has other bounds than the
+// service's.
+func TestResponsesWithInvalidFieldNames(t *testing.T) {
+	for _, line := range []string{"Content-Length : 8", "Content Length: 8", "Transfer-Encoding : chunked", "X Y: z", "X\tY: z", "X\x01Y: z"} {
+		t.Run(line, func(t *testing.T) {
+			expectFailed(t, serveRaw(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\ncomplete"))
+		})
+	}
+}
--- a/test/users/brokenresponses_test.go
+++ b/test/users/brokenresponses_test.go
@@ -95,3 +95,19 @@
 	}
 	startBroken(t, responses).expectFailures(responses)
 }
+
+// Guards against a response whose head has an invalid field name and that is relayed, without that field or with a body that has other
+// bounds than the server's.
+func TestResponsesWithInvalidFieldNames(t *testing.T) {
+	responses := map[string]string{}
+	for name, line := range map[string]string{
+		"blank-before-colon": "Content-Length : 22", "blank-inside": "Content Length: 22", "chunked": "Transfer-Encoding : chunked",
+		"blank-in-other": "X Y: z", "blank-first": " X: y", "tab-first": "\tContent-Length: 22", "tab": "X\tY: z", "control": "X\x01Y: z", "nul": "X\x00: z",
+		"delete": "X\x7f: z", "return": "X\rY: z", "empty": ": z", "no-colon": "X", "latin-1": "X\xe9: z",
+	} {
+		responses[name] = rawResponse("200 OK", "Content-Length: 22\r\n"+line, event)
+		responses[name+"-close"] = rawResponse("200 OK", "Connection: close\r\n"+line, event)
+	}
+	responses["informational"] = "HTTP/1.1 103 Early Hints\r\nLink : x\r\n\r\n" + rawResponse("200 OK", "Content-Length: 22", event)
+	startBroken(t, responses).expectFailures(responses)
+}
