Treat a response that is reset during the upload as incomplete

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection. The part reached the caller as a complete response, plain or as a stream.

Cause: the kernel reports the error of a socket to one call and clears it. The request was still being written, so the write got the reset; the read after it found the end of the connection, which ends a body without a length. The pool dropped the error of the write. http.Transport, which the own interface and the client of the store use, has the same gap between the failed write and its close of the connection.

Why it works: resetconn.Conn records the error of a failed write. At the end of the connection its reader stops a write in progress, waits for it and returns the recorded error, so the two calls cannot miss each other.

--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/boragecourse/boragecourse/internal/resetconn"
 	"github.com/boragecourse/boragecourse/internal/responsehead"
 )
 
@@ -35,7 +36,7 @@
 // connection is a connection to a backend server. It carries one request at a time.
 type connection struct {
 	target Target
-	conn   net.Conn
+	conn   *resetconn.Conn
 	in     *bufio.Reader
 	// headLeft is the number of bytes that may still be received as part of a response head.
 	headLeft, headLimit int64
@@ -53,7 +54,7 @@
 }
 
 func newConnection(t Target, conn net.Conn, headLimit int64) *connection {
-	c := &connection{target: t, conn: conn, headLimit: headLimit}
+	c := &connection{target: t, conn: &resetconn.Conn{Conn: conn}, headLimit: headLimit}
 	c.in = bufio.NewReaderSize((*connectionReader)(c), readBuffer)
 	return c
 }
@@ -121,7 +122,7 @@
 // disturbance returns why an idle connection must not be reused, or "" if the server has neither closed it nor sent
 // anything on it. It does not block.
 func (c *connection) disturbance() string {
-	raw, ok := c.conn.(syscall.Conn)
+	raw, ok := c.conn.Conn.(syscall.Conn)
 	if !ok {
 		return reasonClosed
 	}
@@ -208,7 +209,7 @@
 	// A request whose body is being written counts as sent: part of it may have reached the server.
 	c.sent = 1
 	go func() {
-		// A failed write ends the connection for reading as well, so that its error is reported there.
+		// A failed write ends the connection for reading as well. resetconn.Conn reports its error there.
 		if req.Write(&headWriter{out: c.conn, line: line}) == nil {
 			close(written)
 		}
--- a/internal/engine/openai/brokenresponses_test.go
+++ b/internal/engine/openai/brokenresponses_test.go
@@ -1,8 +1,10 @@
 package openai_test
 
 import (
+	"bytes"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -70,3 +72,30 @@
 		})
 	}
 }
+
+// Guards against a part of a response without a length that counts as complete because the service reset the connection while the
+// request was being written.
+func TestResponsesResetDuringTheUpload(t *testing.T) {
+	server, err := rawserver.Start(func(c *rawserver.Conn) {
+		c.RequestHead()
+		c.Send("HTTP/1.1 200 OK\r\n\r\npart")
+		_ = c.Conn.(*net.TCPConn).SetLinger(0)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	dir, _ := newDirectory(t)
+	for range 300 {
+		r, _ := http.NewRequest(http.MethodPost, "http://x/booking", bytes.NewReader(make([]byte, 8<<20)))
+		res, err := dir.Service("s", server.Addr).Do(t.Context(), callOf("r.1", "", "").Attempt, r)
+		if err != nil {
+			continue
+		}
+		text, err := io.ReadAll(res.Body)
+		_ = res.Body.Close()
+		if err == nil {
+			t.Errorf("response %q is complete", text)
+		}
+	}
+}
--- a/internal/engine/openai/check.go
+++ b/internal/engine/openai/check.go
@@ -8,12 +8,13 @@
 	"sync/atomic"
 
 	"github.com/boragecourse/boragecourse/internal/engine"
+	"github.com/boragecourse/boragecourse/internal/resetconn"
 )
 
 // stoppableConn is a connection to a backend server. After stop, every write fails without sending anything, which makes
 // net/http close the connection.
 type stoppableConn struct {
-	net.Conn
+	resetconn.Conn
 	stopped atomic.Pointer[error]
 }
 
@@ -33,7 +34,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &stoppableConn{Conn: conn}, nil
+		return &stoppableConn{Conn: resetconn.Conn{Conn: conn}}, nil
 	}
 }
 
--- a/test/standin/rawserver/rawserver.go
+++ b/test/standin/rawserver/rawserver.go
@@ -17,12 +17,21 @@
 	in     *bufio.Reader
 }
 
-// Request reads the next request with its body, or returns nil when the client has closed the connection.
-func (c *Conn) Request() *http.Request {
+// RequestHead reads the head of the next request, or returns nil when the client has closed the connection.
+func (c *Conn) RequestHead() *http.Request {
 	r, err := http.ReadRequest(c.in)
 	if err != nil {
 		return nil
 	}
+	return r
+}
+
+// Request reads the next request with its body, or returns nil when the client has closed the connection.
+func (c *Conn) Request() *http.Request {
+	r := c.RequestHead()
+	if r == nil {
+		return nil
+	}
 	buffer := make([]byte, 4<<10)
 	for {
 		if _, err := r.Body.Read(buffer); err != nil {
