--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -40,8 +40,8 @@
 	in     *bufio.Reader
 	// headLeft is the number of bytes that may still be received as part of a response head.
 	headLeft, headLimit int64
-	// head holds all bytes of the current exchange that have been received while readingHead is set. Some of the last ones may
-	// follow the head and be in the read buffer still.
+	// head holds the bytes that were received while readingHead is set. The last ones may belong to the body; these are still in
+	// the read buffer.
 	head        []byte
 	readingHead bool
 	// received and sent count the bytes of the current exchange.
--- a/test/users/brokenresponses_test.go
+++ b/test/users/brokenresponses_test.go
@@ -27,8 +27,8 @@
 // maxUpload is the largest body of a request, in bytes. It does not fit into the buffers of a connection.
 const maxUpload = 3 << 20
 
-// startBroken starts a host whose only server leaves requests for /KIND/NAME to respond, except for the name 1, and responds to all
-// others as it should. respond reads as much of the body as it likes and returns whether the connection goes on.
+// startBroken starts a host whose only server passes requests for /KIND/NAME to respond, except for the name 1, and gives valid
+// responses to all others. respond reads as much of the body as it likes and returns whether the connection goes on.
 func startBroken(t *testing.T, respond func(c *rawserver.Conn, r *http.Request, name string) bool) *fleet {
 	f := newFleet(t, 1)
 	configuration := routes(10_000_000)
@@ -88,8 +88,8 @@
 	f.g.Expect(f.stream(f.hosts[0], "note").status).To(Equal(http.StatusOK))
 }
 
-// expectFailures sends a request of each kind for each of the responses, and expects a failure of the host's own in time. A server
-// that sends the response "Connection: close" ends the connection after it.
+// expectFailures sends a request of each kind for each of the responses, and expects a failure of the host's own in time. The
+// server closes the connection after a response with "Connection: close".
 func expectFailures(t *testing.T, responses map[string]string) {
 	t.Helper()
 	f := startBroken(t, func(c *rawserver.Conn, r *http.Request, name string) bool {
