Reject HTTP/1.0 responses with a transfer encoding

What callers saw: a server of HTTP/1.0 whose response names chunks; the caller got a 200 whose body had the bytes of the chunks.

Cause: net/http drops Transfer-Encoding from responses of HTTP/1.0 and reads the body to its length or the end of the connection. RFC 9112, section 6.1, has the framing of such a message treated as faulty.

Why it works: the pool checks the received lines of the head, in which the field still stands.

--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -225,7 +225,7 @@
 			return nil, err
 		}
 		received := c.head[:len(c.head)-c.in.Buffered()]
-		if err := cmp.Or(responsehead.Check(resp), responsehead.CheckLines(received)); err != nil {
+		if err := cmp.Or(responsehead.Check(resp), responsehead.CheckLines(resp, received)); err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -31,6 +31,12 @@
 // Error implements error.
 func (e *FoldedLineError) Error() string { return "line of the response head begins with a blank" }
 
+// TransferEncodingError reports a response of HTTP/1.0 with a transfer encoding, whose framing is faulty by RFC 9112, section 6.1.
+type TransferEncodingError struct{}
+
+// Error implements error.
+func (e *TransferEncodingError) Error() string { return "response of HTTP/1.0 has a transfer encoding" }
+
 // Check returns *StatusError for a response with a status below 100, which HTTP does not have, or 101, which answers a request for
 // another protocol only. Statuses from 600 to 999 are allowed: RFC 9110, section 15, has clients treat them as server errors. It
 // returns *FieldNameError for an invalid field name.
@@ -46,10 +52,14 @@
 	return nil
 }
 
-// CheckLines returns *FoldedLineError if a line of a head begins with a blank. head holds the bytes of the head as they were received.
-func CheckLines(head []byte) error {
+// CheckLines returns *FoldedLineError if a line of a head begins with a blank, and *TransferEncodingError if a response of HTTP/1.0 has
+// a transfer encoding. net/http drops that field and takes the encoded body for the body. head holds the bytes that resp was parsed from.
+func CheckLines(resp *http.Response, head []byte) error {
 	if bytes.Contains(head, []byte("\n ")) || bytes.Contains(head, []byte("\n\t")) {
 		return &FoldedLineError{}
 	}
+	if !resp.ProtoAtLeast(1, 1) && bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding:")) {
+		return &TransferEncodingError{}
+	}
 	return nil
 }
--- a/test/users/brokenresponses_test.go
+++ b/test/users/brokenresponses_test.go
@@ -138,6 +138,23 @@
 	expectFailures(t, responses)
 }
 
+// Guards against a body that is relayed with other bounds than the server's, or with the bytes of its chunks, because the fields that
+// delimit it contradict each other or its version.
+func TestResponsesWithFaultyFraming(t *testing.T) {
+	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(event), event)
+	chunked := rawResponse("200 OK", "Transfer-Encoding: chunked", chunks)
+	expectFailures(t, map[string]string{
+		"old-version":        strings.Replace(chunked, "HTTP/1.1", "HTTP/1.0", 1),
+		"old-version-close":  strings.Replace(rawResponse("200 OK", "Connection: close\r\nTransfer-Encoding: chunked", chunks), "HTTP/1.1", "HTTP/1.0", 1),
+		"old-version-length": strings.Replace(rawResponse("200 OK", "content-length: 22\r\ntransfer-encoding: chunked", event), "HTTP/1.1", "HTTP/1.0", 1),
+		"lengths":            rawResponse("200 OK", "Content-Length: 22\r\nContent-Length: 21", event),
+		"signed-length":      rawResponse("200 OK", "Content-Length: +22", event),
+		"two-chunked":        strings.Replace(chunked, "chunked", "chunked\r\nTransfer-Encoding: chunked", 1),
+		"gzip":               strings.Replace(chunked, "chunked", "gzip, chunked", 1),
+		"identity":           rawResponse("200 OK", "Connection: close\r\nTransfer-Encoding: identity", event),
+	})
+}
+
 // Guards against a part of a response that is relayed as a whole one because its server reset the connection while the request was
 // still being written: the write gets the error of the connection, after which a read finds its end.
 func TestResponsesResetDuringTheUpload(t *testing.T) {
