--- a/test/users/leaving_test.go
+++ b/test/users/leaving_test.go
@@ -74,7 +74,12 @@
 	for _, w := range leaving {
 		w.AnnounceLeaving()
 	}
-	p.load(time.Second, func(h *host) response { return p.do(h, http.MethodGet, "/view/1") })
+	// A plain server announces in responses to requests only, and one of several that are equally free may get none for a while.
+	begun := time.Now()
+	p.g.Eventually(func() int {
+		p.load(time.Second, func(h *host) response { return p.do(h, http.MethodGet, "/view/1") })
+		return p.plain[0].MostArrivals(begun, time.Minute)
+	}).WithTimeout(waitTimeout).ShouldNot(BeZero())
 	p.load(time.Second, func(h *host) response { return p.stream(h, "ask") })
 	for _, w := range leaving {
 		p.store.Remove("servers/" + w.ID)
